--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets: demo runs the main job, test the tests, lint the checks CI makes.
+GO ?= go
+BIN := bin
+
+.PHONY: all build demo test lint bench capacity generate fmt
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/wasabifieldd ./cmd/wasabifieldd
+	$(GO) build -o $(BIN)/wasabifield ./cmd/wasabifield
+	$(GO) build -o $(BIN)/standin ./internal/standin/cmd/standin
+
+demo: build
+	$(BIN)/standin demo --daemon $(BIN)/wasabifieldd --tool $(BIN)/wasabifield --target $(BIN)/standin
+
+test: build
+	$(GO) test -race -count=1 ./...
+
+lint:
+	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+fmt:
+	gofmt -w $$(git ls-files -co --exclude-standard '*.go')
+
+# generate needs protoc; the generated code is committed so a build never does.
+generate:
+	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	$(GO) build -o $(BIN)/protoc-gen-go-grpc google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative \
+		$$(git ls-files -co --exclude-standard '*.proto')
--- /dev/null
+++ b/cmd/wasabifield/main.go
@@ -0,0 +1,4 @@
+// Command wasabifield is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/wasabifieldd/main.go
@@ -0,0 +1,4 @@
+// Command wasabifieldd is an entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/process/settings/load.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+
+	"github.com/samber/oops"
+	"go.yaml.in/yaml/v3"
+)
+
+// Load reads and checks the settings in file.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, oops.In("settings").Wrap(err)
+	}
+	return Parse(text)
+}
+
+// Parse reads and checks settings from YAML. A field that is not known is an
+// error.
+func Parse(text []byte) (Settings, error) {
+	s := Default()
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		return Settings{}, oops.In("settings").Wrap(err)
+	}
+	if err := s.Check(); err != nil {
+		return Settings{}, oops.In("settings").Wrap(err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/request/ticket/ticket.go
@@ -0,0 +1,130 @@
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// Ticket is the right to submit one job to its issuer.
+type Ticket struct {
+	Host        string    // the issuing entry host
+	Incarnation uint64    // the issuer's incarnation
+	Seq         uint64    // grows with each ticket of an incarnation
+	Expires     time.Time // millisecond resolution, by the issuer's clock
+}
+
+const (
+	prefix     = "wf1."
+	macBytes   = 16
+	fixedBytes = 3*8 + macBytes
+	maxHost    = 64
+)
+
+var encoding = base64.RawURLEncoding
+
+// Minter issues the tickets of one incarnation of a host. It is not safe for
+// concurrent use.
+type Minter struct {
+	host        string
+	incarnation uint64
+	key         []byte
+	life        time.Duration
+	next        uint64
+}
+
+// NewMinter returns a Minter. The key authenticates the tickets; it is drawn
+// anew for each incarnation.
+func NewMinter(host string, incarnation uint64, key []byte, life time.Duration) *Minter {
+	return &Minter{host: host, incarnation: incarnation, key: key, life: life}
+}
+
+// Issue returns the next ticket in its text form.
+func (m *Minter) Issue(now time.Time) string {
+	m.next++
+	t := Ticket{
+		Host:        m.host,
+		Incarnation: m.incarnation,
+		Seq:         m.next,
+		Expires:     now.Add(m.life).Truncate(time.Millisecond),
+	}
+	body := encode(t)
+	return prefix + encoding.EncodeToString(append(body, m.mac(body)...))
+}
+
+// Life returns how long a ticket is valid.
+func (m *Minter) Life() time.Duration { return m.life }
+
+// Check returns nil if the ticket in text form was issued by this Minter and
+// has not expired. Its errors are RecordLost for another incarnation of the
+// host, TicketInvalid and TicketExpired.
+func (m *Minter) Check(text string, now time.Time) error {
+	t, err := Parse(text)
+	if err != nil {
+		return err
+	}
+	if t.Host != m.host {
+		return failure.New(failure.TicketInvalid, "the ticket was issued by another host")
+	}
+	if t.Incarnation != m.incarnation {
+		return failure.New(failure.RecordLost, "the host that issued the ticket has restarted since")
+	}
+	body, mac := split(text)
+	if !hmac.Equal(mac, m.mac(body)) {
+		return failure.New(failure.TicketInvalid, "the ticket was altered")
+	}
+	if !now.Before(t.Expires) {
+		return failure.New(failure.TicketExpired, "the ticket's time is over")
+	}
+	return nil
+}
+
+func (m *Minter) mac(body []byte) []byte {
+	h := hmac.New(sha256.New, m.key)
+	h.Write(body)
+	return h.Sum(nil)[:macBytes]
+}
+
+// Parse reads the text form without checking who issued it. Its errors are
+// TicketRequired and TicketInvalid.
+func Parse(text string) (Ticket, error) {
+	if text == "" {
+		return Ticket{}, failure.New(failure.TicketRequired, "submit again with the ticket in next_ticket")
+	}
+	body, _ := split(text)
+	if body == nil {
+		return Ticket{}, &failure.Error{Kind: failure.TicketInvalid, Field: "ticket", Message: "not a ticket"}
+	}
+	t := Ticket{
+		Incarnation: binary.BigEndian.Uint64(body),
+		Seq:         binary.BigEndian.Uint64(body[8:]),
+		Expires:     time.UnixMilli(int64(binary.BigEndian.Uint64(body[16:]))),
+		Host:        string(body[24:]),
+	}
+	return t, nil
+}
+
+func encode(t Ticket) []byte {
+	body := binary.BigEndian.AppendUint64(nil, t.Incarnation)
+	body = binary.BigEndian.AppendUint64(body, t.Seq)
+	body = binary.BigEndian.AppendUint64(body, uint64(t.Expires.UnixMilli()))
+	return append(body, t.Host...)
+}
+
+// split returns nil, nil if text is not of the form that encode makes.
+func split(text string) (body, mac []byte) {
+	rest, ok := strings.CutPrefix(text, prefix)
+	if !ok {
+		return nil, nil
+	}
+	raw, err := encoding.Strict().DecodeString(rest)
+	if err != nil || len(raw) <= fixedBytes || len(raw) > fixedBytes+maxHost {
+		return nil, nil
+	}
+	return raw[:len(raw)-macBytes], raw[len(raw)-macBytes:]
+}
