--- /dev/null
+++ b/internal/version/bundle/bundle.go
@@ -0,0 +1,156 @@
+package bundle
+
+import "time"
+
+// Bundle states how the service behaves. Version 0 is the built-in default and
+// is never proposed.
+type Bundle struct {
+	Version        uint64        `yaml:"version" json:"version"`
+	Limits         Limits        `yaml:"limits" json:"limits"`
+	Teams          []Team        `yaml:"teams" json:"teams"`
+	OtherTeams     Quota         `yaml:"other_teams" json:"other_teams"` // quota of each team that Teams does not name
+	Retry          Retry         `yaml:"retry" json:"retry"`
+	Routing        Routing       `yaml:"routing" json:"routing"`
+	Deadlines      Deadlines     `yaml:"deadlines" json:"deadlines"`
+	AttemptTimeout time.Duration `yaml:"attempt_timeout" json:"attempt_timeout"` // greatest time of one task start, answer included
+	Ejection       Ejection      `yaml:"ejection" json:"ejection"`
+	Roll           Roll          `yaml:"roll" json:"roll"`
+}
+
+// Limits bound one job.
+type Limits struct {
+	TasksPerJob  int   `yaml:"tasks_per_job" json:"tasks_per_job"`
+	PayloadBytes int64 `yaml:"payload_bytes" json:"payload_bytes"` // of one task
+	OutputBytes  int64 `yaml:"output_bytes" json:"output_bytes"`   // of one task
+}
+
+// Quota bounds what one team holds in one failure domain.
+type Quota struct {
+	InProgress int `yaml:"in_progress" json:"in_progress"` // task starts in progress
+	Queued     int `yaml:"queued" json:"queued"`           // tasks waiting for a slot
+}
+
+// Team is a team with its quota.
+type Team struct {
+	Name  string `yaml:"name" json:"name"`
+	Quota `yaml:",inline"`
+}
+
+// Retry says when a task is started again.
+type Retry struct {
+	// RestartIdempotent allows a task of an idempotent job to be started again
+	// after an unknown outcome.
+	RestartIdempotent bool `yaml:"restart_idempotent" json:"restart_idempotent"`
+	// Attempts is the greatest number of starts tried for one task, those
+	// proven not started included.
+	Attempts int `yaml:"attempts" json:"attempts"`
+}
+
+// SlotPolicy names how the entry hosts of a failure domain share the slots of
+// its targets.
+type SlotPolicy string
+
+// The slot policies.
+const (
+	RandomTwo SlotPolicy = "random_two" // the less loaded of two targets drawn from the local view
+	Shares    SlotPolicy = "shares"     // each host holds a share of each target's slots
+	Owner     SlotPolicy = "owner"      // one host owns each target and the others forward to it
+)
+
+// Routing says where tasks run.
+type Routing struct {
+	SlotPolicy SlotPolicy      `yaml:"slot_policy" json:"slot_policy"` // of a domain that Domains does not name
+	Domains    []DomainRouting `yaml:"domains" json:"domains"`
+	Spill      Spill           `yaml:"spill" json:"spill"`
+}
+
+// DomainRouting sets the slot policy of one failure domain.
+type DomainRouting struct {
+	Name       string     `yaml:"name" json:"name"`
+	SlotPolicy SlotPolicy `yaml:"slot_policy" json:"slot_policy"`
+}
+
+// Spill says when a job goes to another failure domain.
+type Spill struct {
+	Enabled bool          `yaml:"enabled" json:"enabled"`
+	After   time.Duration `yaml:"after" json:"after"` // expected wait for a slot above which a job spills
+}
+
+// Deadlines bound the time to a whole answer.
+type Deadlines struct {
+	Default  time.Duration `yaml:"default" json:"default"`   // of a job that states none
+	Greatest time.Duration `yaml:"greatest" json:"greatest"` // that a job may state
+}
+
+// Ejection says when a target that fails its tasks gets no work for a time.
+type Ejection struct {
+	Failures        int           `yaml:"failures" json:"failures"`                 // consecutive failures that eject a target
+	Pause           time.Duration `yaml:"pause" json:"pause"`                       // first time without work; doubles with each ejection in a row
+	GreatestPause   time.Duration `yaml:"greatest_pause" json:"greatest_pause"`     // bound of the doubling
+	GreatestPercent int           `yaml:"greatest_percent" json:"greatest_percent"` // of a domain's targets that may be ejected at once
+}
+
+// Roll orders the failure domains that take a new version.
+type Roll struct {
+	Order []string      `yaml:"order" json:"order"` // domains not named follow the last one
+	Pause time.Duration `yaml:"pause" json:"pause"` // between a domain and the next
+}
+
+// Default returns the built-in bundle, version 0.
+func Default() Bundle {
+	return Bundle{
+		Limits:         Limits{TasksPerJob: 210, PayloadBytes: 256 << 10, OutputBytes: 1 << 20},
+		OtherTeams:     Quota{InProgress: 1_000, Queued: 10_000},
+		Retry:          Retry{Attempts: 4},
+		Routing:        Routing{SlotPolicy: RandomTwo, Spill: Spill{After: 500 * time.Millisecond}},
+		Deadlines:      Deadlines{Default: 10 * time.Second, Greatest: time.Minute},
+		AttemptTimeout: 30 * time.Second,
+		Ejection: Ejection{
+			Failures:        5,
+			Pause:           2 * time.Second,
+			GreatestPause:   time.Minute,
+			GreatestPercent: 50,
+		},
+	}
+}
+
+// QuotaOf returns the quota of a team.
+func (b Bundle) QuotaOf(team string) Quota {
+	for _, t := range b.Teams {
+		if t.Name == team {
+			return t.Quota
+		}
+	}
+	return b.OtherTeams
+}
+
+// Share returns the part of q that one of the given number of entry hosts
+// enforces. Parts are rounded up, so that each host can serve the team.
+func (q Quota) Share(hosts int) Quota {
+	hosts = max(1, hosts)
+	return Quota{
+		InProgress: (q.InProgress + hosts - 1) / hosts,
+		Queued:     (q.Queued + hosts - 1) / hosts,
+	}
+}
+
+// SlotPolicyOf returns the slot policy of a failure domain.
+func (b Bundle) SlotPolicyOf(domain string) SlotPolicy {
+	for _, d := range b.Routing.Domains {
+		if d.Name == domain {
+			return d.SlotPolicy
+		}
+	}
+	return b.Routing.SlotPolicy
+}
+
+// RollDelay returns how long after its acceptance the bundle comes into force
+// in a failure domain.
+func (b Bundle) RollDelay(domain string) time.Duration {
+	for i, name := range b.Roll.Order {
+		if name == domain {
+			return time.Duration(i) * b.Roll.Pause
+		}
+	}
+	return time.Duration(len(b.Roll.Order)) * b.Roll.Pause
+}
