Let a bundle state the version that it was written on

Cause: a bundle written on top of version 7 and rolled after version 8 would undo what 8 changed, without anybody having signed that.

Ruled out: a base beside the document in the command, since the approvals would not cover it and a resend could compute another one.

--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -6,6 +6,7 @@
 // is never proposed.
 type Bundle struct {
 	Version        uint64        `yaml:"version" json:"version"`
+	BasedOn        uint64        `yaml:"based_on" json:"based_on"` // accepted version that this one was written on top of
 	Limits         Limits        `yaml:"limits" json:"limits"`
 	Teams          []Team        `yaml:"teams" json:"teams"`
 	OtherTeams     Quota         `yaml:"other_teams" json:"other_teams"` // quota of each team that Teams does not name
--- a/internal/version/bundle/bundle_test.go
+++ b/internal/version/bundle/bundle_test.go
@@ -48,6 +48,7 @@
 func TestEachFaultNamesFieldValueAndWhatIsAllowed(t *testing.T) {
 	cases := map[string]struct{ document, fault string }{
 		"no version":     {"limits: {tasks_per_job: 3}", `version: is "0", must be 1 or more`},
+		"own base":       {"version: 2\nbased_on: 2", `based_on: is "2", must be less than version`},
 		"unknown field":  {"version: 1\nretry: {tries: 3}", `retry.tries: is "3", must be absent: no such field`},
 		"wrong type":     {"version: 1\nteams: [{name: a, queued: many}]", `teams[0].queued: is "many", must be a whole number`},
 		"negative":       {"version: -1", `version: is "-1", must be a whole number, 0 or more`},
--- a/internal/version/bundle/check.go
+++ b/internal/version/bundle/check.go
@@ -80,6 +80,9 @@
 	if b.Version == 0 {
 		c.fault("version", b.Version, "1 or more")
 	}
+	if b.BasedOn >= max(1, b.Version) {
+		c.fault("based_on", b.BasedOn, "less than version")
+	}
 	b.Limits.check(c)
 	b.checkTeams(c)
 	c.between("retry.attempts", int64(b.Retry.Attempts), 1, 100)
