--- /dev/null
+++ b/internal/process/membership/targets_test.go
@@ -0,0 +1,193 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"wasabifield.example/wasabifield/internal/connection/membershippb"
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+const lease = 4 * time.Second
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func newTable(id uint64) *Targets {
+	return NewTargets(TargetsConfig{Table: id, Domain: "north", Lease: lease})
+}
+
+func announcement(name string, incarnation uint64, leaving bool) wire.Announcement {
+	return wire.Announcement{
+		Target:      name,
+		Incarnation: incarnation,
+		Address:     fmt.Sprintf("127.0.0.1:%d", 1000+incarnation),
+		Domain:      "north",
+		Slots:       8,
+		Connections: 64,
+		Leaving:     leaving,
+	}
+}
+
+// ask lets asker ask answerer; the answer is made and merged at the given times.
+func ask(asker, answerer *Targets, peer string, asked, answered time.Time) *membershippb.TargetDelta {
+	delta := answerer.Delta(answered, asker.Cursor(peer))
+	asker.Merge(peer, asked, delta)
+	return delta
+}
+
+func names(targets []Target) []string {
+	list := []string{}
+	for _, t := range targets {
+		list = append(list, fmt.Sprintf("%s.%d", t.Target, t.Incarnation))
+	}
+	return list
+}
+
+func TestLeaseEndsWithoutRenewal(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(1)
+	g.Expect(table.Announce(at(0), announcement("t1", 1, false))).To(Succeed())
+	g.Expect(names(table.Alive(at(3.9)))).To(ConsistOf("t1.1"))
+	g.Expect(table.Alive(at(4))).To(BeEmpty())
+	g.Expect(table.Announce(at(5), announcement("t1", 1, false))).To(Succeed())
+	g.Expect(names(table.Alive(at(8.9)))).To(ConsistOf("t1.1"))
+}
+
+func TestLeavingHoldsForItsIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(1)
+	g.Expect(table.Announce(at(0), announcement("t1", 1, true))).To(Succeed())
+	g.Expect(table.Announce(at(1), announcement("t1", 1, false))).To(Succeed())
+	g.Expect(table.Alive(at(1))).To(BeEmpty())
+	g.Expect(table.Announce(at(2), announcement("t1", 2, false))).To(Succeed())
+	g.Expect(names(table.Alive(at(2)))).To(ConsistOf("t1.2"))
+}
+
+func TestStaleAnnouncementNamesTheIncarnationToPass(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(1)
+	g.Expect(table.Announce(at(0), announcement("t1", 7, false))).To(Succeed())
+	err := table.Announce(at(1), announcement("t1", 6, false))
+	g.Expect(failure.KindOf(err)).To(Equal(failure.StaleVersion))
+	g.Expect(err).To(MatchError(ContainSubstring("greater than 7")))
+
+	twin := announcement("t1", 7, false)
+	twin.Address = "127.0.0.1:9"
+	g.Expect(failure.KindOf(table.Announce(at(1), twin))).To(Equal(failure.StaleVersion))
+}
+
+func TestInvalidAnnouncementNamesTheField(t *testing.T) {
+	cases := map[string]func(*wire.Announcement){
+		"target":      func(a *wire.Announcement) { a.Target = "" },
+		"worker":      func(a *wire.Announcement) { a.Rack = string(make([]byte, 129)) },
+		"incarnation": func(a *wire.Announcement) { a.Incarnation = 0 },
+		"address":     func(a *wire.Announcement) { a.Address = "localhost:1" },
+		"domain":      func(a *wire.Announcement) { a.Domain = "south" },
+		"slots":       func(a *wire.Announcement) { a.Slots = 0 },
+		"connections": func(a *wire.Announcement) { a.Connections = 5000 },
+	}
+	for field, spoil := range cases {
+		g := NewWithT(t)
+		a := announcement("t1", 1, false)
+		spoil(&a)
+		g.Expect(newTable(1).Announce(at(0), a)).To(MatchError(ContainSubstring(field)))
+	}
+}
+
+// A frozen host wakes and reads an answer that it had asked for before the
+// freeze; the answer must not look newer than the question.
+func TestAnswerReadAfterAFreezeExtendsNoLease(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newTable(1), newTable(2)
+	g.Expect(a.Announce(at(0), announcement("t1", 1, false))).To(Succeed())
+	delta := a.Delta(at(1), b.Cursor("a"))
+	b.Merge("a", at(1), delta) // merged at 60 s, after the freeze
+	g.Expect(b.Alive(at(60))).To(BeEmpty())
+}
+
+func TestRenewalsAreRelayedByHandle(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newTable(1), newTable(2)
+	g.Expect(a.Announce(at(0), announcement("t1", 1, false))).To(Succeed())
+	g.Expect(ask(b, a, "a", at(0.1), at(0.1)).GetRecords()).To(HaveLen(1))
+	g.Expect(a.Announce(at(2), announcement("t1", 1, false))).To(Succeed())
+	delta := ask(b, a, "a", at(2.1), at(2.1))
+	g.Expect(delta.GetRecords()).To(BeEmpty())
+	g.Expect(delta.GetHandles()).To(HaveLen(1))
+	g.Expect(b.Alive(at(5.9))).To(HaveLen(1))
+	g.Expect(b.Alive(at(6))).To(BeEmpty())
+	idle := ask(b, a, "a", at(2.2), at(2.2))
+	g.Expect(proto.Size(idle)).To(BeNumerically("<=", 4), "bytes of a delta without news")
+}
+
+func TestRestartedPeerIsAskedForItsWholeTable(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newTable(1), newTable(2)
+	g.Expect(a.Announce(at(0), announcement("t1", 1, false))).To(Succeed())
+	ask(b, a, "a", at(0.1), at(0.1))
+	a = newTable(3)
+	g.Expect(a.Announce(at(1), announcement("t2", 1, false))).To(Succeed())
+	ask(b, a, "a", at(1.1), at(1.1))
+	g.Expect(names(b.Alive(at(1.1)))).To(ConsistOf("t1.1", "t2.1"))
+}
+
+func TestRenewalOfAForgottenTargetAsksForTheWholeTable(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newTable(1), newTable(2)
+	g.Expect(a.Announce(at(0), announcement("t1", 1, false))).To(Succeed())
+	ask(b, a, "a", at(0.1), at(0.1))
+	b.Expire(at(100))
+	g.Expect(b.All()).To(BeEmpty())
+	g.Expect(a.Announce(at(100), announcement("t1", 1, false))).To(Succeed())
+	ask(b, a, "a", at(100.1), at(100.1))
+	ask(b, a, "a", at(100.2), at(100.2))
+	g.Expect(b.Alive(at(100.2))).To(HaveLen(1))
+}
+
+// With the link between a and b cut both ways, b hears of a's targets from c.
+func TestCutBetweenTwoHostsIsBridgedByAThird(t *testing.T) {
+	g := NewWithT(t)
+	a, b, c := newTable(1), newTable(2), newTable(3)
+	for s := 0.0; s < 60; s += 1.3 {
+		g.Expect(a.Announce(at(s), announcement("t1", 1, false))).To(Succeed())
+		ask(c, a, "a", at(s+0.25), at(s+0.25))
+		ask(b, c, "c", at(s+0.5), at(s+0.5))
+		g.Expect(b.Alive(at(s+1.3))).To(HaveLen(1), fmt.Sprint(s))
+	}
+}
+
+// A renewal is relayed at most once over each link, whatever the delays.
+func TestRelayingDoesNotCircle(t *testing.T) {
+	g := NewWithT(t)
+	const hosts, rounds, roundsPerRenewal = 6, 200, 5
+	tables := make([]*Targets, hosts)
+	for i := range tables {
+		tables[i] = newTable(uint64(i + 1))
+	}
+	renewals, relayed := 0, 0
+	for round := range rounds {
+		now := at(0.25 * float64(round))
+		if round%roundsPerRenewal == 0 {
+			g.Expect(tables[renewals%hosts].Announce(now, announcement("t1", 1, false))).To(Succeed())
+			renewals++
+		}
+		for i, asker := range tables {
+			for j, answerer := range tables {
+				if i != j {
+					delay := time.Duration((37*i+53*j+11*round)%100) * time.Millisecond
+					relayed += len(ask(asker, answerer, fmt.Sprint(j), now, now.Add(delay)).GetHandles())
+				}
+			}
+		}
+	}
+	g.Expect(relayed).To(BeNumerically("<=", renewals*hosts*(hosts-1)))
+}
