Add the table of entry hosts: incarnations, probes, rumours of ages

Cause: a host must know which hosts of its domain answer, and roughly which domains are there, for less than 19 KB a second at 13 domains of 6 hosts.

Change: every host of the domain is asked at each exchange, one host elsewhere each second, and answers carry a bounded number of ages. An answer names the greatest incarnation known of the asker, so a clock that went back is noticed.

--- /dev/null
+++ b/internal/process/membership/hosts_test.go
@@ -0,0 +1,227 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"wasabifield.example/wasabifield/internal/connection/membershippb"
+)
+
+const (
+	rumoursPerMessage = 12
+	exchangeTick      = 250 * time.Millisecond
+)
+
+// fleet is a set of hosts that ask each other over links which can be cut.
+type fleet struct {
+	now      time.Time
+	hosts    []*Hosts
+	index    map[string]int
+	frozen   map[string]bool
+	cut      func(asker, answerer HostName) bool
+	messages int
+	bytes    int
+}
+
+func hostNames(domains, perDomain int) []HostName {
+	var list []HostName
+	for d := range domains {
+		for i := range perDomain {
+			list = append(list, HostName{fmt.Sprintf("d%02d-%d", d, i), fmt.Sprintf("d%02d", d)})
+		}
+	}
+	return list
+}
+
+func newFleet(domains, perDomain int) *fleet {
+	f := &fleet{
+		now:    epoch,
+		index:  make(map[string]int),
+		frozen: make(map[string]bool),
+		cut:    func(HostName, HostName) bool { return false },
+	}
+	all := hostNames(domains, perDomain)
+	for i, self := range all {
+		f.index[self.Host] = i
+		f.hosts = append(f.hosts, f.start(self, all, uint64(1000+i)))
+	}
+	return f
+}
+
+func (f *fleet) start(self HostName, all []HostName, incarnation uint64) *Hosts {
+	var peers []HostName
+	for _, p := range all {
+		if p != self {
+			peers = append(peers, p)
+		}
+	}
+	return NewHosts(HostsConfig{
+		Self:        self,
+		Incarnation: incarnation,
+		Peers:       peers,
+		Exchange:    exchangeTick,
+		Probe:       time.Second,
+		Suspect:     time.Second,
+		Silent:      30 * time.Second,
+	}, rand.New(rand.NewPCG(1, incarnation)))
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(exchangeTick) {
+		for _, asker := range f.hosts {
+			if f.frozen[asker.config.Self.Host] {
+				continue
+			}
+			for _, name := range asker.Due(f.now) {
+				f.exchange(asker, f.hosts[f.index[name]])
+			}
+		}
+	}
+}
+
+func (f *fleet) exchange(asker, answerer *Hosts) {
+	from, to := asker.config.Self, answerer.config.Self
+	if f.frozen[to.Host] || f.cut(from, to) {
+		return
+	}
+	held := answerer.Asked(f.now, from.Host, asker.Incarnation())
+	rumours := answerer.Rumours(f.now, from.Domain, rumoursPerMessage)
+	asker.Answered(f.now, to.Host, answerer.Incarnation(), held, rumours)
+	f.messages += 2
+	for _, r := range rumours {
+		f.bytes += proto.Size(r) + 2
+	}
+}
+
+// states counts what the viewers for which keep is true conclude of host.
+func (f *fleet) states(host string, keep func(HostName) bool) map[HostState]int {
+	counts := make(map[HostState]int)
+	for _, viewer := range f.hosts {
+		if self := viewer.config.Self; self.Host == host || !keep(self) {
+			continue
+		}
+		for _, v := range viewer.View(f.now) {
+			if v.Host == host {
+				counts[v.State]++
+			}
+		}
+	}
+	return counts
+}
+
+func inDomain(domain string) func(HostName) bool {
+	return func(n HostName) bool { return n.Domain == domain }
+}
+
+func outside(domain string) func(HostName) bool {
+	return func(n HostName) bool { return n.Domain != domain }
+}
+
+func TestFrozenHostIsSuspectedThenSilentThenBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3, 3)
+	f.run(20 * time.Second)
+	g.Expect(f.states("d00-0", outside(""))).To(Equal(map[HostState]int{HostAlive: 8}))
+	f.frozen["d00-0"] = true
+	f.run(2 * time.Second)
+	g.Expect(f.states("d00-0", inDomain("d00"))).To(Equal(map[HostState]int{HostSuspect: 2}))
+	f.run(40 * time.Second)
+	g.Expect(f.states("d00-0", outside(""))).To(Equal(map[HostState]int{HostSilent: 8}))
+	f.frozen["d00-0"] = false
+	f.run(time.Second)
+	g.Expect(f.states("d00-0", inDomain("d00"))).To(Equal(map[HostState]int{HostAlive: 2}))
+	f.run(10 * time.Second)
+	g.Expect(f.states("d00-0", outside(""))).To(Equal(map[HostState]int{HostAlive: 8}))
+}
+
+func TestOneWayCutIsSeenByTheSideThatGetsNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 3)
+	f.cut = func(asker, answerer HostName) bool { return asker.Host == "d00-0" && answerer.Host == "d00-1" }
+	f.run(40 * time.Second)
+	g.Expect(f.states("d00-1", outside(""))).To(Equal(map[HostState]int{HostIndirect: 1, HostAlive: 1}))
+	g.Expect(f.states("d00-0", outside(""))).To(Equal(map[HostState]int{HostAlive: 2}))
+}
+
+func TestDomainGoneIsSilentForTheOthersAndComesBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(13, 3)
+	f.run(30 * time.Second)
+	f.cut = func(a, b HostName) bool { return (a.Domain == "d05") != (b.Domain == "d05") }
+	f.run(45 * time.Second)
+	for i := range 3 {
+		host := fmt.Sprintf("d05-%d", i)
+		g.Expect(f.states(host, outside("d05"))).To(Equal(map[HostState]int{HostSilent: 36}))
+		g.Expect(f.states(host, inDomain("d05"))).To(Equal(map[HostState]int{HostAlive: 2}))
+	}
+	f.cut = func(HostName, HostName) bool { return false }
+	f.run(20 * time.Second)
+	g.Expect(f.states("d05-0", outside("d05"))).To(Equal(map[HostState]int{HostAlive: 36}))
+}
+
+func TestHostSilentForADayIsTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2, 3)
+	f.frozen["d01-0"] = true
+	f.run(10 * time.Second)
+	f.now = f.now.Add(24 * time.Hour)
+	f.frozen["d01-0"] = false
+	f.run(20 * time.Second)
+	g.Expect(f.states("d01-0", outside(""))).To(Equal(map[HostState]int{HostAlive: 5}))
+}
+
+func TestRestartWithAClockThatWentBackTakesAGreaterIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 2)
+	f.run(time.Second)
+	restarted := f.start(HostName{"d00-0", "d00"}, hostNames(1, 2), 500)
+	peer := f.hosts[1]
+	held := peer.Asked(f.now, "d00-0", restarted.Incarnation())
+	greater := restarted.Answered(f.now, "d00-1", peer.Incarnation(), held, nil)
+	g.Expect(greater).To(Equal(uint64(1001)))
+	g.Expect(peer.Asked(f.now, "d00-0", greater)).To(Equal(greater))
+}
+
+func TestRumourOfAnEarlierStartAlsoDemandsAGreaterIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 2)
+	rumours := []*membershippb.HostRumour{{Host: "d00-0", Incarnation: 5000, AgeMs: 1}}
+	g.Expect(f.hosts[0].Answered(f.now, "d00-1", 1001, 0, rumours)).To(Equal(uint64(5001)))
+}
+
+func TestStaleRumourNeverOverridesAnIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1, 3)
+	f.hosts[0].Asked(f.now, "d00-2", 2000)
+	rumours := []*membershippb.HostRumour{{Host: "d00-2", Incarnation: 1002, AgeMs: 0}, {Host: "stranger", Incarnation: 1}}
+	f.hosts[0].Answered(f.now.Add(time.Minute), "d00-1", 1001, 0, rumours)
+	view := f.hosts[0].View(f.now)
+	g.Expect(view).To(HaveLen(2))
+	g.Expect(view[1].Incarnation).To(Equal(uint64(2000)))
+	g.Expect(view[1].Heard).To(Equal(f.now), "news of an older incarnation does not count")
+}
+
+func TestIncarnationsOfOneMillisecondDiffer(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	g.Expect(NewIncarnation(epoch, random)).NotTo(Equal(NewIncarnation(epoch, random)))
+	g.Expect(NewIncarnation(epoch.Add(time.Millisecond), random)).To(BeNumerically(">", NewIncarnation(epoch, random)))
+}
+
+// The cost at the size to be reached: 13 domains of 6 hosts.
+func TestMessagesPerHostAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(13, 6)
+	const seconds = 20
+	f.run(seconds * time.Second)
+	perHost := float64(f.messages) / float64(len(f.hosts)) / seconds
+	bytes := float64(f.bytes) / float64(len(f.hosts)) / seconds
+	t.Logf("%.1f messages and %.0f bytes of rumours a second per host", perHost, bytes)
+	g.Expect(perHost).To(BeNumerically("<=", 42.1)) // 2 x (5 peers x 4 + 1 probe)
+	g.Expect(bytes).To(BeNumerically("<=", 6500))
+}
--- /dev/null
+++ b/internal/process/membership/incarnation.go
@@ -0,0 +1,16 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const incarnationRandomBits = 20
+
+// NewIncarnation returns the incarnation of a host that starts at now: the
+// time in milliseconds followed by random bits, so that two starts in one
+// millisecond, or at one reading of a clock that went back, still differ.
+func NewIncarnation(now time.Time, random *rand.Rand) uint64 {
+	low := random.Uint64() >> (64 - incarnationRandomBits)
+	return uint64(now.UnixMilli())<<incarnationRandomBits | low
+}
