Serve jobs: dispatch core, target links, forwarding, drain

Cause: no path led from a caller to a target. Ruled out: a quorum or a synced record before each start. Only the incarnation that issued a ticket starts its job, so neither is needed. Change: the pure dispatch core and its loop, starts at targets over HTTP with outcomes told apart by what was written, the callers' API, forwarding and exchange between entry hosts over gRPC, graceful shutdown.

--- a/cmd/wasabifieldd/main.go
+++ b/cmd/wasabifieldd/main.go
@@ -1,4 +1,12 @@
 // Command wasabifieldd is an entry host.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"wasabifield.example/wasabifield/internal/process/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Main())
+}
--- /dev/null
+++ b/internal/connection/targetlink/link.go
@@ -0,0 +1,204 @@
+package targetlink
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+)
+
+const (
+	maxOutputBytes = 4 << 20          // greatest output of one task
+	idleTimeout    = 60 * time.Second // an idle connection is closed after this
+	probeIdle      = 5 * time.Second  // keep-alive probes start after this silence
+	probeInterval  = 2 * time.Second
+	probeCount     = 3
+)
+
+// Config configures Links.
+type Config struct {
+	Origin      string // prefix of the names of this host's starts
+	DialTimeout time.Duration
+}
+
+// Links holds the connections to all targets. It is safe for concurrent use.
+type Links struct {
+	config Config
+	mu     sync.Mutex
+	links  map[string]*link // by address
+}
+
+// link holds the connections to one target.
+type link struct {
+	transport *http.Transport
+	conns     int
+}
+
+// NewLinks returns Links without connections.
+func NewLinks(config Config) *Links {
+	return &Links{config: config, links: make(map[string]*link)}
+}
+
+// Send implements dispatch.Sender.
+func (l *Links) Send(ctx context.Context, s dispatch.Start) dispatch.Result {
+	ctx, cancel := context.WithDeadline(ctx, s.Deadline)
+	defer cancel()
+	a := &attempt{start: s, name: l.taskName(s)}
+	outcome, output, message := a.run(ctx, l.link(s.Address, s.Conns))
+	if outcome == dispatch.Lost {
+		l.retire(s.Address)
+	}
+	return dispatch.Result{ID: s.ID, Outcome: outcome, Output: output, Message: message}
+}
+
+// taskName names an attempt uniquely among all hosts and incarnations.
+func (l *Links) taskName(s dispatch.Start) string {
+	return l.config.Origin + "." + strconv.FormatUint(uint64(s.Job), 10) + "." +
+		strconv.FormatUint(uint64(s.ID), 10) + "/" + s.Task.ID
+}
+
+// link returns the link to address, made anew if its width changed.
+func (l *Links) link(address string, conns int) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k, ok := l.links[address]
+	if !ok || k.conns != conns {
+		k = &link{transport: l.transport(conns), conns: conns}
+		l.links[address] = k
+	}
+	return k
+}
+
+// retire drops the link to address after a lost answer: its connections may
+// have gone silent, so the next start opens new ones.
+func (l *Links) retire(address string) {
+	l.mu.Lock()
+	k, ok := l.links[address]
+	delete(l.links, address)
+	l.mu.Unlock()
+	if ok {
+		k.transport.CloseIdleConnections()
+	}
+}
+
+func (l *Links) transport(conns int) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: l.config.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: c}, nil
+	}
+	return &http.Transport{
+		DialContext:         dial,
+		DisableCompression:  true,
+		MaxConnsPerHost:     conns,
+		MaxIdleConnsPerHost: max(conns, 1),
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// attempt is one start on its way.
+type attempt struct {
+	start  dispatch.Start
+	name   string
+	conn   *countingConn // nil until a connection was got
+	before int64         // bytes written on conn before this request
+}
+
+// written reports whether a byte of the request may have reached the network.
+func (a *attempt) written() bool {
+	return a.conn != nil && a.conn.written.Load() > a.before
+}
+
+func (a *attempt) run(ctx context.Context, k *link) (dispatch.Outcome, json.RawMessage, string) {
+	request, err := a.request(ctx)
+	if err != nil {
+		return dispatch.NotStarted, nil, err.Error()
+	}
+	response, err := k.transport.RoundTrip(request)
+	if err != nil && !a.written() {
+		return dispatch.NotStarted, nil, err.Error()
+	}
+	if err != nil {
+		return dispatch.Lost, nil, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	return a.read(response)
+}
+
+func (a *attempt) request(ctx context.Context) (*http.Request, error) {
+	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	url := "http://" + a.start.Address + wire.PathTasks
+	// A body without GetBody keeps the transport from sending it a second time.
+	body := io.NopCloser(bytes.NewReader(a.start.Task.Payload))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(a.start.Task.Payload))
+	if request.ContentLength == 0 {
+		request.Body = http.NoBody
+	}
+	budget := time.Until(a.start.Deadline).Milliseconds()
+	request.Header.Set(wire.TaskHeader, a.name)
+	request.Header.Set(wire.BudgetHeader, strconv.FormatInt(budget, 10))
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*countingConn); ok {
+		a.conn = c
+		a.before = c.written.Load()
+	}
+}
+
+func (a *attempt) read(response *http.Response) (dispatch.Outcome, json.RawMessage, string) {
+	if response.StatusCode != http.StatusOK {
+		return refusal(response)
+	}
+	if response.Header.Get(wire.TaskHeader) != a.name {
+		return dispatch.Lost, nil, "the answer belongs to another task"
+	}
+	output, err := io.ReadAll(io.LimitReader(response.Body, maxOutputBytes+1))
+	if err != nil {
+		return dispatch.Lost, nil, "the answer was cut short: " + err.Error()
+	}
+	if len(output) > maxOutputBytes || !json.Valid(output) {
+		return dispatch.TaskError, nil, "the output is too large or not valid JSON"
+	}
+	return dispatch.Done, output, ""
+}
+
+// refusal reads an answer other than 200. Only the target's own word that the
+// task did not run is taken as such.
+func refusal(response *http.Response) (dispatch.Outcome, json.RawMessage, string) {
+	message := "the target answered " + response.Status
+	switch response.Header.Get(wire.RanHeader) {
+	case "no":
+		return dispatch.NotStarted, nil, message
+	case "yes":
+		return dispatch.TaskError, nil, message
+	}
+	return dispatch.Lost, nil, message
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,98 @@
+// Package daemon is the command line of wasabifieldd: it reads the settings,
+// runs the host and turns signals into a graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"wasabifield.example/wasabifield/internal/process/host"
+	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/settings"
+)
+
+// Exit codes of wasabifieldd.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the host failed
+	ExitSettings = 2 // the settings or arguments are wrong
+	ExitCut      = 3 // jobs in progress were cut
+)
+
+// Main runs the daemon with the process's arguments and returns its exit code.
+func Main() int {
+	code := ExitOK
+	command := newCommand(&code)
+	if err := command.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "wasabifieldd:", err)
+		return ExitSettings
+	}
+	return code
+}
+
+func newCommand(code *int) *cobra.Command {
+	var file string
+	var checkOnly bool
+	command := &cobra.Command{
+		Use:           "wasabifieldd --config FILE",
+		Short:         "Run one entry host",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			s, err := settings.Load(file)
+			if err != nil || checkOnly {
+				return err
+			}
+			*code = run(s)
+			return nil
+		},
+	}
+	command.Flags().StringVar(&file, "config", "", "settings file (YAML)")
+	command.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
+	if err := command.MarkFlagRequired("config"); err != nil {
+		panic(err)
+	}
+	return command
+}
+
+func run(s settings.Settings) int {
+	log := logging.New(os.Stderr, s.Log.Format, s.Log.Level)
+	h, err := host.New(s, log)
+	if err != nil {
+		log.Error("Could not start.", "error", err)
+		return ExitFailed
+	}
+	ctx, cut := signalContexts()
+	err = h.Run(ctx, cut)
+	switch {
+	case errors.Is(err, host.ErrCut):
+		return ExitCut
+	case err != nil:
+		log.Error("Stopped on an error.", "error", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// signalContexts returns a context that the first SIGTERM or SIGINT cancels
+// and one that the second cancels.
+func signalContexts() (first, second context.Context) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	first, cancelFirst := context.WithCancel(context.Background())
+	second, cancelSecond := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		cancelFirst()
+		<-signals
+		cancelSecond()
+	}()
+	return first, second
+}
--- /dev/null
+++ b/internal/process/dispatch/effect.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/job"
+)
+
+// StartID names one attempt to start a task.
+type StartID uint64
+
+// Start asks for one attempt to start a task at a target.
+type Start struct {
+	ID       StartID
+	Job      JobID
+	Target   string
+	Address  string // IP:port of the target
+	Conns    int    // connections that the target accepts
+	Task     *job.Task
+	Deadline time.Time // the attempt is given up at this time
+}
+
+// Outcome says how an attempt ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	Done       Outcome = iota // the task ran and its output is present
+	TaskError                 // the task ran and failed
+	NotStarted                // proven: the target did not start the task
+	Lost                      // unknown: the start was sent and no valid answer came
+)
+
+// Result reports the end of an attempt.
+type Result struct {
+	ID      StartID
+	Outcome Outcome
+	Output  json.RawMessage // only when Done
+	Message string          // the cause, unless Done
+}
+
+// Finish gives the answer to a job.
+type Finish struct {
+	Job    JobID
+	Answer *job.Answer
+}
--- /dev/null
+++ b/internal/process/host/host.go
@@ -0,0 +1,164 @@
+package host
+
+import (
+	"context"
+	crand "crypto/rand"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"wasabifield.example/wasabifield/internal/connection/callerapi"
+	"wasabifield.example/wasabifield/internal/connection/peer"
+	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/connection/targetlink"
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/membership"
+	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/request/record"
+	"wasabifield.example/wasabifield/internal/request/ticket"
+)
+
+const (
+	tick              = 10 * time.Millisecond
+	macKeyBytes       = 32
+	incarnationRandom = 20 // low bits of an incarnation that are random
+	headerTimeout     = 10 * time.Second
+)
+
+// Host is one entry host.
+type Host struct {
+	settings    settings.Settings
+	log         *slog.Logger
+	incarnation uint64
+	minter      *ticket.Minter
+	loop        *dispatch.Loop
+	targets     *targetTable
+	peers       *peerTable
+	client      *peer.Client
+	draining    atomic.Bool
+}
+
+// New returns a Host with a new incarnation.
+func New(s settings.Settings, log *slog.Logger) (*Host, error) {
+	h := &Host{
+		settings:    s,
+		log:         logging.For(log, "host"),
+		incarnation: newIncarnation(time.Now()),
+		peers:       newPeerTable(s.Peers),
+	}
+	h.targets = newTargetTable(membership.TargetsConfig{
+		Table:  h.incarnation,
+		Domain: s.Domain,
+		Lease:  s.Timing.TargetLease,
+	})
+	key := make([]byte, macKeyBytes)
+	if _, err := crand.Read(key); err != nil {
+		return nil, err
+	}
+	h.minter = ticket.NewMinter(s.Host, h.incarnation, key, s.Timing.TicketLife)
+	client, err := peer.NewClient(s.Peers, insecure.NewCredentials(), s.Timing.DialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	h.client = client
+	h.loop = h.newLoop()
+	return h, nil
+}
+
+// newIncarnation is greater than that of an earlier start of the host unless
+// its clock went back.
+func newIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<incarnationRandom | uint64(rand.Uint32N(1<<incarnationRandom))
+}
+
+func (h *Host) newLoop() *dispatch.Loop {
+	policy := dispatch.DefaultConfig()
+	policy.QueuedTasks = h.settings.Limits.QueuedTasks
+	policy.QueuedBytes = h.settings.Limits.QueuedBytes
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return dispatch.NewLoop(dispatch.LoopConfig{
+		Core: dispatch.NewCore(policy, random),
+		Book: record.NewBook(record.Config{
+			Answers:     h.settings.Limits.Records,
+			AnswerBytes: h.settings.Limits.RecordBytes,
+		}),
+		Minter: h.minter,
+		Sender: targetlink.NewLinks(targetlink.Config{
+			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
+			DialTimeout: h.settings.Timing.DialTimeout,
+		}),
+		Ring:  h.settings.Limits.Ring,
+		Clock: time.Now,
+		Tick:  tick,
+	})
+}
+
+// Run serves until ctx is cancelled, then drains. When cut is cancelled it
+// stops at once. A nil error means that nothing was cut.
+func (h *Host) Run(ctx, cut context.Context) error {
+	defer h.client.Close()
+	web, err := net.Listen("tcp", h.settings.HTTP)
+	if err != nil {
+		return err
+	}
+	link, err := net.Listen("tcp", h.settings.Peer)
+	if err != nil {
+		return err
+	}
+	httpServer := &http.Server{Handler: h.mux(), ReadHeaderTimeout: headerTimeout}
+	grpcServer := grpc.NewServer()
+	peerpb.RegisterPeerServer(grpcServer, peer.NewServer(h))
+
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, duties := errgroup.WithContext(running)
+	group.Go(func() error { return h.loop.Run(duties) })
+	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
+	group.Go(func() error { return grpcServer.Serve(link) })
+	for _, p := range h.settings.Peers {
+		if h.exchanges(p) {
+			group.Go(func() error { return h.exchangeWith(duties, p) })
+		}
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-duties.Done():
+		}
+		err := h.drain(cut, httpServer, grpcServer)
+		stop()
+		return err
+	})
+	h.log.Info("Serving.", "host", h.settings.Host, "domain", h.settings.Domain, "http", h.settings.HTTP)
+	return group.Wait()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (h *Host) mux() *http.ServeMux {
+	mux := http.NewServeMux()
+	callerapi.New(callerapi.Config{
+		Host:      h.settings.Host,
+		BodyBytes: h.settings.Limits.BodyBytes,
+		Backend:   h,
+		Minter:    h.minter,
+		Clock:     time.Now,
+		Log:       h.log,
+	}).Register(mux)
+	return mux
+}
--- a/internal/process/membership/targets.go
+++ b/internal/process/membership/targets.go
@@ -165,6 +165,15 @@
 	return alive
 }
 
+// Get returns the target of that name, lapsed and leaving ones included.
+func (t *Targets) Get(name string) (Target, bool) {
+	r, ok := t.records[name]
+	if !ok {
+		return Target{}, false
+	}
+	return Target{r.announcement, r.received.Add(t.config.Lease)}, true
+}
+
 // All returns every remembered target, lapsed and leaving ones included, in
 // the order of their names.
 func (t *Targets) All() []Target {
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -116,6 +116,7 @@
 	c.duration("timing.target_lease", t.TargetLease, 100*time.Millisecond, 30*time.Second)
 	c.duration("timing.exchange", t.Exchange, 10*time.Millisecond, 10*time.Second)
 	c.duration("timing.ticket_life", t.TicketLife, time.Second, 24*time.Hour)
+	c.duration("timing.drain_notice", t.DrainNotice, 0, time.Minute)
 	c.duration("timing.drain_limit", t.DrainLimit, 0, time.Hour)
 	c.duration("timing.dial_timeout", t.DialTimeout, 10*time.Millisecond, time.Minute)
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -58,6 +58,7 @@
 	TargetLease time.Duration `yaml:"target_lease"` // a target without renewal gets no work after this
 	Exchange    time.Duration `yaml:"exchange"`     // between messages to a peer in the same domain
 	TicketLife  time.Duration `yaml:"ticket_life"`  // from a ticket's issue to its end
+	DrainNotice time.Duration `yaml:"drain_notice"` // from failing readiness to closing the listeners
 	DrainLimit  time.Duration `yaml:"drain_limit"`  // greatest time a graceful shutdown waits for requests
 	DialTimeout time.Duration `yaml:"dial_timeout"` // to connect to a target or a peer
 }
@@ -84,6 +85,7 @@
 			TargetLease: 4 * time.Second,
 			Exchange:    250 * time.Millisecond,
 			TicketLife:  10 * time.Minute,
+			DrainNotice: time.Second,
 			DrainLimit:  30 * time.Second,
 			DialTimeout: 500 * time.Millisecond,
 		},
--- a/internal/request/failure/error.go
+++ b/internal/request/failure/error.go
@@ -37,10 +37,16 @@
 	return oops.In(part).Code(string(k)).Wrap(errors.Join(New(k, cause.Error()), cause))
 }
 
+// As returns the failure that err carries, if any.
+func As(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
+
 // KindOf returns the kind of err: Internal if it carries none.
 func KindOf(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
+	if e, ok := As(err); ok {
 		return e.Kind
 	}
 	return Internal
--- a/internal/request/failure/kind.go
+++ b/internal/request/failure/kind.go
@@ -29,6 +29,7 @@
 	ExpiredRunning    Kind = "expired_running"    // the deadline passed after a start
 	TaskFailed        Kind = "task_failed"        // a target ran a task and reported failure
 	OutcomeUnknown    Kind = "outcome_unknown"    // a start was sent and its answer was lost
+	AnswerLost        Kind = "answer_lost"        // the holder got the job and its answer was lost on the way
 	StaleVersion      Kind = "stale_version"      // a change is based on an old version
 	VersionTaken      Kind = "version_taken"      // another content holds the version number
 	NotAllowed        Kind = "not_allowed"        // the signer may not do this
--- /dev/null
+++ b/internal/request/job/answer.go
@@ -0,0 +1,40 @@
+package job
+
+import "wasabifield.example/wasabifield/internal/request/failure"
+
+// Refuse builds the answer for err. Outcome is NotRun where the job is known
+// not to have run, else Failed.
+func Refuse(err error) *Answer {
+	kind := failure.KindOf(err)
+	row := failure.Lookup(kind)
+	e := &Error{
+		Kind:       string(kind),
+		Message:    err.Error(),
+		AttemptRan: string(row.AttemptRan),
+		JobRan:     string(row.JobRan),
+	}
+	if f, ok := failure.As(err); ok {
+		e.Field = f.Field
+		e.Message = f.Message
+	}
+	if row.ComeBack != failure.Never {
+		ms := row.ComeBack.Milliseconds()
+		e.RetryAfterMS = &ms
+	}
+	outcome := Failed
+	if row.JobRan == failure.No {
+		outcome = NotRun
+	}
+	return &Answer{Outcome: outcome, Error: e}
+}
+
+// RefuseElsewhere builds the answer of a host that does not hold the job's
+// record: it knows what its own attempt started and not whether the job ran.
+func RefuseElsewhere(err error) *Answer {
+	a := Refuse(err)
+	if a.Error.JobRan == string(failure.No) {
+		a.Error.JobRan = string(failure.Unknown)
+		a.Outcome = Failed
+	}
+	return a
+}
--- a/internal/request/ticket/ticket.go
+++ b/internal/request/ticket/ticket.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -26,16 +27,19 @@
 	maxHost    = 64
 )
 
+// Clock returns the time now.
+type Clock func() time.Time
+
 var encoding = base64.RawURLEncoding
 
-// Minter issues the tickets of one incarnation of a host. It is not safe for
+// Minter issues the tickets of one incarnation of a host. It is safe for
 // concurrent use.
 type Minter struct {
 	host        string
 	incarnation uint64
 	key         []byte
 	life        time.Duration
-	next        uint64
+	last        atomic.Uint64
 }
 
 // NewMinter returns a Minter. The key authenticates the tickets; it is drawn
@@ -46,11 +50,10 @@
 
 // Issue returns the next ticket in its text form.
 func (m *Minter) Issue(now time.Time) string {
-	m.next++
 	t := Ticket{
 		Host:        m.host,
 		Incarnation: m.incarnation,
-		Seq:         m.next,
+		Seq:         m.last.Add(1),
 		Expires:     now.Add(m.life).Truncate(time.Millisecond),
 	}
 	body := encode(t)
