Add histories and the checker of the invariants

Scenarios need one judge of what the dispatcher did. Callers and targets append one JSON document per event; the checker replays them in the order of time. Six rules, each with planted faults that break just that rule (TestEachRuleFailsOnAPlantedFault, 15 plants).

--- /dev/null
+++ b/internal/standin/history/check_test.go
@@ -0,0 +1,153 @@
+package history_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/standin/history"
+)
+
+const leaveWithin = 5 * time.Second
+
+var begin = time.UnixMilli(1_700_000_000_000)
+
+// at sets the time of e to ms after the begin.
+func at(ms int, e history.Event) history.Event {
+	e.At = begin.Add(time.Duration(ms) * time.Millisecond)
+	return e
+}
+
+func submit(j string, attempt int, tasks ...string) history.Event {
+	return history.Event{What: history.Submit, Job: j, Attempt: attempt, Tasks: tasks}
+}
+
+func start(j, task, target string) history.Event {
+	return history.Event{What: history.Start, Job: j, Task: task, Target: target}
+}
+
+func complete(j string, attempt int, labels ...history.Label) history.Event {
+	a := &job.Answer{Outcome: job.Complete}
+	for _, l := range labels {
+		raw, _ := json.Marshal(history.Output{Task: l.Task, Target: "x", Echo: l})
+		a.Outputs = append(a.Outputs, job.Output{ID: l.Task, Output: raw})
+	}
+	return history.Event{What: history.Answer, Job: j, Attempt: attempt, Answer: a}
+}
+
+func failed(j string, attempt int, outcome job.Outcome, attemptRan, jobRan string) history.Event {
+	e := &job.Error{Kind: "some_kind", AttemptRan: attemptRan, JobRan: jobRan}
+	return history.Event{What: history.Answer, Job: j, Attempt: attempt, Answer: &job.Answer{Outcome: outcome, Error: e}}
+}
+
+func withOutput(e history.Event) history.Event {
+	e.Answer.Outputs = []job.Output{{ID: "t1", Output: json.RawMessage(`{}`)}}
+	return e
+}
+
+func leaving(target string) history.Event {
+	return history.Event{What: history.Leaving, Target: target}
+}
+
+func label(j, task string) history.Label { return history.Label{Job: j, Task: task} }
+
+func TestGoodHistoryHasNoFault(t *testing.T) {
+	g := NewWithT(t)
+	account := history.Check([]history.Event{
+		at(0, submit("a", 1, "t1", "t2")),
+		at(1, start("a", "t1", "x")),
+		at(2, start("a", "t2", "y")),
+		at(3, leaving("x")),
+		at(4, history.Event{What: history.Lost, Job: "a", Attempt: 1}),
+		at(5, submit("a", 2, "t1", "t2")),
+		at(6, complete("a", 2, label("a", "t1"), label("a", "t2"))),
+		at(7, submit("b", 1, "t1")),
+		at(8, failed("b", 1, job.NotRun, "no", "no")),
+		at(9, submit("b", 2, "t1")),
+		at(10, start("b", "t1", "x")),
+		at(11, failed("b", 2, job.Failed, "yes", "yes")),
+		at(9000, history.Event{What: history.Serving, Target: "x"}),
+		at(9001, submit("c", 1, "t1")),
+		at(9002, start("c", "t1", "x")),
+		at(9003, complete("c", 1, label("c", "t1"))),
+	}, history.CheckConfig{LeaveWithin: leaveWithin})
+
+	g.Expect(account.Faults).To(BeEmpty())
+	g.Expect(account.Jobs).To(Equal(3))
+	g.Expect(account.Complete).To(Equal(2))
+	g.Expect(account.Failed).To(Equal(1))
+	g.Expect(account.Started).To(Equal(4))
+}
+
+// TestEachRuleFailsOnAPlantedFault shows that no check holds whatever happens.
+func TestEachRuleFailsOnAPlantedFault(t *testing.T) {
+	whole := complete("a", 1, label("a", "t1"))
+	plants := map[string]struct {
+		rule   history.Rule
+		events []history.Event
+	}{
+		"started twice": {history.StartedOnce, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), start("a", "t1", "y"), whole}},
+		"an output is missing": {history.WholeAnswer, []history.Event{
+			submit("a", 1, "t1", "t2"), start("a", "t1", "x"), start("a", "t2", "x"), whole}},
+		"outputs out of order": {history.WholeAnswer, []history.Event{
+			submit("a", 1, "t1", "t2"), start("a", "t1", "x"), start("a", "t2", "x"),
+			complete("a", 1, label("a", "t2"), label("a", "t1"))}},
+		"failed with an output": {history.WholeAnswer, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), withOutput(failed("a", 1, job.Failed, "yes", "yes"))}},
+		"failed without an error": {history.WholeAnswer, []history.Event{
+			submit("a", 1, "t1"), {What: history.Answer, Job: "a", Attempt: 1, Answer: &job.Answer{Outcome: job.Failed}}}},
+		"another job's output": {history.OwnAnswer, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), complete("a", 1, label("b", "t1"))}},
+		"another task's output": {history.OwnAnswer, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), withOutput(complete("a", 1))}},
+		"complete without a start": {history.RanAsTold, []history.Event{
+			submit("a", 1, "t1"), whole}},
+		"not run after a start": {history.RanAsTold, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), failed("a", 1, job.NotRun, "no", "no")}},
+		"job not run after an earlier attempt's start": {history.RanAsTold, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), {What: history.Lost, Job: "a", Attempt: 1},
+			submit("a", 2, "t1"), failed("a", 2, job.Failed, "no", "no")}},
+		"the only attempt started something": {history.RanAsTold, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), failed("a", 1, job.Failed, "no", "unknown")}},
+		"started long after leaving": {history.LeftAlone, []history.Event{
+			leaving("x"), at(5001, start("a", "t1", "x"))}},
+		"offered long after leaving": {history.LeftAlone, []history.Event{
+			leaving("x"), at(5001, history.Event{What: history.Refuse, Target: "x"})}},
+		"never answered": {history.NothingLost, []history.Event{
+			submit("a", 1, "t1")}},
+		"answered twice": {history.NothingLost, []history.Event{
+			submit("a", 1, "t1"), start("a", "t1", "x"), whole, whole}},
+	}
+	planted := map[history.Rule]bool{}
+	for name, plant := range plants {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for i, e := range plant.events {
+				if e.At.IsZero() {
+					plant.events[i] = at(i, e)
+				}
+			}
+			account := history.Check(plant.events, history.CheckConfig{LeaveWithin: leaveWithin})
+			g.Expect(account.Broken(plant.rule)).To(Equal(len(account.Faults)), "%v", account.Faults)
+			g.Expect(account.Faults).NotTo(BeEmpty())
+		})
+		planted[plant.rule] = true
+	}
+	NewWithT(t).Expect(planted).To(HaveLen(len(history.Rules())))
+}
+
+func TestAKilledProcessLeavesAReadableHistory(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	history.NewWriter(&out).Write(submit("a", 1, "t1"))
+	out.WriteString(`{"at":"20`)
+	events, err := history.Read(&out)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(events).To(HaveLen(1))
+	g.Expect(events[0].At.IsZero()).To(BeFalse())
+}
