Add the stand-in for targets

Announces itself, renews, refuses when full or leaving, and runs a task by waiting. Payloads script failures, hangs, cut and crossed answers.

--- /dev/null
+++ b/internal/standin/target/announce.go
@@ -0,0 +1,101 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+)
+
+const (
+	announceTimeout = time.Second
+	announceRetry   = 200 * time.Millisecond // after no entry host answered
+)
+
+// renew announces the target until ctx ends.
+func (t *Target) renew(ctx context.Context) {
+	for {
+		wait := announceRetry
+		if !t.hasLapsed() {
+			if lease, err := t.announce(ctx, false); err == nil {
+				wait = time.Duration(lease.RenewMS) * time.Millisecond
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (t *Target) hasLapsed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lapsed
+}
+
+// announce tries each entry host once.
+func (t *Target) announce(ctx context.Context, leaving bool) (wire.Lease, error) {
+	body, err := json.Marshal(t.announcement(leaving))
+	if err != nil {
+		return wire.Lease{}, err
+	}
+	last := fmt.Errorf("no entry host is given")
+	for _, entry := range t.config.Entries {
+		lease, err := post(ctx, "http://"+entry+wire.PathTargets, body)
+		if err == nil {
+			t.granted(lease)
+			return lease, nil
+		}
+		last = err
+	}
+	return wire.Lease{}, last
+}
+
+func (t *Target) granted(lease wire.Lease) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaseTo = time.Now().Add(time.Duration(lease.LeaseMS) * time.Millisecond)
+}
+
+func (t *Target) announcement(leaving bool) wire.Announcement {
+	return wire.Announcement{
+		Target:       t.config.Name,
+		Incarnation:  t.config.Incarnation,
+		Address:      t.Address(),
+		Domain:       t.config.Domain,
+		Rack:         t.config.Rack,
+		Worker:       t.config.Worker,
+		Slots:        t.config.Slots,
+		Connections:  t.config.Connections,
+		Accelerators: t.config.Accelerators,
+		Leaving:      leaving,
+	}
+}
+
+func post(ctx context.Context, url string, body []byte) (wire.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return wire.Lease{}, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return wire.Lease{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return wire.Lease{}, fmt.Errorf("announcement: answered %s", response.Status)
+	}
+	var lease wire.Lease
+	if err := json.NewDecoder(response.Body).Decode(&lease); err != nil {
+		return wire.Lease{}, err
+	}
+	return lease, nil
+}
--- /dev/null
+++ b/internal/standin/target/serve.go
@@ -0,0 +1,114 @@
+package target
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/standin/history"
+)
+
+const maxPayload = 8 << 20 // bytes
+
+// serveTask answers POST wire.PathTasks.
+func (t *Target) serveTask(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayload))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "the payload was cut short")
+		return
+	}
+	header := r.Header.Get(wire.TaskHeader)
+	var payload history.Payload
+	_ = json.Unmarshal(raw, &payload)
+	event := history.Event{Job: payload.Job, Task: taskID(header), Header: header}
+	refusal := t.reserve()
+	if refusal == "" && payload.Refuse {
+		t.release()
+		refusal = "scripted"
+	}
+	if refusal != "" {
+		event.What, event.Reason = history.Refuse, refusal
+		t.record(event)
+		w.Header().Set(wire.TaskHeader, header)
+		refuse(w, http.StatusTooManyRequests, refusal)
+		return
+	}
+	event.What = history.Start
+	t.record(event)
+	t.run(w, payload)
+	event.What = history.End
+	t.record(event)
+	t.release()
+	t.answer(w, header, payload, raw)
+}
+
+// run waits for the task's run time.
+func (t *Target) run(w http.ResponseWriter, payload history.Payload) {
+	if payload.DropAfterStart {
+		drop(w)
+	}
+	if payload.Hang {
+		<-t.left
+	}
+	wait := t.config.Service.Draw()
+	if payload.RunMS != nil {
+		wait = time.Duration(*payload.RunMS) * time.Millisecond
+	}
+	time.Sleep(wait)
+}
+
+func (t *Target) answer(w http.ResponseWriter, header string, payload history.Payload, raw []byte) {
+	if payload.DropAfterStart {
+		return
+	}
+	returned := header
+	if payload.WrongID {
+		returned = header + "-other"
+	}
+	w.Header().Set(wire.TaskHeader, returned)
+	if payload.Fail || t.config.Service.Chance(t.config.FailRate) {
+		w.Header().Set(wire.RanHeader, "yes")
+		http.Error(w, "the task failed", http.StatusInternalServerError)
+		return
+	}
+	output := history.RawOutput{Task: taskID(header), Target: t.config.Name}
+	if json.Valid(raw) {
+		output.Echo = raw
+	}
+	body, err := json.Marshal(output)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if payload.Cut {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
+
+// refuse answers that the task was not started.
+func refuse(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(wire.RanHeader, "no")
+	http.Error(w, reason, status)
+}
+
+// drop closes the connection without an answer.
+func drop(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// taskID returns the task's id from the value of wire.TaskHeader.
+func taskID(header string) string {
+	_, id, _ := strings.Cut(header, "/")
+	return id
+}
--- /dev/null
+++ b/internal/standin/target/service.go
@@ -0,0 +1,61 @@
+package target
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Service draws run times of tasks. It is safe for concurrent use.
+type Service struct {
+	low, high time.Duration
+	mu        sync.Mutex
+	random    *rand.Rand
+}
+
+// ParseService reads "fixed:100ms" or "uniform:50ms-1s". "scripted" is
+// "fixed:0s": the payload states the run time.
+func ParseService(text string, seed uint64) (*Service, error) {
+	s := &Service{random: rand.New(rand.NewPCG(seed, 1))}
+	if text == "scripted" {
+		return s, nil
+	}
+	form, rest, _ := strings.Cut(text, ":")
+	low, high := rest, rest
+	switch form {
+	case "fixed":
+	case "uniform":
+		low, high, _ = strings.Cut(rest, "-")
+	default:
+		return nil, oops.In("target").Errorf("service: is %q, must be fixed:D, uniform:D-D or scripted", text)
+	}
+	var err error
+	if s.low, err = time.ParseDuration(low); err != nil {
+		return nil, fmt.Errorf("service: %w", err)
+	}
+	if s.high, err = time.ParseDuration(high); err != nil {
+		return nil, fmt.Errorf("service: %w", err)
+	}
+	if s.low < 0 || s.high < s.low {
+		return nil, oops.In("target").Errorf("service: is %q, must go from low to high", text)
+	}
+	return s, nil
+}
+
+// Draw returns a run time.
+func (s *Service) Draw() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.low + time.Duration(s.random.Int64N(int64(s.high-s.low)+1))
+}
+
+// Chance returns true with the given probability.
+func (s *Service) Chance(probability float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < probability
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,139 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/standin/history"
+)
+
+// TargetConfig configures one target.
+type TargetConfig struct {
+	Name         string
+	Incarnation  uint64
+	Domain       string
+	Rack         string
+	Worker       string
+	Slots        int
+	Connections  int
+	Accelerators int
+	Entries      []string // HTTP addresses of entry hosts, tried in turn
+	Service      *Service
+	FailRate     float64       // probability that a task fails after its run
+	Linger       time.Duration // how long a leaving target goes on refusing tasks
+	History      *history.Writer
+}
+
+// Target is one stand-in target.
+type Target struct {
+	config   TargetConfig
+	listener net.Listener
+	server   *http.Server
+	left     chan struct{} // closed when the target begins to leave
+
+	mu      sync.Mutex
+	running int
+	leaving bool
+	lapsed  bool
+	leaseTo time.Time
+	idle    chan struct{} // closed when a leaving target runs nothing
+}
+
+// NewTarget returns a Target that listens on a free port of 127.0.0.1.
+func NewTarget(config TargetConfig) (*Target, error) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{
+		config:   config,
+		listener: newLimitListener(inner, config.Connections),
+		left:     make(chan struct{}),
+		idle:     make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathTasks, t.serveTask)
+	t.server = &http.Server{Handler: mux}
+	return t, nil
+}
+
+// Address returns the target's IP:port.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// Run serves until ctx ends. It then announces the leaving, ends its running
+// tasks and returns.
+func (t *Target) Run(ctx context.Context) error {
+	served := make(chan error, 1)
+	t.record(history.Event{What: history.Serving})
+	go func() { served <- t.server.Serve(t.listener) }()
+	t.renew(ctx)
+	t.leave()
+	err := t.server.Shutdown(context.Background())
+	if serveErr := <-served; !errors.Is(serveErr, http.ErrServerClosed) {
+		err = errors.Join(err, serveErr)
+	}
+	return err
+}
+
+// Lapse stops the renewals as a silent loss would: the target wants no tasks
+// after the end of its lease.
+func (t *Target) Lapse() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lapsed {
+		return
+	}
+	t.lapsed = true
+	t.record(history.Event{What: history.Leaving, At: t.leaseTo, Reason: "lapsed"})
+}
+
+// leave refuses new tasks, announces it and waits for the running tasks.
+func (t *Target) leave() {
+	t.mu.Lock()
+	t.leaving = true
+	if t.running == 0 {
+		close(t.idle)
+	}
+	t.mu.Unlock()
+	close(t.left)
+	t.record(history.Event{What: history.Leaving})
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	_, _ = t.announce(ctx, true)
+	<-t.idle
+	time.Sleep(t.config.Linger)
+}
+
+// reserve takes a slot. It returns the reason of a refusal.
+func (t *Target) reserve() (refusal string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving {
+		return "leaving"
+	}
+	if t.running >= t.config.Slots {
+		return "full"
+	}
+	t.running++
+	return ""
+}
+
+func (t *Target) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	if t.leaving && t.running == 0 {
+		close(t.idle)
+	}
+}
+
+func (t *Target) record(e history.Event) {
+	e.Target = t.config.Name
+	e.Incarnation = t.config.Incarnation
+	t.config.History.Write(e)
+}
