Add the demo and the command line of the stand-ins

Two entry hosts in two failure domains, targets and callers run as separate processes; the exit status is 0 only if the histories hold no fault. Not yet run against the daemon, which does not exist so far.

--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -2,4 +2,6 @@
 // that the demo, the scenarios and the benchmarks use.
 package main
 
-func main() {}
+import "wasabifield.example/wasabifield/internal/standin/command"
+
+func main() { command.Main() }
--- /dev/null
+++ b/internal/standin/command/doc.go
@@ -0,0 +1,2 @@
+// Package command holds the command line of the stand-ins.
+package command
--- /dev/null
+++ b/internal/standin/command/target.go
@@ -0,0 +1,110 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"wasabifield.example/wasabifield/internal/standin/history"
+	"wasabifield.example/wasabifield/internal/standin/target"
+)
+
+// targetFlags are the flags of "standin target".
+type targetFlags struct {
+	one       target.TargetConfig
+	count     int
+	service   string
+	history   string
+	seed      uint64
+	dieAtOnce bool
+}
+
+func newTarget() *cobra.Command {
+	var f targetFlags
+	c := &cobra.Command{
+		Use:   "target",
+		Short: "Run targets in one process; SIGTERM lets them leave, SIGUSR1 ends their renewals",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return f.run() },
+	}
+	flags := c.Flags()
+	flags.IntVar(&f.count, "count", 1, "number of targets")
+	flags.StringVar(&f.one.Name, "name", "target", "name, or prefix of the names")
+	flags.IntVar(&f.one.Slots, "slots", 8, "tasks that a target runs at once")
+	flags.IntVar(&f.one.Connections, "connections", 64, "connections that a target accepts")
+	flags.IntVar(&f.one.Accelerators, "accelerators", 0, "accelerators of a target")
+	flags.StringVar(&f.one.Domain, "domain", "", "failure domain")
+	flags.StringVar(&f.one.Rack, "rack", "", "rack")
+	flags.StringVar(&f.one.Worker, "worker", "", "worker")
+	flags.StringSliceVar(&f.one.Entries, "entry", nil, "HTTP addresses of entry hosts, tried in turn")
+	flags.StringVar(&f.service, "service", "scripted", "run times: fixed:D, uniform:D-D or scripted")
+	flags.Float64Var(&f.one.FailRate, "fail-rate", 0, "probability that a task fails")
+	flags.DurationVar(&f.one.Linger, "linger", time.Second, "how long a leaving target goes on refusing tasks")
+	flags.StringVar(&f.history, "history", "", "file that the history is appended to")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of the run times and failures")
+	flags.BoolVar(&f.dieAtOnce, "die-at-once", false, "on SIGTERM, exit without leaving")
+	return c
+}
+
+func (f *targetFlags) run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	writer, file, err := history.Open(f.history)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	f.one.History = writer
+	f.one.Incarnation = uint64(time.Now().UnixNano())
+	targets, err := f.newTargets()
+	if err != nil {
+		return err
+	}
+	go lapseOnSignal(targets)
+	var group errgroup.Group
+	for _, t := range targets {
+		group.Go(func() error { return t.Run(ctx) })
+	}
+	if f.dieAtOnce {
+		<-ctx.Done()
+		return nil
+	}
+	return group.Wait()
+}
+
+func (f *targetFlags) newTargets() ([]*target.Target, error) {
+	var targets []*target.Target
+	for i := range f.count {
+		config := f.one
+		if f.count > 1 {
+			config.Name = fmt.Sprintf("%s-%d", f.one.Name, i+1)
+		}
+		service, err := target.ParseService(f.service, f.seed+uint64(i))
+		if err != nil {
+			return nil, err
+		}
+		config.Service = service
+		t, err := target.NewTarget(config)
+		if err != nil {
+			return nil, err
+		}
+		targets = append(targets, t)
+	}
+	return targets, nil
+}
+
+// lapseOnSignal ends the renewals of targets at SIGUSR1.
+func lapseOnSignal(targets []*target.Target) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	<-signals
+	for _, t := range targets {
+		t.Lapse()
+	}
+}
--- /dev/null
+++ b/internal/standin/launch/process.go
@@ -0,0 +1,86 @@
+package launch
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+)
+
+// Process is one running program.
+type Process struct {
+	Name   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+	err    error // valid once exited is closed
+}
+
+// Start runs program with args. Its output goes to log.
+func Start(name string, log io.Writer, program string, args ...string) (*Process, error) {
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	p := &Process{Name: name, cmd: cmd, exited: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// Signal sends s.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Freeze stops the process until Thaw.
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// Terminate asks for a graceful shutdown.
+func (p *Process) Terminate() error { return p.Signal(syscall.SIGTERM) }
+
+// Exited returns whether the process has ended.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait waits for the end of the process for at most limit. Its error says how
+// the process ended badly.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.exited:
+		return p.err
+	case <-time.After(limit):
+		return fmt.Errorf("%s: still running after %s", p.Name, limit)
+	}
+}
+
+// Stop asks for a graceful shutdown and waits for it. A process that does not
+// end within limit is killed.
+func (p *Process) Stop(limit time.Duration) error {
+	if p.Exited() {
+		return p.err
+	}
+	_ = p.Terminate()
+	err := p.Wait(limit)
+	if !p.Exited() {
+		p.Kill()
+	}
+	return err
+}
