--- /dev/null
+++ b/internal/connection/traffic/traffic.go
@@ -0,0 +1,62 @@
+// Package traffic counts the bytes that pass over connections, as handed to
+// the kernel: everything but the headers of TCP and IP.
+package traffic
+
+import (
+	"context"
+	"net"
+)
+
+// Counter counts bytes.
+type Counter interface{ Inc(delta int64) }
+
+// Meter counts the bytes sent and received on its connections.
+type Meter struct {
+	Sent     Counter
+	Received Counter
+}
+
+// Listen returns l with its connections metered.
+func (m Meter) Listen(l net.Listener) net.Listener { return listener{l, m} }
+
+// Dial connects to a TCP address and meters the connection.
+func (m Meter) Dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return conn{c, m}, nil
+}
+
+type listener struct {
+	net.Listener
+	meter Meter
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn{c, l.meter}, nil
+}
+
+type conn struct {
+	net.Conn
+	meter Meter
+}
+
+// Read implements net.Conn.
+func (c conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.Received.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.Sent.Inc(int64(n))
+	return n, err
+}
