Serve /metrics and profiles in the daemon, secure and meter peer links

Cause: the daemon's costs could not be read from outside, and settings.tls was not used.

Change: an observer decorates the sender, the HTTP handler and the links, so that neither the dispatch loop nor the handlers know of metrics.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/connection/traffic"
 	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
@@ -33,11 +34,19 @@
 	dial  time.Duration
 }
 
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Peers       []settings.Peer
+	Security    credentials.TransportCredentials
+	DialTimeout time.Duration
+	Meter       traffic.Meter // counts the bytes of all links
+}
+
 // NewClient returns a Client for the given hosts. It connects when first used.
-func NewClient(peers []settings.Peer, security credentials.TransportCredentials, dial time.Duration) (*Client, error) {
-	c := &Client{conns: make(map[string]*grpc.ClientConn, len(peers)), dial: dial}
-	for _, p := range peers {
-		conn, err := grpc.NewClient("passthrough:///"+p.Peer, dialOptions(security, dial)...)
+func NewClient(config ClientConfig) (*Client, error) {
+	c := &Client{conns: make(map[string]*grpc.ClientConn, len(config.Peers)), dial: config.DialTimeout}
+	for _, p := range config.Peers {
+		conn, err := grpc.NewClient("passthrough:///"+p.Peer, dialOptions(config)...)
 		if err != nil {
 			c.Close()
 			return nil, failure.Wrap(failure.Internal, "peer", err)
@@ -47,10 +56,11 @@
 	return c, nil
 }
 
-func dialOptions(security credentials.TransportCredentials, dial time.Duration) []grpc.DialOption {
+func dialOptions(config ClientConfig) []grpc.DialOption {
 	return []grpc.DialOption{
-		grpc.WithTransportCredentials(security),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoffConfig, MinConnectTimeout: dial}),
+		grpc.WithTransportCredentials(config.Security),
+		grpc.WithContextDialer(config.Meter.Dial),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoffConfig, MinConnectTimeout: config.DialTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -13,6 +13,12 @@
 
 // Submit implements callerapi.Backend.
 func (h *Host) Submit(ctx context.Context, spec *job.Spec, body []byte) *job.Answer {
+	answer := h.submit(ctx, spec, body)
+	h.observer.answered(answer)
+	return answer
+}
+
+func (h *Host) submit(ctx context.Context, spec *job.Spec, body []byte) *job.Answer {
 	t, err := ticket.Parse(spec.Ticket)
 	if err != nil {
 		return job.Refuse(err)
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -14,15 +14,17 @@
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"wasabifield.example/wasabifield/internal/connection/callerapi"
 	"wasabifield.example/wasabifield/internal/connection/peer"
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/connection/peertls"
 	"wasabifield.example/wasabifield/internal/connection/targetlink"
+	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
 	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/process/membership"
+	"wasabifield.example/wasabifield/internal/process/profiles"
 	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/request/record"
 	"wasabifield.example/wasabifield/internal/request/ticket"
@@ -45,6 +47,8 @@
 	targets     *targetTable
 	peers       *peerTable
 	client      *peer.Client
+	security    peertls.Credentials
+	observer    *observer
 	draining    atomic.Bool
 }
 
@@ -55,6 +59,7 @@
 		log:         logging.For(log, "host"),
 		incarnation: newIncarnation(time.Now()),
 		peers:       newPeerTable(s.Peers),
+		observer:    newObserver(s.Host, s.Domain),
 	}
 	h.targets = newTargetTable(membership.TargetsConfig{
 		Table:  h.incarnation,
@@ -66,11 +71,20 @@
 		return nil, err
 	}
 	h.minter = ticket.NewMinter(s.Host, h.incarnation, key, s.Timing.TicketLife)
-	client, err := peer.NewClient(s.Peers, insecure.NewCredentials(), s.Timing.DialTimeout)
+	security, err := peertls.Load(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	h.security = security
+	h.client, err = peer.NewClient(peer.ClientConfig{
+		Peers:       s.Peers,
+		Security:    security.Client,
+		DialTimeout: s.Timing.DialTimeout,
+		Meter:       h.observer.meter(peerLinks),
+	})
 	if err != nil {
 		return nil, err
 	}
-	h.client = client
 	h.loop = h.newLoop()
 	return h, nil
 }
@@ -93,10 +107,10 @@
 			AnswerBytes: h.settings.Limits.RecordBytes,
 		}),
 		Minter: h.minter,
-		Sender: targetlink.NewLinks(targetlink.Config{
+		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
 			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
 			DialTimeout: h.settings.Timing.DialTimeout,
-		}),
+		})),
 		Ring:  h.settings.Limits.Ring,
 		Clock: time.Now,
 		Tick:  tick,
@@ -115,14 +129,17 @@
 	if err != nil {
 		return err
 	}
-	httpServer := &http.Server{Handler: h.mux(), ReadHeaderTimeout: headerTimeout}
-	grpcServer := grpc.NewServer()
+	web = h.observer.meter(webLinks).Listen(web)
+	link = h.observer.meter(peerLinks).Listen(link)
+	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
+	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server))
 	peerpb.RegisterPeerServer(grpcServer, peer.NewServer(h))
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, duties := errgroup.WithContext(running)
 	group.Go(func() error { return h.loop.Run(duties) })
+	group.Go(func() error { return h.observer.sample(duties, h.loop) })
 	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
 	group.Go(func() error { return grpcServer.Serve(link) })
 	for _, p := range h.settings.Peers {
@@ -160,5 +177,9 @@
 		Clock:     time.Now,
 		Log:       h.log,
 	}).Register(mux)
+	mux.Handle("GET "+wire.PathMetrics, h.observer.metrics.Handler())
+	if h.settings.Profiles {
+		profiles.Register(mux)
+	}
 	return mux
 }
--- /dev/null
+++ b/internal/process/host/observer.go
@@ -0,0 +1,139 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wasabifield.example/wasabifield/internal/connection/traffic"
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/metrics"
+	"wasabifield.example/wasabifield/internal/request/job"
+)
+
+// linkKind names the connections that a meter counts.
+type linkKind string
+
+const (
+	peerLinks linkKind = "peer" // with other entry hosts
+	webLinks  linkKind = "web"  // with callers, targets and operators
+)
+
+const sampleInterval = 500 * time.Millisecond // between two looks at the gauges
+
+// attemptBuckets are the bounds of the histogram of attempts.
+var attemptBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// outcomeNames are the labels of the outcomes of an attempt.
+var outcomeNames = map[dispatch.Outcome]string{
+	dispatch.Done:       "done",
+	dispatch.TaskError:  "task_error",
+	dispatch.NotStarted: "not_started",
+	dispatch.Lost:       "lost",
+}
+
+// observer counts what a host does.
+type observer struct {
+	metrics  *metrics.Metrics
+	attempts map[dispatch.Outcome]tally.Histogram
+}
+
+func newObserver(host, domain string) *observer {
+	o := &observer{
+		metrics:  metrics.NewMetrics(map[string]string{"host": host, "domain": domain}),
+		attempts: make(map[dispatch.Outcome]tally.Histogram),
+	}
+	for outcome, name := range outcomeNames {
+		o.attempts[outcome] = o.tagged("outcome", name).Histogram("attempt", attemptBuckets)
+	}
+	return o
+}
+
+func (o *observer) tagged(name, value string) tally.Scope {
+	return o.metrics.Scope().Tagged(map[string]string{name: value})
+}
+
+// meter counts the bytes of one kind of connection.
+func (o *observer) meter(kind linkKind) traffic.Meter {
+	scope := o.tagged("link", string(kind))
+	return traffic.Meter{Sent: scope.Counter("sent_bytes"), Received: scope.Counter("received_bytes")}
+}
+
+// sender counts the attempts made by next and how long each took.
+func (o *observer) sender(next dispatch.Sender) dispatch.Sender { return observedSender{next, o} }
+
+type observedSender struct {
+	next     dispatch.Sender
+	observer *observer
+}
+
+// Send implements dispatch.Sender.
+func (s observedSender) Send(ctx context.Context, start dispatch.Start) dispatch.Result {
+	begin := time.Now()
+	result := s.next.Send(ctx, start)
+	if h, ok := s.observer.attempts[result.Outcome]; ok {
+		h.RecordDuration(time.Since(begin))
+	}
+	return result
+}
+
+// answered counts the answer to a submission by its outcome and error kind.
+func (o *observer) answered(a *job.Answer) {
+	tags := map[string]string{"outcome": string(a.Outcome), "kind": ""}
+	if a.Error != nil {
+		tags["kind"] = a.Error.Kind
+	}
+	o.metrics.Scope().Tagged(tags).Counter("answers").Inc(1)
+}
+
+// handler counts the requests that next answers, by the pattern that next
+// found for them and by status.
+func (o *observer) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		observed := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(observed, r)
+		tags := map[string]string{"pattern": r.Pattern, "status": strconv.Itoa(observed.status)}
+		o.metrics.Scope().Tagged(tags).Counter("requests").Inc(1)
+	})
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets an http.ResponseController reach the answer.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// sample sets the gauges until ctx is cancelled.
+func (o *observer) sample(ctx context.Context, loop *dispatch.Loop) error {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return o.metrics.Close()
+		case <-ticker.C:
+		}
+		s, err := loop.Status(ctx)
+		if err != nil {
+			continue
+		}
+		scope := o.metrics.Scope()
+		scope.Gauge("jobs").Update(float64(s.Jobs))
+		scope.Gauge("queued_tasks").Update(float64(s.Queued))
+		scope.Gauge("running_tasks").Update(float64(s.Running))
+		scope.Gauge("stored_answers").Update(float64(s.Answers))
+		scope.Gauge("targets").Update(float64(len(s.Targets)))
+	}
+}
