Hand records on at a drain and copy answers to a neighbour

Ruled out: telling all hosts who took the records over (bytes on every exchange for a rare question; the issuer's domain is asked in turn instead); trying a second heir after a lost reply (both could start a job); copying before the answer (a round trip on each job). Change: a drained host passes its records, key and used marks to one heir and starts nothing afterwards; answers are copied with the next exchange, which costs no message; a forward is given up when its holder becomes suspect; the table of entry hosts replaces the simple list of peers. Conclusion: planned restarts keep every record; a crash keeps the answers that were copied, within one exchange interval; everything else stays 'unknown'.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -18,7 +18,9 @@
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
-const maxMessageBytes = math.MaxInt32
+// MaxMessageBytes bounds a message between entry hosts: the records that a
+// drained host hands on are the greatest.
+const MaxMessageBytes = math.MaxInt32
 
 // backoffConfig keeps a host that comes back within a second's reach.
 var backoffConfig = backoff.Config{
@@ -61,7 +63,7 @@
 		grpc.WithTransportCredentials(config.Security),
 		grpc.WithContextDialer(config.Meter.Dial),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoffConfig, MinConnectTimeout: config.DialTimeout}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(0),
@@ -117,6 +119,11 @@
 	return nil
 }
 
+// HandOn passes the records of this drained host to another.
+func (c *Client) HandOn(ctx context.Context, host string, r *peerpb.HandOnRequest) (*peerpb.HandOnReply, error) {
+	return peerpb.NewPeerClient(c.conns[host]).HandOn(ctx, r)
+}
+
 // Exchange sends what this host knows and returns what the other knows.
 func (c *Client) Exchange(ctx context.Context, host string, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	return peerpb.NewPeerClient(c.conns[host]).Exchange(ctx, m)
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -16,7 +16,9 @@
 	// SubmitLocal returns the answer to a job whose ticket this host issued.
 	SubmitLocal(ctx context.Context, spec *job.Spec) *job.Answer
 	// CancelLocal withdraws the job of a ticket that this host issued.
-	CancelLocal(ticket string) error
+	CancelLocal(ctx context.Context, ticket string) error
+	// Adopt takes over the records of a drained host and reports whether it did.
+	Adopt(ctx context.Context, r *peerpb.HandOnRequest) bool
 	// Merge takes in what another host knows and returns what this one knows.
 	Merge(m *peerpb.ExchangeMessage) *peerpb.ExchangeMessage
 }
@@ -47,13 +49,18 @@
 }
 
 // Cancel implements peerpb.PeerServer.
-func (s *Server) Cancel(_ context.Context, r *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
-	if err := s.backend.CancelLocal(r.GetTicket()); err != nil {
+func (s *Server) Cancel(ctx context.Context, r *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	if err := s.backend.CancelLocal(ctx, r.GetTicket()); err != nil {
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	}
 	return &peerpb.CancelReply{}, nil
 }
 
+// HandOn implements peerpb.PeerServer.
+func (s *Server) HandOn(ctx context.Context, r *peerpb.HandOnRequest) (*peerpb.HandOnReply, error) {
+	return &peerpb.HandOnReply{Adopted: s.backend.Adopt(ctx, r)}, nil
+}
+
 // Exchange implements peerpb.PeerServer.
 func (s *Server) Exchange(_ context.Context, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	return s.backend.Merge(m), nil
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -18,13 +18,20 @@
 
 // LoopConfig configures a Loop.
 type LoopConfig struct {
-	Core   *Core
-	Book   *record.Book
-	Minter *ticket.Minter
-	Sender Sender
-	Ring   int              // messages waiting at most
-	Clock  func() time.Time // the host's clock
-	Tick   time.Duration    // between two ticks of the Core
+	Core    *Core
+	Records record.Config
+	Minter  *ticket.Minter
+	Sender  Sender
+	Copier  Copier
+	Ring    int              // messages waiting at most
+	Clock   func() time.Time // the host's clock
+	Tick    time.Duration    // between two ticks of the Core
+}
+
+// Copier takes the answers that this host gave, to be copied to another host.
+// It must not block.
+type Copier interface {
+	Copy(key record.CopyKey, digest uint64, answer *job.Answer)
 }
 
 // Loop owns a Core and the records of its jobs. One goroutine runs it; others
@@ -33,20 +40,46 @@
 	config  LoopConfig
 	ring    chan func(now time.Time)
 	results chan Result
-	waiters map[JobID][]chan *job.Answer
-	drain   bool
+	issuers map[ticket.Issuer]*issuer
+	copies  *record.Copies
+	jobs    map[JobID]*pending
+	byKey   map[record.CopyKey]JobID
+	last    JobID
+	drain   bool // new jobs are refused
+	handed  bool // the records were handed on: nothing may start
 	stopped chan struct{}
 }
 
+// issuer is an incarnation whose tickets this host answers for: its own, and
+// those that drained hosts handed on.
+type issuer struct {
+	minter *ticket.Minter
+	book   *record.Book
+	ends   time.Time // when the last ticket expires; zero for this host's own incarnation
+}
+
+// pending is a job in progress and who waits for its answer.
+type pending struct {
+	key     record.CopyKey
+	digest  uint64
+	book    *record.Book
+	waiters []chan *job.Answer
+}
+
 // NewLoop returns a Loop that Run has to drive.
 func NewLoop(config LoopConfig) *Loop {
-	return &Loop{
+	l := &Loop{
 		config:  config,
 		ring:    make(chan func(time.Time), config.Ring),
 		results: make(chan Result, config.Ring),
-		waiters: make(map[JobID][]chan *job.Answer),
+		issuers: make(map[ticket.Issuer]*issuer),
+		copies:  record.NewCopies(config.Records),
+		jobs:    make(map[JobID]*pending),
+		byKey:   make(map[record.CopyKey]JobID),
 		stopped: make(chan struct{}),
 	}
+	l.issuers[config.Minter.Issuer()] = &issuer{minter: config.Minter, book: record.NewBook(config.Records)}
+	return l
 }
 
 // Run drives the Core until ctx is cancelled.
@@ -63,14 +96,22 @@
 		case r := <-l.results:
 			l.config.Core.Result(l.config.Clock(), r)
 		case <-ticker.C:
-			now := l.config.Clock()
-			l.config.Core.Tick(now)
-			l.config.Book.Expire(now)
+			l.tick(l.config.Clock())
 		}
 		l.apply(ctx, l.config.Core.Take())
 	}
 }
 
+func (l *Loop) tick(now time.Time) {
+	l.config.Core.Tick(now)
+	for id, i := range l.issuers {
+		i.book.Expire(now)
+		if !i.ends.IsZero() && now.After(i.ends) {
+			delete(l.issuers, id)
+		}
+	}
+}
+
 // post hands a message to the Loop. A full ring refuses.
 func (l *Loop) post(message func(now time.Time)) error {
 	select {
@@ -81,88 +122,36 @@
 	}
 }
 
-// Submit hands in a job and waits for its answer. The ticket must be one of
-// this host. If ctx ends first the job goes on and its answer is kept for a
-// resubmission.
-func (l *Loop) Submit(ctx context.Context, spec *job.Spec) (*job.Answer, error) {
-	t, err := ticket.Parse(spec.Ticket)
-	if err != nil {
-		return nil, err
+// ask runs f on the Loop's goroutine and returns its results. Its own errors
+// are Overloaded for a full ring, Draining if the Loop has stopped, and ctx's.
+func ask[T any](ctx context.Context, l *Loop, f func(now time.Time) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
 	}
-	reply := make(chan *job.Answer, 1)
-	digest := spec.Digest()
-	err = l.post(func(now time.Time) { l.submit(now, t, spec, digest, reply) })
+	reply := make(chan result, 1)
+	var zero T
+	err := l.post(func(now time.Time) {
+		value, err := f(now)
+		reply <- result{value, err}
+	})
 	if err != nil {
-		return nil, err
+		return zero, err
 	}
 	select {
-	case answer := <-reply:
-		return answer, nil
+	case r := <-reply:
+		return r.value, r.err
 	case <-ctx.Done():
-		return nil, failure.New(failure.AnswerLost, "the caller did not wait for the answer")
+		return zero, ctx.Err()
 	case <-l.stopped:
-		return nil, failure.New(failure.AnswerLost, "the host stopped before the answer")
-	}
-}
-
-func (l *Loop) submit(now time.Time, t ticket.Ticket, spec *job.Spec, digest uint64, reply chan *job.Answer) {
-	if err := l.config.Minter.Check(spec.Ticket, now); err != nil {
-		reply <- job.Refuse(err)
-		return
-	}
-	state, answer, err := l.config.Book.Begin(t.Seq, digest, t.Expires)
-	switch {
-	case err != nil:
-		reply <- job.Refuse(err)
-	case state == record.Answered:
-		reply <- answer
-	case state == record.Running:
-		l.wait(JobID(t.Seq), reply)
-	default:
-		l.admit(now, t.Seq, spec, reply)
-	}
-}
-
-func (l *Loop) wait(id JobID, reply chan *job.Answer) {
-	l.waiters[id] = append(l.waiters[id], reply)
-}
-
-func (l *Loop) admit(now time.Time, seq uint64, spec *job.Spec, reply chan *job.Answer) {
-	err := l.refuseDraining()
-	if err == nil {
-		err = l.config.Core.Submit(now, JobID(seq), spec)
-	}
-	if err != nil {
-		l.config.Book.Forget(seq)
-		reply <- job.Refuse(err)
-		return
-	}
-	l.wait(JobID(seq), reply)
-}
-
-func (l *Loop) refuseDraining() error {
-	if !l.drain {
-		return nil
+		return zero, failure.New(failure.Draining, "the host has stopped")
 	}
-	return failure.New(failure.Draining, "the host is stopping")
 }
 
-// Cancel withdraws the job of a ticket of this host. A ticket that was never
-// used is used up, so that a submission still on its way starts nothing.
-func (l *Loop) Cancel(text string) error {
-	t, err := ticket.Parse(text)
-	if err != nil {
-		return err
-	}
-	if err := l.config.Minter.Check(text, l.config.Clock()); err != nil {
-		return err
-	}
-	return l.post(func(now time.Time) {
-		withdrawn := job.Refuse(failure.New(failure.Cancelled, "the caller withdrew the job"))
-		if !l.config.Book.Void(t.Seq, t.Expires, withdrawn) {
-			l.config.Core.Cancel(now, JobID(t.Seq))
-		}
-	})
+// tell is ask for a function without a value.
+func tell(ctx context.Context, l *Loop, f func(now time.Time) error) error {
+	_, err := ask(ctx, l, func(now time.Time) (struct{}, error) { return struct{}{}, f(now) })
+	return err
 }
 
 // SetTargets adds or updates targets.
@@ -186,29 +175,16 @@
 
 // Status returns what the Loop holds.
 func (l *Loop) Status(ctx context.Context) (Status, error) {
-	reply := make(chan Status, 1)
-	if err := l.post(func(time.Time) { reply <- l.status() }); err != nil {
-		return Status{}, err
-	}
-	select {
-	case s := <-reply:
-		return s, nil
-	case <-ctx.Done():
-		return Status{}, ctx.Err()
-	case <-l.stopped:
-		return Status{}, failure.New(failure.Draining, "the host has stopped")
-	}
+	return ask(ctx, l, func(time.Time) (Status, error) { return l.status(), nil })
 }
 
 func (l *Loop) status() Status {
 	c := l.config.Core
-	return Status{
-		Jobs:    c.Jobs(),
-		Queued:  c.Queued(),
-		Running: c.Running(),
-		Answers: l.config.Book.Stored(),
-		Targets: c.Targets(),
+	s := Status{Jobs: c.Jobs(), Queued: c.Queued(), Running: c.Running(), Targets: c.Targets()}
+	for _, i := range l.issuers {
+		s.Answers += i.book.Stored()
 	}
+	return s
 }
 
 // apply carries out the effects of the Core. Each start gets a goroutine, so
@@ -231,9 +207,17 @@
 }
 
 func (l *Loop) finish(f Finish) {
-	l.config.Book.Finish(uint64(f.Job), f.Answer)
-	for _, reply := range l.waiters[f.Job] {
+	p := l.jobs[f.Job]
+	l.drop(f.Job)
+	p.book.Finish(p.key.Seq, f.Answer)
+	l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	for _, reply := range p.waiters {
 		reply <- f.Answer
 	}
-	delete(l.waiters, f.Job)
+}
+
+// drop ends a job in progress.
+func (l *Loop) drop(id JobID) {
+	delete(l.byKey, l.jobs[id].key)
+	delete(l.jobs, id)
 }
--- /dev/null
+++ b/internal/process/dispatch/submit.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/record"
+	"wasabifield.example/wasabifield/internal/request/ticket"
+)
+
+// submission is a job on its way into the Loop.
+type submission struct {
+	ticket ticket.Ticket
+	spec   *job.Spec
+	digest uint64
+	reply  chan *job.Answer // holds one answer
+}
+
+// Submit hands in a job and waits for its answer. If ctx ends first the job
+// goes on and its answer is kept for a resubmission. Its errors are Overloaded
+// for a full ring and AnswerLost.
+func (l *Loop) Submit(ctx context.Context, spec *job.Spec) (*job.Answer, error) {
+	t, err := ticket.Parse(spec.Ticket)
+	if err != nil {
+		return nil, err
+	}
+	s := submission{ticket: t, spec: spec, digest: spec.Digest(), reply: make(chan *job.Answer, 1)}
+	if err := l.post(func(now time.Time) { l.submit(now, s) }); err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-s.reply:
+		return answer, nil
+	case <-ctx.Done():
+		return nil, failure.New(failure.AnswerLost, "the caller did not wait for the answer")
+	case <-l.stopped:
+		return nil, failure.New(failure.AnswerLost, "the host stopped before the answer")
+	}
+}
+
+func (l *Loop) submit(now time.Time, s submission) {
+	i, err := l.issuer(s.ticket, s.spec.Ticket, now)
+	if err != nil {
+		s.reply <- l.recall(s, err)
+		return
+	}
+	state, answer, err := i.book.Begin(s.ticket.Seq, s.digest, s.ticket.Expires)
+	switch {
+	case err != nil:
+		s.reply <- job.Refuse(err)
+	case state == record.Answered:
+		s.reply <- answer
+	case state == record.Running:
+		l.join(s)
+	default:
+		l.admit(now, s, i)
+	}
+}
+
+// recall returns the copied answer to a job whose record is elsewhere, or the
+// answer for err.
+func (l *Loop) recall(s submission, err error) *job.Answer {
+	if failure.KindOf(err) == failure.RecordLost {
+		if answer := l.copies.Get(s.key(), s.digest); answer != nil {
+			return answer
+		}
+	}
+	return job.Refuse(err)
+}
+
+// issuer returns the records that a ticket belongs to. Its errors are those of
+// ticket.Minter.Check.
+func (l *Loop) issuer(t ticket.Ticket, text string, now time.Time) (*issuer, error) {
+	i, ok := l.issuers[t.Issuer]
+	if !ok {
+		return nil, failure.New(failure.RecordLost, "the host that issued the ticket has restarted since")
+	}
+	return i, i.minter.Check(text, now)
+}
+
+func (s submission) key() record.CopyKey {
+	return record.CopyKey{Issuer: s.ticket.Issuer, Seq: s.ticket.Seq}
+}
+
+// join lets a resubmission wait for the job in progress.
+func (l *Loop) join(s submission) {
+	if p, ok := l.jobs[l.byKey[s.key()]]; ok {
+		p.waiters = append(p.waiters, s.reply)
+	}
+}
+
+func (l *Loop) admit(now time.Time, s submission, i *issuer) {
+	err := l.refuseDraining()
+	if err == nil {
+		err = l.config.Core.Submit(now, l.last+1, s.spec)
+	}
+	if err != nil {
+		i.book.Forget(s.ticket.Seq)
+		s.reply <- job.Refuse(err)
+		return
+	}
+	l.last++
+	l.byKey[s.key()] = l.last
+	l.jobs[l.last] = &pending{
+		key:     s.key(),
+		digest:  s.digest,
+		book:    i.book,
+		waiters: []chan *job.Answer{s.reply},
+	}
+}
+
+func (l *Loop) refuseDraining() error {
+	if !l.drain {
+		return nil
+	}
+	return failure.New(failure.Draining, "the host is stopping")
+}
+
+// Cancel withdraws the job of a ticket. A ticket that was never used is used
+// up, so that a submission still on its way starts nothing.
+func (l *Loop) Cancel(ctx context.Context, text string) error {
+	t, err := ticket.Parse(text)
+	if err != nil {
+		return err
+	}
+	return tell(ctx, l, func(now time.Time) error { return l.cancel(now, t, text) })
+}
+
+func (l *Loop) cancel(now time.Time, t ticket.Ticket, text string) error {
+	i, err := l.issuer(t, text, now)
+	if err != nil {
+		return err
+	}
+	if l.handed {
+		return failure.New(failure.Draining, "the records were handed to another host")
+	}
+	withdrawn := job.Refuse(failure.New(failure.Cancelled, "the caller withdrew the job"))
+	if i.book.Void(t.Seq, t.Expires, withdrawn) {
+		return nil
+	}
+	id, ok := l.byKey[record.CopyKey{Issuer: t.Issuer, Seq: t.Seq}]
+	if ok {
+		l.config.Core.Cancel(now, id)
+	}
+	return nil
+}
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -23,10 +23,53 @@
 	if err != nil {
 		return job.Refuse(err)
 	}
-	if t.Host == h.settings.Host {
+	answer := h.submitTo(ctx, t.Host, spec, body)
+	if !holderIsGone(answer) {
+		return answer
+	}
+	for _, kin := range h.kin(t.Host) {
+		if second := h.submitTo(ctx, kin, spec, body); !holderIsGone(second) {
+			return second
+		}
+	}
+	return answer
+}
+
+// holderIsGone reports whether the host that answered has no record of the
+// ticket's incarnation, or could not be reached. Another host of the issuer's
+// domain may have taken the records over or hold a copy of the answer.
+func holderIsGone(a *job.Answer) bool {
+	if a.Error == nil {
+		return false
+	}
+	kind := failure.Kind(a.Error.Kind)
+	return kind == failure.RecordLost || kind == failure.HolderUnreachable
+}
+
+// kin returns the other hosts of a host's domain, this one included.
+func (h *Host) kin(name string) []string {
+	now := time.Now()
+	domain := h.hosts.domainOf(now, name)
+	if name == h.settings.Host {
+		domain = h.settings.Domain
+	}
+	var list []string
+	if domain == h.settings.Domain && name != h.settings.Host {
+		list = append(list, h.settings.Host)
+	}
+	for _, other := range h.hosts.heirs(now, domain) {
+		if other != name {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+func (h *Host) submitTo(ctx context.Context, host string, spec *job.Spec, body []byte) *job.Answer {
+	if host == h.settings.Host {
 		return h.SubmitLocal(ctx, spec)
 	}
-	answer, err := h.client.Forward(ctx, t.Host, body)
+	answer, err := h.forward(ctx, host, spec, body)
 	if err != nil {
 		return job.RefuseElsewhere(err)
 	}
@@ -49,13 +92,23 @@
 		return err
 	}
 	if t.Host == h.settings.Host {
-		return h.CancelLocal(text)
+		return h.CancelLocal(ctx, text)
 	}
 	return h.client.Cancel(ctx, t.Host, text)
 }
 
 // CancelLocal implements peer.Backend.
-func (h *Host) CancelLocal(text string) error { return h.loop.Cancel(text) }
+func (h *Host) CancelLocal(ctx context.Context, text string) error { return h.loop.Cancel(ctx, text) }
+
+// setTargets hands targets to the loop.
+func (h *Host) setTargets(list []dispatch.Target) {
+	if len(list) == 0 {
+		return
+	}
+	if err := h.loop.SetTargets(list); err != nil {
+		h.log.Warn("The targets were not taken in.", "error", err)
+	}
+}
 
 const renewsPerLease = 3 // a target may miss all but one renewal
 
@@ -101,10 +154,10 @@
 		Host:        h.settings.Host,
 		Domain:      h.settings.Domain,
 		Region:      h.settings.Region,
-		Incarnation: h.incarnation,
+		Incarnation: h.hosts.incarnation(),
 		State:       "self",
 	}
-	return append([]wire.HostStatus{self}, h.peers.list(time.Now())...), nil
+	return append([]wire.HostStatus{self}, h.hosts.list(time.Now())...), nil
 }
 
 // Ready implements callerapi.Backend.
--- a/internal/process/host/drain.go
+++ b/internal/process/host/drain.go
@@ -33,6 +33,7 @@
 	}
 	err := web.Shutdown(limit)
 	link.GracefulStop()
+	h.handOn(cut)
 	h.log.Info("Stopped.")
 	return err
 }
--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -4,77 +4,87 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
-	"wasabifield.example/wasabifield/internal/process/settings"
 )
 
-const farFactor = 4 // exchanges between domains are this much rarer
-
-// exchanges reports whether this host starts the exchanges with p. One of a
-// pair does, and its message and the reply carry both sides' news.
-func (h *Host) exchanges(p settings.Peer) bool { return h.settings.Host < p.Host }
+const exchangePoll = 10 * time.Millisecond // between two looks at which host is due
 
-// exchangeWith talks to one other host until ctx is cancelled.
-func (h *Host) exchangeWith(ctx context.Context, p settings.Peer) error {
-	interval := h.settings.Timing.Exchange
-	if p.Domain != h.settings.Domain {
-		interval *= farFactor
-	}
-	ticker := time.NewTicker(interval)
+// exchange asks the other hosts in turn until ctx is cancelled. A host that
+// has not answered yet is not asked again.
+func (h *Host) exchange(ctx context.Context) error {
+	ticker := time.NewTicker(exchangePoll)
 	defer ticker.Stop()
+	asking := make(map[string]bool)
+	done := make(chan string, len(h.settings.Peers))
+	var group errgroup.Group
 	for {
-		h.exchangeOnce(ctx, p)
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+			return group.Wait()
+		case name := <-done:
+			delete(asking, name)
+		case now := <-ticker.C:
+			for _, name := range h.hosts.due(now) {
+				if asking[name] {
+					continue
+				}
+				asking[name] = true
+				group.Go(func() error {
+					h.ask(ctx, name)
+					done <- name
+					return nil
+				})
+			}
 		}
 	}
 }
 
-func (h *Host) exchangeOnce(ctx context.Context, p settings.Peer) {
+// ask sends a question to another host and takes in its answer.
+func (h *Host) ask(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Timing.DialTimeout)
 	defer cancel()
-	reply, err := h.client.Exchange(ctx, p.Host, h.message(p.Host, p.Domain))
+	asked := time.Now()
+	domain := h.hosts.domainOf(asked, name)
+	m := h.message(asked, domain)
+	if domain == h.settings.Domain {
+		m.Cursor = h.targets.cursor(name)
+		m.Copies = h.outbox.take(name)
+	}
+	answer, err := h.client.Exchange(ctx, name, m)
 	if err != nil {
-		h.log.Debug("An exchange failed.", "peer", p.Host, "error", err)
+		h.log.Debug("An exchange failed.", "peer", name, "error", err)
 		return
 	}
-	h.learn(reply)
+	h.hosts.answered(asked, answer)
+	if answer.GetDelta() != nil {
+		h.setTargets(h.targets.merge(name, asked, answer.GetDelta()))
+	}
 }
 
-// message states what this host knows: to a host of the same domain with the
-// changes to the target table.
-func (h *Host) message(host, domain string) *peerpb.ExchangeMessage {
-	m := &peerpb.ExchangeMessage{
+// message states what this host knows to a host of domain.
+func (h *Host) message(now time.Time, domain string) *peerpb.ExchangeMessage {
+	return &peerpb.ExchangeMessage{
 		Host:        h.settings.Host,
 		Domain:      h.settings.Domain,
-		Incarnation: h.incarnation,
+		Incarnation: h.hosts.incarnation(),
 		Draining:    h.draining.Load(),
+		Rumours:     h.hosts.rumours(now, domain),
 	}
-	if domain == h.settings.Domain {
-		h.targets.fill(time.Now(), host, m)
-	}
-	return m
 }
 
 // Merge implements peer.Backend.
 func (h *Host) Merge(m *peerpb.ExchangeMessage) *peerpb.ExchangeMessage {
-	h.learn(m)
-	return h.message(m.GetHost(), m.GetDomain())
-}
-
-func (h *Host) learn(m *peerpb.ExchangeMessage) {
 	now := time.Now()
-	h.peers.hear(now, m)
-	if m.GetDomain() != h.settings.Domain {
-		return
-	}
-	changed := h.targets.merge(now, m)
-	if len(changed) == 0 {
-		return
+	held := h.hosts.asked(now, m)
+	for _, c := range m.GetCopies() {
+		h.putCopy(c)
 	}
-	if err := h.loop.SetTargets(changed); err != nil {
-		h.log.Warn("The targets were not taken in.", "error", err)
+	answer := h.message(now, m.GetDomain())
+	answer.Held = held
+	if m.GetDomain() == h.settings.Domain {
+		answer.Delta = h.targets.delta(now, m.GetCursor())
 	}
+	return answer
 }
--- /dev/null
+++ b/internal/process/host/handon.go
@@ -0,0 +1,99 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/record"
+	"wasabifield.example/wasabifield/internal/request/ticket"
+)
+
+const handOnTimeout = 5 * time.Second
+
+// handOn passes the records of a drained host to one other host of the domain.
+// It is tried once: after a lost reply a second heir could start what the
+// first may start.
+func (h *Host) handOn(ctx context.Context) {
+	heir := h.heir(time.Now())
+	if heir == "" {
+		h.log.Warn("No other host takes the records.")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOnTimeout)
+	defer cancel()
+	list, err := h.loop.HandOn(ctx)
+	if err != nil {
+		h.log.Error("The records were not handed on.", "error", err)
+		return
+	}
+	request := &peerpb.HandOnRequest{Host: h.settings.Host}
+	for _, legacy := range list {
+		request.Legacies = append(request.Legacies, legacyMessage(legacy))
+	}
+	reply, err := h.client.HandOn(ctx, heir, request)
+	h.log.Info("Handed the records on.", "heir", heir, "adopted", reply.GetAdopted(), "error", err)
+}
+
+// Adopt implements peer.Backend.
+func (h *Host) Adopt(ctx context.Context, r *peerpb.HandOnRequest) bool {
+	list := make([]dispatch.Legacy, len(r.GetLegacies()))
+	for i, m := range r.GetLegacies() {
+		list[i] = legacyFrom(m)
+	}
+	err := h.loop.Adopt(ctx, list)
+	h.log.Info("Took over records.", "from", r.GetHost(), "error", err)
+	return err == nil
+}
+
+func legacyMessage(l dispatch.Legacy) *peerpb.Legacy {
+	m := &peerpb.Legacy{
+		Host:        l.Issuer.Host,
+		Incarnation: l.Issuer.Incarnation,
+		Key:         l.Key,
+		LifeMs:      uint64(l.Life.Milliseconds()),
+		HorizonMs:   l.Book.Horizon.UnixMilli(),
+	}
+	for _, u := range l.Book.Used {
+		m.Used = append(m.Used, &peerpb.UsedChunk{Index: u.Index, Bits: u.Bits, ExpiresMs: u.Expires.UnixMilli()})
+	}
+	for _, a := range l.Book.Answers {
+		text, err := json.Marshal(a.Answer)
+		if err != nil {
+			continue
+		}
+		m.Answers = append(m.Answers, &peerpb.StoredAnswer{Seq: a.Seq, Digest: a.Digest, Void: a.Void, Answer: text})
+	}
+	return m
+}
+
+// legacyFrom reads a legacy. An answer that cannot be read is left out: its
+// ticket stays marked as used.
+func legacyFrom(m *peerpb.Legacy) dispatch.Legacy {
+	l := dispatch.Legacy{
+		Issuer: ticket.Issuer{Host: m.GetHost(), Incarnation: m.GetIncarnation()},
+		Key:    m.GetKey(),
+		Life:   time.Duration(m.GetLifeMs()) * time.Millisecond,
+		Book:   record.Snapshot{Horizon: time.UnixMilli(m.GetHorizonMs())},
+	}
+	for _, u := range m.GetUsed() {
+		expires := time.UnixMilli(u.GetExpiresMs())
+		l.Book.Used = append(l.Book.Used, record.UsedChunk{Index: u.GetIndex(), Bits: u.GetBits(), Expires: expires})
+	}
+	for _, a := range m.GetAnswers() {
+		answer := &job.Answer{}
+		if json.Unmarshal(a.GetAnswer(), answer) != nil {
+			continue
+		}
+		l.Book.Answers = append(l.Book.Answers, record.StoredAnswer{
+			Seq:    a.GetSeq(),
+			Digest: a.GetDigest(),
+			Void:   a.GetVoid(),
+			Answer: answer,
+		})
+	}
+	return l
+}
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -45,7 +45,8 @@
 	minter      *ticket.Minter
 	loop        *dispatch.Loop
 	targets     *targetTable
-	peers       *peerTable
+	hosts       *hostTable
+	outbox      *outbox
 	client      *peer.Client
 	security    peertls.Credentials
 	observer    *observer
@@ -58,9 +59,10 @@
 		settings:    s,
 		log:         logging.For(log, "host"),
 		incarnation: newIncarnation(time.Now()),
-		peers:       newPeerTable(s.Peers),
 		observer:    newObserver(s.Host, s.Domain),
 	}
+	h.hosts = newHostTable(s, h.incarnation)
+	h.outbox = &outbox{limit: s.Limits.Ring, heir: h.heir}
 	h.targets = newTargetTable(membership.TargetsConfig{
 		Table:  h.incarnation,
 		Domain: s.Domain,
@@ -70,7 +72,8 @@
 	if _, err := crand.Read(key); err != nil {
 		return nil, err
 	}
-	h.minter = ticket.NewMinter(s.Host, h.incarnation, key, s.Timing.TicketLife)
+	issuer := ticket.Issuer{Host: s.Host, Incarnation: h.incarnation}
+	h.minter = ticket.NewMinter(issuer, key, s.Timing.TicketLife)
 	security, err := peertls.Load(s.TLS)
 	if err != nil {
 		return nil, err
@@ -102,10 +105,11 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return dispatch.NewLoop(dispatch.LoopConfig{
 		Core: dispatch.NewCore(policy, random),
-		Book: record.NewBook(record.Config{
+		Records: record.Config{
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
-		}),
+		},
+		Copier: h.outbox,
 		Minter: h.minter,
 		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
 			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
@@ -132,7 +136,7 @@
 	web = h.observer.meter(webLinks).Listen(web)
 	link = h.observer.meter(peerLinks).Listen(link)
 	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
-	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server))
+	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
 	peerpb.RegisterPeerServer(grpcServer, peer.NewServer(h))
 
 	running, stop := context.WithCancel(context.Background())
@@ -142,11 +146,7 @@
 	group.Go(func() error { return h.observer.sample(duties, h.loop) })
 	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
 	group.Go(func() error { return grpcServer.Serve(link) })
-	for _, p := range h.settings.Peers {
-		if h.exchanges(p) {
-			group.Go(func() error { return h.exchangeWith(duties, p) })
-		}
-	}
+	group.Go(func() error { return h.exchange(duties) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -160,6 +160,9 @@
 	return group.Wait()
 }
 
+// defaultDeadline is for a job that states none.
+func (h *Host) defaultDeadline() time.Duration { return dispatch.DefaultConfig().DefaultDeadline }
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- /dev/null
+++ b/internal/process/host/hosts.go
@@ -0,0 +1,161 @@
+package host
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/membershippb"
+	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/membership"
+	"wasabifield.example/wasabifield/internal/process/settings"
+)
+
+const (
+	suspectExchanges = 6                // a host of the domain is suspect after as many intervals
+	silentAfter      = 30 * time.Second // a host that nobody hears is silent after this
+	maxRumours       = 8                // in one message
+)
+
+// hostTable shares a membership.Hosts among the exchanges.
+type hostTable struct {
+	mu       sync.Mutex
+	table    *membership.Hosts
+	regions  map[string]string
+	draining map[string]bool
+	control  map[string]uint64
+}
+
+func newHostTable(s settings.Settings, incarnation uint64) *hostTable {
+	config := membership.HostsConfig{
+		Self:        membership.HostName{Host: s.Host, Domain: s.Domain},
+		Incarnation: incarnation,
+		Exchange:    s.Timing.Exchange,
+		Probe:       s.Timing.Exchange,
+		Suspect:     suspectExchanges * s.Timing.Exchange,
+		Silent:      silentAfter,
+	}
+	regions := make(map[string]string, len(s.Peers))
+	for _, p := range s.Peers {
+		config.Peers = append(config.Peers, membership.HostName{Host: p.Host, Domain: p.Domain})
+		regions[p.Host] = p.Region
+	}
+	random := rand.New(rand.NewPCG(incarnation, 0))
+	return &hostTable{
+		table:    membership.NewHosts(config, random),
+		regions:  regions,
+		draining: make(map[string]bool),
+		control:  make(map[string]uint64),
+	}
+}
+
+func (t *hostTable) due(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Due(now)
+}
+
+// asked records a question and returns the incarnation held of the asker.
+func (t *hostTable) asked(now time.Time, m *peerpb.ExchangeMessage) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.note(m)
+	return t.table.Asked(now, m.GetHost(), m.GetIncarnation())
+}
+
+// answered records the answer to a question sent at asked.
+func (t *hostTable) answered(asked time.Time, m *peerpb.ExchangeMessage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.note(m)
+	greater := t.table.Answered(asked, m.GetHost(), m.GetIncarnation(), m.GetHeld(), m.GetRumours())
+	if greater != 0 {
+		t.table.Raise(greater)
+	}
+}
+
+func (t *hostTable) note(m *peerpb.ExchangeMessage) {
+	t.draining[m.GetHost()] = m.GetDraining()
+	t.control[m.GetHost()] = m.GetControlVersion()
+}
+
+func (t *hostTable) incarnation() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Incarnation()
+}
+
+func (t *hostTable) rumours(now time.Time, domain string) []*membershippb.HostRumour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Rumours(now, domain, maxRumours)
+}
+
+// heirs returns the hosts of domain that answer this host and are not
+// draining, in the order of their names.
+func (t *hostTable) heirs(now time.Time, domain string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for _, v := range t.table.View(now) {
+		if v.Domain == domain && v.State == membership.HostAlive && !t.draining[v.Host] {
+			list = append(list, v.Host)
+		}
+	}
+	return list
+}
+
+// suspect reports whether a host was heard from and is no longer.
+func (t *hostTable) suspect(now time.Time, host string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.table.View(now) {
+		if v.Host == host {
+			return !v.Heard.IsZero() && v.State != membership.HostAlive
+		}
+	}
+	return false
+}
+
+// domainOf returns the failure domain of host, empty if it is not known.
+func (t *hostTable) domainOf(now time.Time, host string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.table.View(now) {
+		if v.Host == host {
+			return v.Domain
+		}
+	}
+	return ""
+}
+
+// list returns the state of every other host.
+func (t *hostTable) list(now time.Time) []wire.HostStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []wire.HostStatus
+	for _, v := range t.table.View(now) {
+		list = append(list, t.status(now, v))
+	}
+	return list
+}
+
+func (t *hostTable) status(now time.Time, v membership.HostView) wire.HostStatus {
+	s := wire.HostStatus{
+		Host:        v.Host,
+		Domain:      v.Domain,
+		Region:      t.regions[v.Host],
+		Incarnation: v.Incarnation,
+		State:       string(v.State),
+		HeardMS:     -1,
+		Control:     t.control[v.Host],
+	}
+	if !v.Heard.IsZero() {
+		s.HeardMS = now.Sub(v.Heard).Milliseconds()
+	}
+	if t.draining[v.Host] && v.State == membership.HostAlive {
+		s.State = "draining"
+	}
+	return s
+}
--- a/internal/process/membership/hosts.go
+++ b/internal/process/membership/hosts.go
@@ -84,6 +84,11 @@
 // Incarnation returns this host's own incarnation.
 func (h *Hosts) Incarnation() uint64 { return h.config.Incarnation }
 
+// Raise replaces this host's own incarnation by a greater one.
+func (h *Hosts) Raise(incarnation uint64) {
+	h.config.Incarnation = max(h.config.Incarnation, incarnation)
+}
+
 // Due returns the hosts to ask at now. A host that was frozen asks each host
 // once, not once for each time that it missed.
 func (h *Hosts) Due(now time.Time) []string {
--- a/internal/request/record/book.go
+++ b/internal/request/record/book.go
@@ -21,6 +21,7 @@
 	entries map[uint64]*entry
 	stored  []uint64 // sequence numbers with an answer, oldest first
 	bytes   int64
+	horizon time.Time // tickets that expire up to here are refused for good
 }
 
 type entry struct {
@@ -46,9 +47,14 @@
 )
 
 // Begin records a submission under ticket seq. Its errors are TicketReused for
-// another job under the same ticket and RecordLost if the answer was dropped.
+// another job under the same ticket, RecordLost if the answer was dropped, and
+// TicketExpired once Expire has passed the ticket's end, whatever the clock
+// says later.
 func (b *Book) Begin(seq, digest uint64, expires time.Time) (State, *job.Answer, error) {
 	e, ok := b.entries[seq]
+	if !ok && !expires.After(b.horizon) {
+		return Answered, nil, failure.New(failure.TicketExpired, "the ticket's time is over")
+	}
 	if !ok && b.used.has(seq) {
 		return Answered, nil, failure.New(failure.RecordLost, "the answer is no longer held")
 	}
@@ -69,7 +75,7 @@
 // Void uses up a ticket that was not used, with the answer that a later
 // submission gets. It reports whether the ticket was unused.
 func (b *Book) Void(seq uint64, expires time.Time, answer *job.Answer) bool {
-	if b.used.has(seq) {
+	if b.used.has(seq) || !expires.After(b.horizon) {
 		return false
 	}
 	b.used.add(seq, expires)
@@ -101,8 +107,16 @@
 	}
 }
 
-// Expire drops the marks of tickets that have expired by now.
-func (b *Book) Expire(now time.Time) { b.used.expire(now) }
+// Expire drops the marks of tickets that have expired by now. The horizon
+// keeps such a ticket from being taken for an unused one after the clock went
+// back.
+func (b *Book) Expire(now time.Time) {
+	if !now.After(b.horizon) {
+		return
+	}
+	b.horizon = now
+	b.used.expire(now)
+}
 
 // Running returns the number of jobs in progress.
 func (b *Book) Running() int { return len(b.entries) - len(b.stored) }
--- a/internal/request/record/book_test.go
+++ b/internal/request/record/book_test.go
@@ -51,3 +51,36 @@
 		}
 	})
 }
+
+func TestExpiredTicketIsNotFreshAfterTheClockWentBack(t *testing.T) {
+	g := NewWithT(t)
+	b := record.NewBook(record.Config{Answers: 0, AnswerBytes: 0})
+	_, _, err := b.Begin(1, 7, end)
+	g.Expect(err).NotTo(HaveOccurred())
+	b.Finish(1, &job.Answer{})
+	b.Expire(end.Add(time.Second))
+	_, _, err = b.Begin(1, 7, end)
+	g.Expect(failure.KindOf(err)).To(Equal(failure.TicketExpired))
+}
+
+// TestSnapshotKeepsEveryTicketsState hands random books on.
+func TestSnapshotKeepsEveryTicketsState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := record.NewBook(record.Config{Answers: 5, AnswerBytes: 1 << 20})
+		for seq := uint64(1); seq <= 20; seq++ {
+			if !rapid.Bool().Draw(t, "use") {
+				continue
+			}
+			_, _, _ = b.Begin(seq, seq, end)
+			b.Finish(seq, &job.Answer{Host: "h"})
+		}
+		heir := record.Restore(record.Config{Answers: 5, AnswerBytes: 1 << 20}, b.Snapshot())
+		for seq := uint64(1); seq <= 20; seq++ {
+			wantState, wantAnswer, wantErr := b.Begin(seq, seq, end)
+			state, answer, err := heir.Begin(seq, seq, end)
+			if state != wantState || (answer == nil) != (wantAnswer == nil) || failure.KindOf(err) != failure.KindOf(wantErr) {
+				t.Fatalf("ticket %d: %v %v %v, want %v %v %v", seq, state, answer, err, wantState, wantAnswer, wantErr)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/record/copies.go
@@ -0,0 +1,58 @@
+package record
+
+import (
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/ticket"
+)
+
+// CopyKey names the job of one ticket in the whole system.
+type CopyKey struct {
+	ticket.Issuer
+	Seq uint64
+}
+
+// Copies holds answers that another host gave, in case that host is lost. It
+// proves nothing about a job that it does not hold. It is bounded like a Book
+// and not safe for concurrent use.
+type Copies struct {
+	config  Config
+	entries map[CopyKey]copied
+	order   []CopyKey // oldest first
+	bytes   int64
+}
+
+type copied struct {
+	digest uint64
+	answer *job.Answer
+	size   int64
+}
+
+// NewCopies returns an empty Copies.
+func NewCopies(config Config) *Copies {
+	return &Copies{config: config, entries: make(map[CopyKey]copied)}
+}
+
+// Put stores the answer to a job with the given content digest.
+func (c *Copies) Put(key CopyKey, digest uint64, answer *job.Answer) {
+	if _, ok := c.entries[key]; ok {
+		return
+	}
+	e := copied{digest: digest, answer: answer, size: answerSize(answer)}
+	c.entries[key] = e
+	c.order = append(c.order, key)
+	c.bytes += e.size
+	for len(c.order) > c.config.Answers || c.bytes > c.config.AnswerBytes {
+		c.bytes -= c.entries[c.order[0]].size
+		delete(c.entries, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+// Get returns the answer to a job, nil if it is not held for that content.
+func (c *Copies) Get(key CopyKey, digest uint64) *job.Answer {
+	e, ok := c.entries[key]
+	if !ok || e.digest != digest {
+		return nil
+	}
+	return e.answer
+}
--- a/internal/request/ticket/ticket.go
+++ b/internal/request/ticket/ticket.go
@@ -12,12 +12,17 @@
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
 
+// Issuer is one incarnation of an entry host.
+type Issuer struct {
+	Host        string
+	Incarnation uint64
+}
+
 // Ticket is the right to submit one job to its issuer.
 type Ticket struct {
-	Host        string    // the issuing entry host
-	Incarnation uint64    // the issuer's incarnation
-	Seq         uint64    // grows with each ticket of an incarnation
-	Expires     time.Time // millisecond resolution, by the issuer's clock
+	Issuer
+	Seq     uint64    // grows with each ticket of an incarnation
+	Expires time.Time // millisecond resolution, by the issuer's clock
 }
 
 const (
@@ -35,31 +40,36 @@
 // Minter issues the tickets of one incarnation of a host. It is safe for
 // concurrent use.
 type Minter struct {
-	host        string
-	incarnation uint64
-	key         []byte
-	life        time.Duration
-	last        atomic.Uint64
+	issuer Issuer
+	key    []byte
+	life   time.Duration
+	last   atomic.Uint64
 }
 
 // NewMinter returns a Minter. The key authenticates the tickets; it is drawn
 // anew for each incarnation.
-func NewMinter(host string, incarnation uint64, key []byte, life time.Duration) *Minter {
-	return &Minter{host: host, incarnation: incarnation, key: key, life: life}
+func NewMinter(issuer Issuer, key []byte, life time.Duration) *Minter {
+	return &Minter{issuer: issuer, key: key, life: life}
 }
 
 // Issue returns the next ticket in its text form.
 func (m *Minter) Issue(now time.Time) string {
 	t := Ticket{
-		Host:        m.host,
-		Incarnation: m.incarnation,
-		Seq:         m.last.Add(1),
-		Expires:     now.Add(m.life).Truncate(time.Millisecond),
+		Issuer:  m.issuer,
+		Seq:     m.last.Add(1),
+		Expires: now.Add(m.life).Truncate(time.Millisecond),
 	}
 	body := encode(t)
 	return prefix + encoding.EncodeToString(append(body, m.mac(body)...))
 }
 
+// Issuer returns the incarnation that the tickets name.
+func (m *Minter) Issuer() Issuer { return m.issuer }
+
+// Key returns the key that authenticates the tickets, for the host that takes
+// over the records.
+func (m *Minter) Key() []byte { return m.key }
+
 // Life returns how long a ticket is valid.
 func (m *Minter) Life() time.Duration { return m.life }
 
@@ -71,10 +81,10 @@
 	if err != nil {
 		return err
 	}
-	if t.Host != m.host {
+	if t.Host != m.issuer.Host {
 		return failure.New(failure.TicketInvalid, "the ticket was issued by another host")
 	}
-	if t.Incarnation != m.incarnation {
+	if t.Incarnation != m.issuer.Incarnation {
 		return failure.New(failure.RecordLost, "the host that issued the ticket has restarted since")
 	}
 	body, mac := split(text)
@@ -104,10 +114,9 @@
 		return Ticket{}, &failure.Error{Kind: failure.TicketInvalid, Field: "ticket", Message: "not a ticket"}
 	}
 	t := Ticket{
-		Incarnation: binary.BigEndian.Uint64(body),
-		Seq:         binary.BigEndian.Uint64(body[8:]),
-		Expires:     time.UnixMilli(int64(binary.BigEndian.Uint64(body[16:]))),
-		Host:        string(body[24:]),
+		Issuer:  Issuer{Host: string(body[24:]), Incarnation: binary.BigEndian.Uint64(body)},
+		Seq:     binary.BigEndian.Uint64(body[8:]),
+		Expires: time.UnixMilli(int64(binary.BigEndian.Uint64(body[16:]))),
 	}
 	return t, nil
 }
--- a/internal/request/ticket/ticket_test.go
+++ b/internal/request/ticket/ticket_test.go
@@ -15,9 +15,9 @@
 
 func TestTicketIsAcceptedOnlyByItsIncarnation(t *testing.T) {
 	g := NewWithT(t)
-	first := ticket.NewMinter("a1", 1, []byte("key one"), time.Minute)
-	second := ticket.NewMinter("a1", 2, []byte("key two"), time.Minute)
-	other := ticket.NewMinter("b1", 1, []byte("key one"), time.Minute)
+	first := ticket.NewMinter(ticket.Issuer{Host: "a1", Incarnation: 1}, []byte("key one"), time.Minute)
+	second := ticket.NewMinter(ticket.Issuer{Host: "a1", Incarnation: 2}, []byte("key two"), time.Minute)
+	other := ticket.NewMinter(ticket.Issuer{Host: "b1", Incarnation: 1}, []byte("key one"), time.Minute)
 	text := first.Issue(start)
 
 	g.Expect(first.Check(text, start)).To(Succeed())
@@ -27,7 +27,7 @@
 }
 
 func TestAlteredTicketIsRefused(t *testing.T) {
-	m := ticket.NewMinter("a1", 1, []byte("key"), time.Minute)
+	m := ticket.NewMinter(ticket.Issuer{Host: "a1", Incarnation: 1}, []byte("key"), time.Minute)
 	text := m.Issue(start)
 	rapid.Check(t, func(t *rapid.T) {
 		i := rapid.IntRange(0, len(text)-1).Draw(t, "position")
@@ -42,7 +42,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add("wf1.AAAA")
-	f.Add(ticket.NewMinter("a1", 1, []byte("key"), time.Minute).Issue(start))
+	f.Add(ticket.NewMinter(ticket.Issuer{Host: "a1", Incarnation: 1}, []byte("key"), time.Minute).Issue(start))
 	f.Fuzz(func(t *testing.T, text string) {
 		_, err := ticket.Parse(text)
 		if err != nil && failure.KindOf(err) == failure.Internal {
