Pass a job to another domain when the own cannot run it

Cause: a domain whose targets are gone, too full or without accelerators refused every job, though other domains had free slots. Ruled out: starting single tasks in other domains (a message a task, and two hosts holding slots of one target); resending after a lost reply. Change: free capacity travels on the exchange; a refused job is passed once to a fit host of another domain, own region first, which runs it under a ticket of its own. A lost reply is answered 'outcome unknown', a job nobody took 'not run'. Shown failing first without the change: 'no_targets' for ever in TestJobOfADomainWithoutTargetsRunsInAnother; without asking the issuer's domain TestDrainedHostsTicketsGoOnAtItsNeighbour ends in 'holder_unreachable'. Cost: two messages a spilled job, none otherwise.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -84,6 +84,27 @@
 // TicketInvalid for an unknown issuer, HolderUnreachable if nothing was sent,
 // and AnswerLost if the outcome is unknown.
 func (c *Client) Forward(ctx context.Context, host string, body []byte) (*job.Answer, error) {
+	conn, err := c.reach(ctx, host)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := peerpb.NewPeerClient(conn).Forward(ctx, &peerpb.ForwardRequest{Spec: body})
+	return readAnswer(host, reply, err)
+}
+
+// Spill passes a job to a host of another failure domain. Its errors are those
+// of Forward.
+func (c *Client) Spill(ctx context.Context, host string, body []byte) (*job.Answer, error) {
+	conn, err := c.reach(ctx, host)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := peerpb.NewPeerClient(conn).Spill(ctx, &peerpb.SpillRequest{Spec: body})
+	return readAnswer(host, reply, err)
+}
+
+// reach returns a connection to host over which nothing was sent yet.
+func (c *Client) reach(ctx context.Context, host string) (*grpc.ClientConn, error) {
 	conn, ok := c.conns[host]
 	if !ok {
 		return nil, &failure.Error{Kind: failure.TicketInvalid, Field: "ticket", Message: "its issuer is not known"}
@@ -91,7 +112,10 @@
 	if !c.connected(ctx, conn) {
 		return nil, failure.New(failure.HolderUnreachable, "host "+host+" holds the record and cannot be reached")
 	}
-	reply, err := peerpb.NewPeerClient(conn).Forward(ctx, &peerpb.ForwardRequest{Spec: body})
+	return conn, nil
+}
+
+func readAnswer(host string, reply *peerpb.ForwardReply, err error) (*job.Answer, error) {
 	if err != nil {
 		return nil, failure.New(failure.AnswerLost, "host "+host+" got the job and its answer was lost")
 	}
@@ -105,14 +129,11 @@
 // Cancel passes a cancellation to the issuer of a ticket. Its errors are
 // those of Forward.
 func (c *Client) Cancel(ctx context.Context, host, ticket string) error {
-	conn, ok := c.conns[host]
-	if !ok {
-		return &failure.Error{Kind: failure.TicketInvalid, Field: "ticket", Message: "its issuer is not known"}
-	}
-	if !c.connected(ctx, conn) {
-		return failure.New(failure.HolderUnreachable, "host "+host+" holds the record and cannot be reached")
+	conn, err := c.reach(ctx, host)
+	if err != nil {
+		return err
 	}
-	_, err := peerpb.NewPeerClient(conn).Cancel(ctx, &peerpb.CancelRequest{Ticket: ticket})
+	_, err = peerpb.NewPeerClient(conn).Cancel(ctx, &peerpb.CancelRequest{Ticket: ticket})
 	if err != nil {
 		return failure.New(failure.AnswerLost, "host "+host+" may not have withdrawn the job")
 	}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -15,6 +15,8 @@
 type Backend interface {
 	// SubmitLocal returns the answer to a job whose ticket this host issued.
 	SubmitLocal(ctx context.Context, spec *job.Spec) *job.Answer
+	// SubmitSpilled returns the answer to a job of another failure domain.
+	SubmitSpilled(ctx context.Context, spec *job.Spec) *job.Answer
 	// CancelLocal withdraws the job of a ticket that this host issued.
 	CancelLocal(ctx context.Context, ticket string) error
 	// Adopt takes over the records of a drained host and reports whether it did.
@@ -34,18 +36,28 @@
 
 // Forward implements peerpb.PeerServer.
 func (s *Server) Forward(ctx context.Context, r *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
-	spec, err := job.Parse(r.GetSpec())
-	var answer *job.Answer
+	return answer(ctx, r.GetSpec(), s.backend.SubmitLocal)
+}
+
+// Spill implements peerpb.PeerServer.
+func (s *Server) Spill(ctx context.Context, r *peerpb.SpillRequest) (*peerpb.ForwardReply, error) {
+	return answer(ctx, r.GetSpec(), s.backend.SubmitSpilled)
+}
+
+// answer submits a job in JSON form and returns its answer in JSON form.
+func answer(ctx context.Context, text []byte, submit func(context.Context, *job.Spec) *job.Answer) (*peerpb.ForwardReply, error) {
+	var a *job.Answer
+	spec, err := job.Parse(text)
 	if err != nil {
-		answer = job.Refuse(err)
+		a = job.Refuse(err)
 	} else {
-		answer = s.backend.SubmitLocal(ctx, spec)
+		a = submit(ctx, spec)
 	}
-	text, err := json.Marshal(answer)
+	reply, err := json.Marshal(a)
 	if err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
 	}
-	return &peerpb.ForwardReply{Answer: text}, nil
+	return &peerpb.ForwardReply{Answer: reply}, nil
 }
 
 // Cancel implements peerpb.PeerServer.
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -199,6 +199,22 @@
 // Running returns the number of starts in progress.
 func (c *Core) Running() int { return len(c.starts) }
 
+// Load returns the free capacity at now.
+func (c *Core) Load(now time.Time) Load {
+	load := Load{Queued: c.Queued()}
+	for _, t := range c.order {
+		if !t.free(now) {
+			continue
+		}
+		free := t.Slots - t.busy
+		load.Free += free
+		if t.Accelerators > 0 {
+			load.Accelerators += free
+		}
+	}
+	return load
+}
+
 // Targets returns the known targets in the order of their announcement.
 func (c *Core) Targets() []Target {
 	list := make([]Target, len(c.order))
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -16,6 +17,12 @@
 	Send(ctx context.Context, s Start) Result
 }
 
+// Spiller runs a job in another failure domain. It returns nil if no host took
+// the job, and is called on a goroutine of its own.
+type Spiller interface {
+	Spill(ctx context.Context, spec *job.Spec) *job.Answer
+}
+
 // LoopConfig configures a Loop.
 type LoopConfig struct {
 	Core    *Core
@@ -23,6 +30,7 @@
 	Minter  *ticket.Minter
 	Sender  Sender
 	Copier  Copier
+	Spiller Spiller          // nil if no job is passed to another domain
 	Ring    int              // messages waiting at most
 	Clock   func() time.Time // the host's clock
 	Tick    time.Duration    // between two ticks of the Core
@@ -40,13 +48,16 @@
 	config  LoopConfig
 	ring    chan func(now time.Time)
 	results chan Result
+	spilled chan spillResult
+	load    atomic.Pointer[Load]
 	issuers map[ticket.Issuer]*issuer
 	copies  *record.Copies
 	jobs    map[JobID]*pending
 	byKey   map[record.CopyKey]JobID
 	last    JobID
-	drain   bool // new jobs are refused
-	handed  bool // the records were handed on: nothing may start
+	drain   bool            // new jobs are refused
+	handed  bool            // the records were handed on: nothing may start
+	running context.Context // Run's; ends the spills
 	stopped chan struct{}
 }
 
@@ -64,6 +75,7 @@
 	digest  uint64
 	book    *record.Book
 	waiters []chan *job.Answer
+	cancel  context.CancelFunc // ends the spill; nil if the job runs here
 }
 
 // NewLoop returns a Loop that Run has to drive.
@@ -72,12 +84,14 @@
 		config:  config,
 		ring:    make(chan func(time.Time), config.Ring),
 		results: make(chan Result, config.Ring),
+		spilled: make(chan spillResult, config.Ring),
 		issuers: make(map[ticket.Issuer]*issuer),
 		copies:  record.NewCopies(config.Records),
 		jobs:    make(map[JobID]*pending),
 		byKey:   make(map[record.CopyKey]JobID),
 		stopped: make(chan struct{}),
 	}
+	l.load.Store(&Load{})
 	l.issuers[config.Minter.Issuer()] = &issuer{minter: config.Minter, book: record.NewBook(config.Records)}
 	return l
 }
@@ -85,6 +99,7 @@
 // Run drives the Core until ctx is cancelled.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.stopped)
+	l.running = ctx
 	ticker := time.NewTicker(l.config.Tick)
 	defer ticker.Stop()
 	for {
@@ -95,6 +110,8 @@
 			message(l.config.Clock())
 		case r := <-l.results:
 			l.config.Core.Result(l.config.Clock(), r)
+		case r := <-l.spilled:
+			l.settleSpill(r)
 		case <-ticker.C:
 			l.tick(l.config.Clock())
 		}
@@ -104,6 +121,8 @@
 
 func (l *Loop) tick(now time.Time) {
 	l.config.Core.Tick(now)
+	load := l.config.Core.Load(now)
+	l.load.Store(&load)
 	for id, i := range l.issuers {
 		i.book.Expire(now)
 		if !i.ends.IsZero() && now.After(i.ends) {
@@ -180,7 +199,7 @@
 
 func (l *Loop) status() Status {
 	c := l.config.Core
-	s := Status{Jobs: c.Jobs(), Queued: c.Queued(), Running: c.Running(), Targets: c.Targets()}
+	s := Status{Jobs: len(l.jobs), Queued: c.Queued(), Running: c.Running(), Targets: c.Targets()}
 	for _, i := range l.issuers {
 		s.Answers += i.book.Stored()
 	}
@@ -211,8 +230,12 @@
 	l.drop(f.Job)
 	p.book.Finish(p.key.Seq, f.Answer)
 	l.config.Copier.Copy(p.key, p.digest, f.Answer)
-	for _, reply := range p.waiters {
-		reply <- f.Answer
+	p.reply(f.Answer)
+}
+
+func (p *pending) reply(answer *job.Answer) {
+	for _, waiter := range p.waiters {
+		waiter <- answer
 	}
 }
 
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -15,6 +15,7 @@
 	ticket ticket.Ticket
 	spec   *job.Spec
 	digest uint64
+	spilt  bool             // the job comes from another domain and is passed to no other
 	reply  chan *job.Answer // holds one answer
 }
 
@@ -22,11 +23,22 @@
 // goes on and its answer is kept for a resubmission. Its errors are Overloaded
 // for a full ring and AnswerLost.
 func (l *Loop) Submit(ctx context.Context, spec *job.Spec) (*job.Answer, error) {
-	t, err := ticket.Parse(spec.Ticket)
+	return l.handIn(ctx, submission{spec: spec})
+}
+
+// SubmitSpilled is Submit for a job of another failure domain.
+func (l *Loop) SubmitSpilled(ctx context.Context, spec *job.Spec) (*job.Answer, error) {
+	return l.handIn(ctx, submission{spec: spec, spilt: true})
+}
+
+func (l *Loop) handIn(ctx context.Context, s submission) (*job.Answer, error) {
+	t, err := ticket.Parse(s.spec.Ticket)
 	if err != nil {
 		return nil, err
 	}
-	s := submission{ticket: t, spec: spec, digest: spec.Digest(), reply: make(chan *job.Answer, 1)}
+	s.ticket = t
+	s.digest = s.spec.Digest()
+	s.reply = make(chan *job.Answer, 1)
 	if err := l.post(func(now time.Time) { l.submit(now, s) }); err != nil {
 		return nil, err
 	}
@@ -96,19 +108,23 @@
 	if err == nil {
 		err = l.config.Core.Submit(now, l.last+1, s.spec)
 	}
-	if err != nil {
+	if err != nil && !l.maySpill(s, err) {
 		i.book.Forget(s.ticket.Seq)
 		s.reply <- job.Refuse(err)
 		return
 	}
 	l.last++
-	l.byKey[s.key()] = l.last
-	l.jobs[l.last] = &pending{
+	p := &pending{
 		key:     s.key(),
 		digest:  s.digest,
 		book:    i.book,
 		waiters: []chan *job.Answer{s.reply},
 	}
+	l.byKey[p.key] = l.last
+	l.jobs[l.last] = p
+	if err != nil {
+		l.spill(l.last, s.spec, err)
+	}
 }
 
 func (l *Loop) refuseDraining() error {
@@ -141,7 +157,11 @@
 		return nil
 	}
 	id, ok := l.byKey[record.CopyKey{Issuer: t.Issuer, Seq: t.Seq}]
-	if ok {
+	switch {
+	case !ok:
+	case l.jobs[id].cancel != nil:
+		l.jobs[id].cancel()
+	default:
 		l.config.Core.Cancel(now, id)
 	}
 	return nil
--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -65,12 +65,16 @@
 
 // message states what this host knows to a host of domain.
 func (h *Host) message(now time.Time, domain string) *peerpb.ExchangeMessage {
+	load := h.loop.Load()
 	return &peerpb.ExchangeMessage{
-		Host:        h.settings.Host,
-		Domain:      h.settings.Domain,
-		Incarnation: h.hosts.incarnation(),
-		Draining:    h.draining.Load(),
-		Rumours:     h.hosts.rumours(now, domain),
+		Host:             h.settings.Host,
+		Domain:           h.settings.Domain,
+		Incarnation:      h.hosts.incarnation(),
+		Draining:         h.draining.Load(),
+		Rumours:          h.hosts.rumours(now, domain),
+		FreeSlots:        uint32(load.Free),
+		FreeAccelerators: uint32(load.Accelerators),
+		QueuedTasks:      uint32(load.Queued),
 	}
 }
 
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -109,8 +109,9 @@
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
 		},
-		Copier: h.outbox,
-		Minter: h.minter,
+		Copier:  h.outbox,
+		Spiller: &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		Minter:  h.minter,
 		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
 			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
 			DialTimeout: h.settings.Timing.DialTimeout,
--- /dev/null
+++ b/internal/process/host/host_test.go
@@ -0,0 +1,201 @@
+package host_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/host"
+	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/standin/launch"
+	"wasabifield.example/wasabifield/internal/standin/target"
+)
+
+const (
+	limit = 20 * time.Second
+	poll  = 20 * time.Millisecond
+)
+
+// fleet is a set of entry hosts and targets in this process.
+type fleet struct {
+	t     *testing.T
+	hosts map[string]settings.Settings
+	stops map[string]func()
+}
+
+// startFleet starts the named hosts; the first letter of a name is its domain.
+func startFleet(t *testing.T, names ...string) *fleet {
+	t.Helper()
+	g := NewWithT(t)
+	f := &fleet{t: t, hosts: map[string]settings.Settings{}, stops: map[string]func(){}}
+	ports := launch.NewPorts()
+	for _, name := range names {
+		s := settings.Default()
+		s.Host, s.Domain, s.Region = name, name[:1], "r"
+		s.Timing.Exchange = 50 * time.Millisecond
+		s.Timing.DrainNotice = 0
+		var err error
+		s.HTTP, err = ports.Address()
+		g.Expect(err).NotTo(HaveOccurred())
+		s.Peer, err = ports.Address()
+		g.Expect(err).NotTo(HaveOccurred())
+		f.hosts[name] = s
+	}
+	for name, s := range f.hosts {
+		for other, o := range f.hosts {
+			if other != name {
+				s.Peers = append(s.Peers, settings.Peer{Host: other, Domain: o.Domain, Region: "r", Peer: o.Peer})
+			}
+		}
+		f.start(s)
+	}
+	for name := range f.hosts {
+		g.Eventually(func() int { return f.alive(name) }, limit, poll).Should(Equal(len(names) - 1))
+	}
+	return f
+}
+
+// start runs a host; stops[name] drains it.
+func (f *fleet) start(s settings.Settings) {
+	h, err := host.New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx, context.Background()) }()
+	f.stops[s.Host] = func() {
+		cancel()
+		NewWithT(f.t).Eventually(ended, limit, poll).Should(Receive(BeNil()))
+	}
+	f.t.Cleanup(cancel)
+}
+
+// alive counts the hosts that name hears and that said how many slots are free.
+func (f *fleet) alive(name string) int {
+	var list []wire.HostStatus
+	f.get(name, wire.PathHosts, &list)
+	count := 0
+	for _, h := range list {
+		if h.State == "alive" {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleet) get(name, path string, document any) {
+	response, err := http.Get("http://" + f.hosts[name].HTTP + path)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(document)
+}
+
+// target starts one target of a domain and waits until the named hosts use it.
+func (f *fleet) target(domain string, hosts ...string) {
+	g := NewWithT(f.t)
+	service, err := target.ParseService("fixed:1ms", 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	t, err := target.NewTarget(target.TargetConfig{
+		Name:        domain + "-t1",
+		Incarnation: 1,
+		Domain:      domain,
+		Slots:       8,
+		Connections: 64,
+		Entries:     []string{f.hosts[hosts[0]].HTTP},
+		Service:     service,
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	go func() { _ = t.Run(ctx) }()
+	for _, name := range hosts {
+		g.Eventually(func() int {
+			var list []wire.TargetStatus
+			f.get(name, wire.PathTargets, &list)
+			return len(list)
+		}, limit, poll).Should(Equal(1))
+	}
+}
+
+func (f *fleet) ticket(name string) string {
+	response, err := http.Post("http://"+f.hosts[name].HTTP+wire.PathTickets, "", nil)
+	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	var grant wire.TicketGrant
+	NewWithT(f.t).Expect(json.NewDecoder(response.Body).Decode(&grant)).To(Succeed())
+	return grant.Ticket
+}
+
+func (f *fleet) submit(name, ticket string) job.Answer {
+	body, _ := json.Marshal(job.Spec{Ticket: ticket, Team: "team", Tasks: []job.Task{{ID: "t1"}}})
+	response, err := http.Post("http://"+f.hosts[name].HTTP+wire.PathJobs, "application/json", bytes.NewReader(body))
+	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	var answer job.Answer
+	NewWithT(f.t).Expect(json.NewDecoder(response.Body).Decode(&answer)).To(Succeed())
+	return answer
+}
+
+func (f *fleet) cancel(name, ticket string) int {
+	address := "http://" + f.hosts[name].HTTP + wire.PathJobs + "?ticket=" + url.QueryEscape(ticket)
+	request, _ := http.NewRequest(http.MethodDelete, address, nil)
+	response, err := http.DefaultClient.Do(request)
+	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func kind(a job.Answer) failure.Kind {
+	if a.Error == nil {
+		return ""
+	}
+	return failure.Kind(a.Error.Kind)
+}
+
+func TestJobOfADomainWithoutTargetsRunsInAnother(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, "a1", "b1")
+	ticket := f.ticket("a1")
+	refused := f.submit("a1", ticket)
+	g.Expect(kind(refused)).To(Equal(failure.NoTargets))
+	g.Expect(refused.Outcome).To(Equal(job.NotRun))
+	f.target("b", "b1")
+	g.Eventually(func() job.Outcome { return f.submit("a1", ticket).Outcome }, limit, poll).Should(Equal(job.Complete))
+}
+
+func TestDrainedHostsTicketsGoOnAtItsNeighbour(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, "a1", "a2", "b1")
+	f.target("a", "a1", "a2")
+	used, unused := f.ticket("a1"), f.ticket("a1")
+	first := f.submit("b1", used)
+	g.Expect(first.Outcome).To(Equal(job.Complete))
+	f.stops["a1"]()
+	for _, name := range []string{"a2", "b1"} {
+		again := f.submit(name, used)
+		g.Expect(again.Outcome).To(Equal(job.Complete))
+		g.Expect(again.Outputs).To(Equal(first.Outputs))
+	}
+	g.Expect(f.submit("b1", unused).Outcome).To(Equal(job.Complete))
+}
+
+func TestCancellationReachesTheIssuer(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, "a1", "b1")
+	f.target("a", "a1")
+	ticket := f.ticket("a1")
+	g.Expect(f.cancel("b1", ticket)).To(Equal(http.StatusNoContent))
+	g.Expect(kind(f.submit("b1", ticket))).To(Equal(failure.Cancelled))
+}
--- a/internal/process/host/hosts.go
+++ b/internal/process/host/hosts.go
@@ -10,6 +10,7 @@
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/process/membership"
 	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/process/spill"
 )
 
 const (
@@ -20,11 +21,20 @@
 
 // hostTable shares a membership.Hosts among the exchanges.
 type hostTable struct {
-	mu       sync.Mutex
-	table    *membership.Hosts
-	regions  map[string]string
-	draining map[string]bool
-	control  map[string]uint64
+	mu      sync.Mutex
+	table   *membership.Hosts
+	regions map[string]string
+	last    map[string]report
+}
+
+// report is what a host said of itself in its last message.
+type report struct {
+	draining     bool
+	control      uint64
+	free         int
+	accelerators int
+	queued       int
+	heard        time.Time
 }
 
 func newHostTable(s settings.Settings, incarnation uint64) *hostTable {
@@ -43,10 +53,9 @@
 	}
 	random := rand.New(rand.NewPCG(incarnation, 0))
 	return &hostTable{
-		table:    membership.NewHosts(config, random),
-		regions:  regions,
-		draining: make(map[string]bool),
-		control:  make(map[string]uint64),
+		table:   membership.NewHosts(config, random),
+		regions: regions,
+		last:    make(map[string]report),
 	}
 }
 
@@ -60,7 +69,7 @@
 func (t *hostTable) asked(now time.Time, m *peerpb.ExchangeMessage) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.note(m)
+	t.note(now, m)
 	return t.table.Asked(now, m.GetHost(), m.GetIncarnation())
 }
 
@@ -68,16 +77,45 @@
 func (t *hostTable) answered(asked time.Time, m *peerpb.ExchangeMessage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.note(m)
+	t.note(asked, m)
 	greater := t.table.Answered(asked, m.GetHost(), m.GetIncarnation(), m.GetHeld(), m.GetRumours())
 	if greater != 0 {
 		t.table.Raise(greater)
 	}
 }
 
-func (t *hostTable) note(m *peerpb.ExchangeMessage) {
-	t.draining[m.GetHost()] = m.GetDraining()
-	t.control[m.GetHost()] = m.GetControlVersion()
+func (t *hostTable) note(now time.Time, m *peerpb.ExchangeMessage) {
+	t.last[m.GetHost()] = report{
+		draining:     m.GetDraining(),
+		control:      m.GetControlVersion(),
+		free:         int(m.GetFreeSlots()),
+		accelerators: int(m.GetFreeAccelerators()),
+		queued:       int(m.GetQueuedTasks()),
+		heard:        now,
+	}
+}
+
+// adverts returns what the other hosts last said of their free capacity.
+func (t *hostTable) adverts(now time.Time) []spill.Advert {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []spill.Advert
+	for _, v := range t.table.View(now) {
+		r, ok := t.last[v.Host]
+		if !ok {
+			continue
+		}
+		list = append(list, spill.Advert{
+			Host:         v.Host,
+			Place:        spill.Place{Domain: v.Domain, Region: t.regions[v.Host]},
+			Free:         r.free,
+			Accelerators: r.accelerators,
+			Queued:       r.queued,
+			Heard:        r.heard,
+			Unavailable:  r.draining || v.State != membership.HostAlive,
+		})
+	}
+	return list
 }
 
 func (t *hostTable) incarnation() uint64 {
@@ -99,7 +137,7 @@
 	defer t.mu.Unlock()
 	var list []string
 	for _, v := range t.table.View(now) {
-		if v.Domain == domain && v.State == membership.HostAlive && !t.draining[v.Host] {
+		if v.Domain == domain && v.State == membership.HostAlive && !t.last[v.Host].draining {
 			list = append(list, v.Host)
 		}
 	}
@@ -149,12 +187,12 @@
 		Incarnation: v.Incarnation,
 		State:       string(v.State),
 		HeardMS:     -1,
-		Control:     t.control[v.Host],
+		Control:     t.last[v.Host].control,
 	}
 	if !v.Heard.IsZero() {
 		s.HeardMS = now.Sub(v.Heard).Milliseconds()
 	}
-	if t.draining[v.Host] && v.State == membership.HostAlive {
+	if t.last[v.Host].draining && v.State == membership.HostAlive {
 		s.State = "draining"
 	}
 	return s
--- /dev/null
+++ b/internal/process/host/spill.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/spill"
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/request/job"
+)
+
+// spiller passes jobs to other failure domains.
+type spiller struct {
+	host   *Host
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// Spill implements dispatch.Spiller. The job is sent at most once.
+func (s *spiller) Spill(ctx context.Context, spec *job.Spec) *job.Answer {
+	target, ok := s.choose(spec)
+	if !ok {
+		return nil
+	}
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return nil
+	}
+	limit := s.host.defaultDeadline()
+	if spec.DeadlineMS > 0 {
+		limit = time.Duration(spec.DeadlineMS) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit+forwardMargin)
+	defer cancel()
+	go s.host.watch(ctx, cancel, target)
+	answer, err := s.host.client.Spill(ctx, target, body)
+	switch {
+	case failure.KindOf(err) == failure.HolderUnreachable:
+		return nil
+	case err != nil:
+		return job.Refuse(failure.New(failure.OutcomeUnknown, err.Error()))
+	}
+	return answer
+}
+
+func (s *spiller) choose(spec *job.Spec) (string, bool) {
+	need := spill.Need{Tasks: len(spec.Tasks)}
+	for _, t := range spec.Tasks {
+		if t.Accelerator {
+			need.Accelerators++
+		}
+	}
+	now := time.Now()
+	own := spill.Place{Domain: s.host.settings.Domain, Region: s.host.settings.Region}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return spill.Choose(now, own, need, s.host.hosts.adverts(now), s.random)
+}
+
+// SubmitSpilled implements peer.Backend. The job runs under a ticket of this
+// host; it is withdrawn when the sender no longer waits.
+func (h *Host) SubmitSpilled(ctx context.Context, spec *job.Spec) *job.Answer {
+	own := *spec
+	own.Ticket = h.minter.Issue(time.Now())
+	answer, err := h.loop.SubmitSpilled(ctx, &own)
+	if err == nil {
+		return answer
+	}
+	if failure.KindOf(err) == failure.AnswerLost {
+		if cancelErr := h.loop.Cancel(context.WithoutCancel(ctx), own.Ticket); cancelErr != nil {
+			h.log.Warn("A spilled job was not withdrawn.", "error", cancelErr)
+		}
+	}
+	return job.RefuseElsewhere(err)
+}
