--- /dev/null
+++ b/internal/process/slots/demand.go
@@ -0,0 +1,367 @@
+package slots
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// DemandConfig configures a Demand.
+type DemandConfig struct {
+	Self  string        // this host's name
+	Retry time.Duration // from one request to the next
+	Probe bool          // ask also when no peer's last word showed an idle slot
+	Batch time.Duration // how long slots for a peer are gathered into one message
+	Lease time.Duration // a peer not heard of for this long loses its slots
+	Pause time.Duration // how long a target is left alone after a first refusal
+}
+
+// Demand starts from equal parts and moves slots to where tasks wait. A host
+// whose slots are used up asks one peer for idle slots in one message. When
+// both are busy, slots pass as their tasks end, until each holds in
+// proportion to its running and waiting tasks. Slots stay where they were
+// last needed.
+//
+// Lost messages, dead peers and restarts leave slots that no host holds or
+// that two hold. The periodic reports show both, and reconcile mends them.
+type Demand struct {
+	cfg     DemandConfig
+	pool    pool
+	peers   map[string]*peer
+	hosts   []string // this host and its peers, sorted
+	queued  int      // this host's waiting tasks, as of the last call of Messages
+	asked   string   // the peer with an open request, or ""
+	askedAt time.Time
+	nextAsk time.Time
+	turn    int            // rotates among peers of equal rank
+	odd     map[string]int // reports in a row in which a target's parts did not add up
+}
+
+// peer is what is known of another host.
+type peer struct {
+	heard   time.Time
+	queued  int
+	busy    int
+	total   int
+	held    map[string]int
+	owed    int            // slots to pass to the peer as tasks end
+	lend    map[string]int // slots on their way to the peer, not yet sent
+	since   time.Time      // when the first of lend was gathered
+	reply   bool           // a reply is due
+	trusted bool           // a full report has arrived since the peer appeared
+}
+
+// NewDemand returns a Demand that holds nothing.
+func NewDemand(cfg DemandConfig) *Demand {
+	return &Demand{
+		cfg:   cfg,
+		pool:  newPool(),
+		peers: make(map[string]*peer),
+		hosts: []string{cfg.Self},
+		odd:   make(map[string]int),
+	}
+}
+
+// SetTargets implements Policy. Of a new target the host takes its equal part.
+func (d *Demand) SetTargets(now time.Time, targets []Target) {
+	live := d.live(now)
+	d.pool.setTargets(targets, func(t Target) int { return equalPart(t.Name, t.Slots, d.cfg.Self, live) })
+}
+
+// SetPeers implements Policy. A new peer counts as heard of now.
+func (d *Demand) SetPeers(now time.Time, names []string) {
+	for _, name := range names {
+		if d.peers[name] == nil {
+			d.peers[name] = &peer{heard: now, held: map[string]int{}, lend: map[string]int{}}
+		}
+	}
+	for name := range d.peers {
+		if !slices.Contains(names, name) {
+			delete(d.peers, name)
+		}
+	}
+	d.hosts = append([]string{d.cfg.Self}, names...)
+	slices.Sort(d.hosts)
+}
+
+// live returns the hosts that were heard of within the lease, sorted.
+func (d *Demand) live(now time.Time) []string {
+	return slices.DeleteFunc(slices.Clone(d.hosts), func(name string) bool {
+		return name != d.cfg.Self && !d.isLive(now, name)
+	})
+}
+
+func (d *Demand) isLive(now time.Time, name string) bool {
+	return now.Sub(d.peers[name].heard) < d.cfg.Lease
+}
+
+// Acquire implements Policy.
+func (d *Demand) Acquire(now time.Time, rng *rand.Rand, usable func(string) bool) (string, bool) {
+	return d.pool.acquire(now, rng, usable)
+}
+
+// Release implements Policy. A slot that is owed to a peer passes to it.
+func (d *Demand) Release(target string) {
+	e := d.pool.finish(target)
+	if e == nil || e.busy >= e.held {
+		return
+	}
+	for _, name := range d.hosts {
+		if p := d.peers[name]; p != nil && p.owed > 0 {
+			p.owed--
+			d.pass(e, p, 1)
+			return
+		}
+	}
+}
+
+// Refused implements Policy.
+func (d *Demand) Refused(now time.Time, target string) { d.pool.refuse(now, target, d.cfg.Pause) }
+
+// pass moves n slots of e to what p will be sent.
+func (d *Demand) pass(e *entry, p *peer, n int) {
+	d.pool.hold(e, e.held-n)
+	p.lend[e.name] += n
+	p.held[e.name] += n
+}
+
+// Messages implements Policy.
+func (d *Demand) Messages(now time.Time, queued int) []Send {
+	d.queued = queued
+	var sends []Send
+	ask := d.ask(now)
+	for _, name := range d.hosts {
+		p := d.peers[name]
+		if p == nil {
+			continue
+		}
+		if len(p.lend) > 0 && p.since.IsZero() {
+			p.since = now
+		}
+		if name == ask || p.reply || len(p.lend) > 0 && now.Sub(p.since) >= d.cfg.Batch {
+			sends = append(sends, Send{To: name, Message: d.message(p, name == ask)})
+		}
+	}
+	return sends
+}
+
+func (d *Demand) message(p *peer, ask bool) Message {
+	m := Message{Reply: p.reply, Lend: grants(p.lend), Queued: d.queued, Busy: d.pool.busy, Total: d.pool.held}
+	if ask {
+		m.Want = d.queued
+	}
+	p.reply, p.since = false, time.Time{}
+	clear(p.lend)
+	return m
+}
+
+// lostAfter is when a request without reply counts as lost.
+const lostAfter = 100 * time.Millisecond
+
+// ask returns the peer to ask for slots now, or "".
+func (d *Demand) ask(now time.Time) string {
+	if d.queued == 0 || now.Before(d.nextAsk) {
+		return ""
+	}
+	if d.asked != "" && now.Sub(d.askedAt) < lostAfter {
+		return ""
+	}
+	d.asked = d.bestPeer(now)
+	d.askedAt = now
+	d.nextAsk = now.Add(d.cfg.Retry)
+	return d.asked
+}
+
+// bestPeer returns the live peer with the most idle slots by its last word.
+// If none was idle, it returns "", or any live peer if Probe is set.
+func (d *Demand) bestPeer(now time.Time) string {
+	best, most := "", 0
+	if d.cfg.Probe {
+		most = -1
+	}
+	d.turn++
+	for i := range d.hosts {
+		name := d.hosts[(i+d.turn)%len(d.hosts)]
+		p := d.peers[name]
+		if p == nil || !d.isLive(now, name) {
+			continue
+		}
+		if idle := p.idle(); idle > most {
+			best, most = name, idle
+		}
+	}
+	return best
+}
+
+// idle returns the peer's idle slots by its last word.
+func (p *peer) idle() int {
+	if p.queued > 0 {
+		return 0
+	}
+	return max(0, p.total-p.busy)
+}
+
+// Receive implements Policy.
+func (d *Demand) Receive(now time.Time, from string, m Message) {
+	p := d.peers[from]
+	if p == nil {
+		return
+	}
+	p.heard = now
+	p.queued, p.busy, p.total = m.Queued, m.Busy, m.Total
+	d.take(p, m.Lend)
+	if m.Held != nil {
+		p.held, p.trusted = counts(m.Held), true
+		d.reconcile(now)
+	}
+	if m.Reply && d.asked == from {
+		d.asked = ""
+	}
+	if m.Want > 0 {
+		p.reply = true
+		d.lendIdle(p, m.Want)
+	}
+	d.owe(p)
+}
+
+// take adds the slots that p lent.
+func (d *Demand) take(p *peer, lent []Grant) {
+	for _, g := range lent {
+		p.held[g.Target] = max(0, p.held[g.Target]-g.Slots)
+		if e := d.pool.byName[g.Target]; e != nil && !e.gone {
+			d.pool.hold(e, e.held+g.Slots)
+		}
+	}
+}
+
+// lendIdle passes up to want idle slots to p, from the targets with most idle
+// slots first, one each in turn.
+func (d *Demand) lendIdle(p *peer, want int) {
+	want = min(want, d.pool.idle())
+	p.total += want
+	for want > 0 {
+		for _, e := range slices.Clone(d.pool.free) {
+			if want == 0 {
+				return
+			}
+			d.pass(e, p, 1)
+			want--
+		}
+	}
+}
+
+// owe sets how many slots pass to p as tasks end, when both hosts have tasks
+// waiting: each should hold in proportion to its running and waiting tasks.
+func (d *Demand) owe(p *peer) {
+	p.owed = 0
+	if p.queued == 0 {
+		return
+	}
+	mine := d.pool.busy + d.queued
+	theirs := p.busy + p.queued
+	fair := (d.pool.held + p.total) * theirs / (mine + theirs)
+	if missing := fair - p.total; missing > (p.total+owedShare-1)/owedShare {
+		p.owed = min(missing, d.pool.held-1)
+	}
+}
+
+// owedShare is the hysteresis of owe: differences under this part of the
+// peer's slots are left.
+const owedShare = 8
+
+// Report implements Policy.
+func (d *Demand) Report(now time.Time, queued int) Message {
+	d.queued = queued
+	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.held, Held: []Grant{}}
+	for _, e := range d.pool.sorted() {
+		if e.held > 0 {
+			m.Held = append(m.Held, Grant{e.name, e.held})
+		}
+	}
+	for name, p := range d.peers {
+		if !d.isLive(now, name) {
+			p.owed = 0
+		}
+	}
+	d.reconcile(now)
+	return m
+}
+
+// oddLimit is the number of reports in a row after which parts that do not
+// add up are mended; fewer may be slots on their way.
+const oddLimit = 4
+
+// reconcile mends targets whose parts do not add up to their slots: one host,
+// chosen by the target's hash among the live ones, takes what nobody holds;
+// the first in that order that holds any gives up what is held twice.
+func (d *Demand) reconcile(now time.Time) {
+	live := d.live(now)
+	for _, name := range live {
+		if p := d.peers[name]; p != nil && !p.trusted {
+			return
+		}
+	}
+	for _, e := range d.pool.sorted() {
+		d.reconcileTarget(e, live)
+	}
+}
+
+func (d *Demand) reconcileTarget(e *entry, live []string) {
+	sum := e.held
+	for _, name := range live {
+		if p := d.peers[name]; p != nil {
+			sum += p.held[e.name]
+		}
+	}
+	if sum == e.slots {
+		delete(d.odd, e.name)
+		return
+	}
+	d.odd[e.name]++
+	if d.odd[e.name] < oddLimit*len(live) {
+		return
+	}
+	delete(d.odd, e.name)
+	first := int(xxhash.Sum64String(e.name) % uint64(len(live)))
+	if sum < e.slots && live[first] == d.cfg.Self {
+		d.pool.hold(e, e.held+e.slots-sum)
+	}
+	if sum > e.slots && d.firstHolder(e, live, first) == d.cfg.Self {
+		d.pool.hold(e, e.held-(sum-e.slots))
+	}
+}
+
+// firstHolder returns the first live host from index first on that holds
+// slots of e.
+func (d *Demand) firstHolder(e *entry, live []string, first int) string {
+	for i := range live {
+		name := live[(first+i)%len(live)]
+		if name == d.cfg.Self && e.held > 0 {
+			return name
+		}
+		if p := d.peers[name]; p != nil && p.held[e.name] > 0 {
+			return name
+		}
+	}
+	return ""
+}
+
+func counts(list []Grant) map[string]int {
+	m := make(map[string]int, len(list))
+	for _, g := range list {
+		m[g.Target] = g.Slots
+	}
+	return m
+}
+
+func grants(m map[string]int) []Grant {
+	list := make([]Grant, 0, len(m))
+	for name, n := range m {
+		list = append(list, Grant{name, n})
+	}
+	slices.SortFunc(list, func(a, b Grant) int { return cmp.Compare(a.Target, b.Target) })
+	return list
+}
--- /dev/null
+++ b/internal/process/slots/equal.go
@@ -0,0 +1,74 @@
+package slots
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Equal holds a fixed equal part of each target's slots.
+type Equal struct {
+	pool  pool
+	self  string
+	hosts []string // this host and its peers, sorted
+	pause time.Duration
+}
+
+// NewEqual returns an Equal for the host self, which leaves a target alone
+// for pause after it refused a start.
+func NewEqual(self string, pause time.Duration) *Equal {
+	return &Equal{pool: newPool(), self: self, hosts: []string{self}, pause: pause}
+}
+
+// equalPart returns the part of n slots of target that falls to self among
+// hosts, which are sorted. The remainder goes round by the target's hash, so
+// that no host gets it everywhere.
+func equalPart(target string, n int, self string, hosts []string) int {
+	i := slices.Index(hosts, self)
+	if i < 0 {
+		return 0
+	}
+	turn := int(xxhash.Sum64String(target) % uint64(len(hosts)))
+	rank := (i + turn) % len(hosts)
+	part := n / len(hosts)
+	if rank < n%len(hosts) {
+		part++
+	}
+	return part
+}
+
+// SetTargets implements Policy.
+func (e *Equal) SetTargets(_ time.Time, targets []Target) {
+	e.pool.setTargets(targets, func(t Target) int { return equalPart(t.Name, t.Slots, e.self, e.hosts) })
+}
+
+// SetPeers implements Policy.
+func (e *Equal) SetPeers(_ time.Time, peers []string) {
+	e.hosts = append([]string{e.self}, peers...)
+	slices.Sort(e.hosts)
+	for _, t := range e.pool.sorted() {
+		e.pool.hold(t, equalPart(t.name, t.slots, e.self, e.hosts))
+	}
+}
+
+// Acquire implements Policy.
+func (e *Equal) Acquire(now time.Time, rng *rand.Rand, usable func(string) bool) (string, bool) {
+	return e.pool.acquire(now, rng, usable)
+}
+
+// Release implements Policy.
+func (e *Equal) Release(target string) { e.pool.finish(target) }
+
+// Refused implements Policy.
+func (e *Equal) Refused(now time.Time, target string) { e.pool.refuse(now, target, e.pause) }
+
+// Messages implements Policy. Equal sends none.
+func (e *Equal) Messages(time.Time, int) []Send { return nil }
+
+// Report implements Policy.
+func (e *Equal) Report(time.Time, int) Message { return Message{} }
+
+// Receive implements Policy.
+func (e *Equal) Receive(time.Time, string, Message) {}
