Add the queue: fair between teams, bounded, admission by deadline

Ruled out: earliest deadline first within a team. Change: start-time fair queueing between teams, corrected by the real run time; dynamic thresholds; arrival order within a team; admission by learned work; limits of running tasks per team, split from a quota by reports.

--- /dev/null
+++ b/internal/request/queue/order_test.go
@@ -0,0 +1,107 @@
+package queue_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/request/queue"
+)
+
+// overload is the end of a run of jobs of one team on a number of slots.
+type overload struct {
+	jobs, inTime, refused, late int
+	wasted                      time.Duration // run time of tasks whose job was late
+}
+
+// runOverload offers jobs of 1 to 60 tasks with deadlines of 0.5 to 5 s at load
+// times the capacity of 100 slots, in steps of 1 ms. A late job is withdrawn.
+func runOverload(order queue.Order, load float64, admit bool) overload {
+	const slots, seconds, meanTasks = 100, 60, 30.5
+	rng := rand.New(rand.NewPCG(5, 5))
+	q := queue.New(queue.Config{Tasks: 1 << 20, Bytes: 1 << 40, Order: order})
+	type state struct {
+		left int
+		used time.Duration
+		dead bool
+	}
+	jobs := map[uint64]*state{}
+	expire, ends := map[int][]uint64{}, map[int][]queue.Ref{}
+	out, running := overload{}, 0
+	for ms := range (seconds + 10) * 1000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for _, r := range ends[ms] {
+			running--
+			q.Done(r, r.Task.Cost)
+			s := jobs[r.Job.ID]
+			s.used += r.Task.Cost
+			if s.left--; s.left == 0 && !s.dead {
+				out.inTime++
+			}
+		}
+		for _, id := range expire[ms] {
+			if s := jobs[id]; s.left > 0 {
+				out.late++
+				s.dead = true
+				q.Remove(id)
+			}
+		}
+		perMS := load * slots / 0.3 / meanTasks / 1000
+		if ms < seconds*1000 && rng.Float64() < perMS {
+			out.jobs++
+			list := tasks(1 + rng.IntN(60))
+			for i := range list {
+				list[i].Cost = time.Duration(50+rng.IntN(500)) * time.Millisecond
+			}
+			left := 500 + rng.IntN(4500)
+			j := queue.Job{ID: uint64(out.jobs), Team: "a", Deadline: now.Add(time.Duration(left) * time.Millisecond)}
+			if admit && q.Admit(now, j, list, slots) != nil {
+				out.refused++
+				continue
+			}
+			jobs[j.ID] = &state{left: len(list)}
+			expire[ms+left] = append(expire[ms+left], j.ID)
+			q.Push(j, list)
+		}
+		for ; running < slots; running++ {
+			r, ok := q.Pop(false)
+			if !ok {
+				break
+			}
+			at := ms + int(r.Task.Cost.Milliseconds())
+			ends[at] = append(ends[at], r)
+		}
+	}
+	for _, s := range jobs {
+		if s.dead {
+			out.wasted += s.used
+		}
+	}
+	return out
+}
+
+// TestCompareOrders prints, for each load, the jobs answered in time by order
+// of a team's jobs and with or without admission, and checks the chosen one.
+func TestCompareOrders(t *testing.T) {
+	for _, load := range []float64{0.8, 0.95, 1.2, 2} {
+		results := map[string]overload{}
+		for _, c := range []struct {
+			name  string
+			order queue.Order
+			admit bool
+		}{
+			{"arrival", queue.Arrival, false}, {"earliest deadline", queue.EarliestDeadline, false},
+			{"arrival, admission", queue.Arrival, true}, {"earliest deadline, admission", queue.EarliestDeadline, true},
+		} {
+			r := runOverload(c.order, load, c.admit)
+			results[c.name] = r
+			t.Logf("%3.0f%% %-28s in time %4d of %4d, refused %4d, late %4d, wasted %5.0f slot-seconds",
+				100*load, c.name, r.inTime, r.jobs, r.refused, r.late, r.wasted.Seconds())
+		}
+		chosen := results["arrival, admission"]
+		NewWithT(t).Expect(chosen.inTime).To(BeNumerically(">=", results["arrival"].inTime))
+		NewWithT(t).Expect(chosen.wasted).To(BeNumerically("<", results["arrival"].wasted/2))
+	}
+}
--- /dev/null
+++ b/internal/request/queue/queue.go
@@ -0,0 +1,204 @@
+package queue
+
+import "time"
+
+// Order is the order of a team's jobs.
+type Order int
+
+// The orders.
+const (
+	Arrival Order = iota
+	EarliestDeadline
+)
+
+// Config bounds a Queue.
+type Config struct {
+	Tasks int   // waiting tasks at most
+	Bytes int64 // their payload bytes at most
+	Order Order // of the jobs of one team
+}
+
+// Queue holds waiting tasks. It is not safe for concurrent use.
+type Queue struct {
+	config   Config
+	policies map[string]TeamPolicy
+	teams    map[string]*team // with tasks that wait or run, or ahead of virtual
+	entries  map[uint64]*entry
+	virtual  float64 // start tag of the task popped last
+	seq      uint64
+	tasks    int
+	bytes    int64
+}
+
+// New returns an empty Queue.
+func New(config Config) *Queue {
+	return &Queue{
+		config:   config,
+		policies: make(map[string]TeamPolicy),
+		teams:    make(map[string]*team),
+		entries:  make(map[uint64]*entry),
+	}
+}
+
+// SetBounds changes the bounds. Tasks that wait already stay.
+func (q *Queue) SetBounds(tasks int, bytes int64) { q.config.Tasks, q.config.Bytes = tasks, bytes }
+
+// SetPolicies replaces what the teams are granted.
+func (q *Queue) SetPolicies(policies map[string]TeamPolicy) {
+	q.policies = policies
+	for name, t := range q.teams {
+		t.policy = policies[name]
+	}
+}
+
+// Tasks returns the number of waiting tasks.
+func (q *Queue) Tasks() int { return q.tasks }
+
+// Bytes returns the payload bytes of the waiting tasks.
+func (q *Queue) Bytes() int64 { return q.bytes }
+
+// Demand returns the tasks that wait or run, by team.
+func (q *Queue) Demand() map[string]int {
+	demand := make(map[string]int, len(q.teams))
+	for name, t := range q.teams {
+		if !t.idle() {
+			demand[name] = t.waiting + t.running
+		}
+	}
+	return demand
+}
+
+// team returns the team of a name. One that comes back starts at the present
+// virtual time: idle time earns no credit.
+func (q *Queue) team(name string) *team {
+	t, ok := q.teams[name]
+	if !ok {
+		t = newTeam(q.policies[name], q.config.Order, q.virtual)
+		q.teams[name] = t
+	}
+	if t.idle() {
+		t.virtual = max(t.virtual, q.virtual)
+	}
+	return t
+}
+
+// Push adds a job's tasks. The caller has asked Admit.
+func (q *Queue) Push(j Job, tasks []Task) {
+	q.seq++
+	e := &entry{job: j, seq: q.seq, place: [lanes]int{-1, -1}}
+	t := q.team(j.Team)
+	for _, task := range tasks {
+		e.tasks[task.lane()] = append(e.tasks[task.lane()], task)
+		q.count(t, task, 1)
+	}
+	q.entries[j.ID] = e
+	t.enter(e)
+}
+
+// Waiting reports whether a task waits that could start now: for an
+// accelerator if needAccelerator, else without one.
+func (q *Queue) Waiting(needAccelerator bool) bool {
+	return q.next(laneOf(needAccelerator)) != nil
+}
+
+func laneOf(needAccelerator bool) lane { return Task{Accelerator: needAccelerator}.lane() }
+
+// next returns the team whose turn it is, nil if none may start a task.
+func (q *Queue) next(l lane) *team {
+	var best *team
+	var bestName string
+	for name, t := range q.teams {
+		if t.heaps[l].Len() == 0 || t.atLimit() {
+			continue
+		}
+		if best == nil || t.virtual < best.virtual || t.virtual == best.virtual && name < bestName {
+			best, bestName = t, name
+		}
+	}
+	return best
+}
+
+// Pop takes out the task whose turn it is and counts it as running.
+func (q *Queue) Pop(needAccelerator bool) (Ref, bool) {
+	l := laneOf(needAccelerator)
+	t := q.next(l)
+	if t == nil {
+		return Ref{}, false
+	}
+	e := t.heaps[l].items[0]
+	task := e.tasks[l][0]
+	e.tasks[l] = e.tasks[l][1:]
+	if len(e.tasks[l]) == 0 {
+		t.leave(e, l)
+	}
+	q.count(t, task, -1)
+	q.forget(e)
+	q.virtual = max(q.virtual, t.virtual)
+	t.charge(task.Cost)
+	t.run(task, 1)
+	return Ref{Job: e.job, Task: task}, true
+}
+
+// forget drops an entry without waiting tasks.
+func (q *Queue) forget(e *entry) {
+	if len(e.tasks[plain])+len(e.tasks[accelerator]) == 0 {
+		delete(q.entries, e.job.ID)
+	}
+}
+
+// Return puts a popped task back in front: it did not start.
+func (q *Queue) Return(r Ref) {
+	t := q.team(r.Job.Team)
+	t.run(r.Task, -1)
+	t.charge(-r.Task.Cost)
+	e, ok := q.entries[r.Job.ID]
+	if !ok {
+		e = &entry{job: r.Job, place: [lanes]int{-1, -1}}
+		q.entries[r.Job.ID] = e
+	}
+	l := r.Task.lane()
+	e.tasks[l] = append([]Task{r.Task}, e.tasks[l]...)
+	q.count(t, r.Task, 1)
+	t.enter(e)
+}
+
+// Done ends a popped task, which ran for a time.
+func (q *Queue) Done(r Ref, ran time.Duration) {
+	t := q.team(r.Job.Team)
+	t.run(r.Task, -1)
+	t.charge(ran - r.Task.Cost)
+}
+
+// Remove takes out the waiting tasks of a job and returns their number.
+func (q *Queue) Remove(id uint64) int {
+	e, ok := q.entries[id]
+	if !ok {
+		return 0
+	}
+	t := q.teams[e.job.Team]
+	removed := 0
+	for l := range lanes {
+		t.leave(e, l)
+		for _, task := range e.tasks[l] {
+			q.count(t, task, -1)
+			removed++
+		}
+	}
+	delete(q.entries, id)
+	return removed
+}
+
+// Sweep forgets teams without tasks whose use has been evened out.
+func (q *Queue) Sweep() {
+	for name, t := range q.teams {
+		if t.idle() && (t.virtual <= q.virtual || q.tasks == 0) {
+			delete(q.teams, name)
+		}
+	}
+}
+
+func (q *Queue) count(t *team, task Task, sign int) {
+	t.count(task, sign)
+	q.tasks += sign
+	q.bytes += int64(sign) * task.Bytes
+}
--- /dev/null
+++ b/internal/request/queue/queue_test.go
@@ -0,0 +1,259 @@
+package queue_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/request/queue"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+const cost = 100 * time.Millisecond
+
+func newQueue() *queue.Queue { return queue.New(queue.Config{Tasks: 1000, Bytes: 1 << 20}) }
+
+func tasks(n int) []queue.Task {
+	list := make([]queue.Task, n)
+	for i := range list {
+		list[i] = queue.Task{Index: i, Bytes: 10, Cost: cost, Learned: true}
+	}
+	return list
+}
+
+func theJob(id int, team string) queue.Job {
+	return queue.Job{ID: uint64(id), Team: team, Deadline: start.Add(10 * time.Second)}
+}
+
+// serve pops and ends n tasks, each after the run time of its team, and
+// returns the run time that each team used.
+func serve(q *queue.Queue, n int, ran map[string]time.Duration) map[string]time.Duration {
+	used := map[string]time.Duration{}
+	for range n {
+		r, ok := q.Pop(false)
+		if !ok {
+			break
+		}
+		q.Done(r, ran[r.Job.Team])
+		used[r.Job.Team] += ran[r.Job.Team]
+	}
+	return used
+}
+
+func TestTeamsShareByWeightWhateverTheyDeclare(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	q.SetPolicies(map[string]queue.TeamPolicy{"a": {Weight: 3}, "b": {Weight: 1}})
+	for i := range 40 {
+		q.Push(theJob(i, "a"), tasks(10))
+		short := tasks(10)
+		for k := range short {
+			short[k].Cost = time.Millisecond // declares far too little
+		}
+		q.Push(theJob(100+i, "b"), short)
+	}
+	used := serve(q, 300, map[string]time.Duration{"a": cost, "b": 2 * cost})
+	g.Expect(used["a"].Seconds() / used["b"].Seconds()).To(BeNumerically("~", 3, 0.2))
+}
+
+func TestAFloodDoesNotDelayAQuietTeam(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	q.Push(theJob(1, "flood"), tasks(400))
+	serve(q, 100, map[string]time.Duration{"flood": cost})
+	q.Push(theJob(2, "quiet"), tasks(1))
+	for range 2 {
+		if r, _ := q.Pop(false); r.Job.Team == "quiet" {
+			return
+		}
+	}
+	g.Expect("the quiet team's task").To(Equal("among the first two"))
+}
+
+func TestIdleTimeEarnsNoCredit(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	q.Push(theJob(1, "rests"), tasks(1))
+	q.Push(theJob(2, "works"), tasks(300))
+	serve(q, 201, map[string]time.Duration{"rests": cost, "works": cost})
+	q.Push(theJob(3, "rests"), tasks(50))
+	used := serve(q, 20, map[string]time.Duration{"rests": cost, "works": cost})
+	g.Expect(used["works"].Seconds()).To(BeNumerically("~", used["rests"].Seconds(), 0.3))
+}
+
+func TestAFloodLeavesRoomForOthers(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	id := 0
+	flood := func(team string) error {
+		for {
+			id++
+			if err := q.Admit(start, theJob(id, team), tasks(20), 1000); err != nil {
+				return err
+			}
+			q.Push(theJob(id, team), tasks(20))
+		}
+	}
+	g.Expect(failure.KindOf(flood("a"))).To(Equal(failure.OverQuota))
+	g.Expect(q.Tasks()).To(Equal(500))
+	g.Expect(q.Admit(start, theJob(0, "b"), tasks(210), 1000)).To(Succeed())
+}
+
+func TestALimitHoldsBackItsTeamOnly(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	q.SetPolicies(map[string]queue.TeamPolicy{"a": {Limit: 2}})
+	q.Push(theJob(1, "a"), tasks(5))
+	q.Push(theJob(2, "b"), tasks(5))
+	popped := map[string]int{}
+	var last queue.Ref
+	for r, ok := q.Pop(false); ok; r, ok = q.Pop(false) {
+		popped[r.Job.Team]++
+		if r.Job.Team == "a" {
+			last = r
+		}
+	}
+	g.Expect(popped).To(Equal(map[string]int{"a": 2, "b": 5}))
+	q.Done(last, cost)
+	_, ok := q.Pop(false)
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestAdmissionRefusesWhatCannotEndInTime(t *testing.T) {
+	busy := func(q *queue.Queue) { q.Push(theJob(1, "a"), tasks(300)) }
+	unknown := tasks(1)
+	unknown[0].Learned, unknown[0].Cost = false, time.Hour
+	cases := []struct {
+		name   string
+		before func(q *queue.Queue)
+		tasks  []queue.Task
+		team   string
+		left   time.Duration
+		want   failure.Kind
+	}{
+		{"an empty queue", func(*queue.Queue) {}, tasks(10), "a", time.Second, ""},
+		{"a task longer than the time left", func(*queue.Queue) {}, tasks(1), "a", cost / 2, failure.DeadlineTooShort},
+		{"a declaration alone", func(*queue.Queue) {}, unknown, "a", time.Second, ""},
+		{"work ahead: 30 s on 10 slots", busy, tasks(1), "a", 2 * time.Second, failure.DeadlineTooShort},
+		{"work ahead and time enough", busy, tasks(1), "a", 4 * time.Second, ""},
+		{"another team's work ahead", busy, tasks(1), "b", time.Second, ""},
+		{"a limit", func(q *queue.Queue) {
+			q.SetPolicies(map[string]queue.TeamPolicy{"a": {Limit: 1}})
+		}, tasks(20), "a", time.Second, failure.OverQuota},
+		{"too many tasks", func(*queue.Queue) {}, tasks(1001), "a", time.Hour, failure.Overloaded},
+	}
+	for _, c := range cases {
+		q := newQueue()
+		c.before(q)
+		err := q.Admit(start, queue.Job{ID: 9, Team: c.team, Deadline: start.Add(c.left)}, c.tasks, 10)
+		if c.want == "" {
+			NewWithT(t).Expect(err).NotTo(HaveOccurred(), c.name)
+			continue
+		}
+		NewWithT(t).Expect(failure.KindOf(err)).To(Equal(c.want), c.name)
+	}
+}
+
+func TestAcceleratorTasksWaitApart(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue()
+	mixed := tasks(4)
+	mixed[0].Accelerator = true
+	q.Push(theJob(1, "a"), mixed)
+	for i := 1; i < 4; i++ {
+		r, ok := q.Pop(false)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(r.Task.Index).To(Equal(i))
+	}
+	g.Expect(q.Waiting(false)).To(BeFalse())
+	r, _ := q.Pop(true)
+	g.Expect(r.Task.Index).To(Equal(0))
+	q.Return(r)
+	g.Expect(q.Remove(1)).To(Equal(1))
+	g.Expect(q.Tasks()).To(Equal(0))
+}
+
+// TestCountsHold replays random events and compares the counts with a list.
+func TestCountsHold(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		q := newQueue()
+		waiting := map[uint64]int{}
+		var running []queue.Ref
+		total := 0
+		for id := range uint64(300) {
+			switch rng.IntN(5) {
+			case 0, 1:
+				n := 1 + rng.IntN(8)
+				q.Push(theJob(int(id), fmt.Sprint(rng.IntN(5))), tasks(n))
+				waiting[id] = n
+				total += n
+			case 2:
+				if r, ok := q.Pop(false); ok {
+					waiting[r.Job.ID]--
+					total--
+					running = append(running, r)
+				}
+			case 3:
+				if len(running) > 0 {
+					r := running[0]
+					running = running[1:]
+					q.Return(r)
+					waiting[r.Job.ID]++
+					total++
+				}
+			case 4:
+				victim := rng.Uint64N(id + 1)
+				g.Expect(q.Remove(victim)).To(Equal(waiting[victim]))
+				total -= waiting[victim]
+				waiting[victim] = 0
+				q.Sweep()
+			}
+			g.Expect(q.Tasks()).To(Equal(total))
+			g.Expect(q.Bytes()).To(Equal(int64(10 * total)))
+		}
+	}
+}
+
+func TestQuotaShares(t *testing.T) {
+	for _, c := range []struct {
+		quota, hosts, own, all int
+		complete               bool
+		want                   int
+	}{
+		{0, 3, 1, 1, true, 0},
+		{12, 3, 0, 0, true, 4},
+		{12, 3, 10, 10, true, 8},
+		{12, 3, 0, 10, true, 2},
+		{12, 3, 10, 10, false, 4},
+		{1, 3, 1, 2, true, 1},
+	} {
+		got := queue.QuotaShare(c.quota, c.hosts, c.own, c.all, c.complete)
+		NewWithT(t).Expect(got).To(Equal(c.want), fmt.Sprint(c))
+	}
+}
+
+func TestQuotaSharesNeverExceedTheQuota(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 10_000 {
+		hosts := 1 + rng.IntN(4)
+		quota := hosts + rng.IntN(500)
+		demand := make([]int, hosts)
+		all := 0
+		for i := range demand {
+			demand[i] = rng.IntN(1000)
+			all += demand[i]
+		}
+		sum := 0
+		for _, own := range demand {
+			sum += queue.QuotaShare(quota, hosts, own, all, true)
+		}
+		NewWithT(t).Expect(sum).To(BeNumerically("<=", quota))
+	}
+}
