Serve teams fairly and admit by deadline in the dispatch core

Cause: one queue in order of arrival let a flood hold up everyone, took jobs that could not end in time, and searched the whole queue at a cancellation. Ruled out: keeping the order of arrival with a bound per team only; the flood then still goes first. Change: the core uses the fair queue and the learned run times; a job's tasks leave the queue with its answer.

--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -1,33 +1,33 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// assign starts queued tasks while a target has a free slot for them. A task
-// that needs an accelerator does not hold back the tasks behind it.
+	"wasabifield.example/wasabifield/internal/request/queue"
+)
+
+// assign starts waiting tasks while a target has a free slot for them. Tasks
+// that need an accelerator go first: no other target will do for them.
 func (c *Core) assign(now time.Time) {
-	var waiting []taskRef
-	for {
-		r, ok := c.queue.pop()
-		if !ok {
-			break
-		}
-		accelerator := r.task().Accelerator
-		var t *Target
-		if !accelerator || len(waiting) == 0 {
-			t = c.choose(now, accelerator)
-		}
-		if t != nil {
-			c.start(now, r, t)
-			continue
-		}
-		waiting = append(waiting, r)
-		if !accelerator {
-			break
-		}
+	for c.assignOne(now, true) {
+	}
+	for c.assignOne(now, false) {
+	}
+}
+
+func (c *Core) assignOne(now time.Time, accelerator bool) bool {
+	if !c.queue.Waiting(accelerator) {
+		return false
+	}
+	t := c.choose(now, accelerator)
+	if t == nil {
+		return false
 	}
-	for i := len(waiting) - 1; i >= 0; i-- {
-		c.queue.pushFront(waiting[i])
+	r, ok := c.queue.Pop(accelerator)
+	if ok {
+		c.start(now, r, t)
 	}
+	return ok
 }
 
 // choose returns the less loaded of two random free targets, nil if none is
@@ -59,22 +59,24 @@
 	return first
 }
 
-func (c *Core) start(now time.Time, r taskRef, t *Target) {
+func (c *Core) start(now time.Time, r queue.Ref, t *Target) {
+	j := c.jobs[JobID(r.Job.ID)]
+	task := &j.spec.Tasks[r.Task.Index]
 	c.last++
-	c.starts[c.last] = started{r, t}
+	c.starts[c.last] = started{ref: r, job: j, target: t, at: now}
 	t.busy++
-	r.job.running++
+	j.running++
 	deadline := now.Add(c.config.AttemptTimeout)
-	if r.job.deadline.Before(deadline) {
-		deadline = r.job.deadline
+	if j.deadline.Before(deadline) {
+		deadline = j.deadline
 	}
 	c.out.Starts = append(c.out.Starts, Start{
 		ID:       c.last,
-		Job:      r.job.id,
+		Job:      j.id,
 		Target:   t.Target,
 		Address:  t.Address,
 		Conns:    t.Connections,
-		Task:     r.task(),
+		Task:     task,
 		Deadline: deadline,
 	})
 }
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -7,6 +7,8 @@
 
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/queue"
+	"wasabifield.example/wasabifield/internal/request/runtimes"
 )
 
 // Config is the policy of a Core.
@@ -17,6 +19,7 @@
 	DefaultDeadline   time.Duration // for a job that states none
 	RefusalPause      time.Duration // a target that refused a start is avoided for this
 	RestartIdempotent bool          // start a task of an idempotent job again after an unknown outcome
+	Teams             map[string]Team
 }
 
 // DefaultConfig returns the policy in force until a bundle states another.
@@ -33,21 +36,16 @@
 // Core is the state of all jobs in progress at one entry host. It is not safe
 // for concurrent use.
 type Core struct {
-	config  Config
-	random  *rand.Rand
-	targets map[string]*Target
-	order   []*Target // the targets in the order of their first announcement
-	jobs    map[JobID]*jobState
-	starts  map[StartID]started
-	last    StartID
-	queue   taskQueue
-	out     Effects
-}
-
-// started is an attempt in progress.
-type started struct {
-	task   taskRef
-	target *Target
+	config   Config
+	random   *rand.Rand
+	targets  map[string]*Target
+	order    []*Target // the targets in the order of their first announcement
+	jobs     map[JobID]*jobState
+	starts   map[StartID]started
+	last     StartID
+	queue    *queue.Queue
+	runtimes *runtimes.Table
+	out      Effects
 }
 
 // Effects are what the owner of a Core has to do.
@@ -58,17 +56,28 @@
 
 // NewCore returns a Core without targets. The random source breaks ties.
 func NewCore(config Config, random *rand.Rand) *Core {
-	return &Core{
-		config:  config,
-		random:  random,
-		targets: make(map[string]*Target),
-		jobs:    make(map[JobID]*jobState),
-		starts:  make(map[StartID]started),
+	c := &Core{
+		config:   config,
+		random:   random,
+		targets:  make(map[string]*Target),
+		jobs:     make(map[JobID]*jobState),
+		starts:   make(map[StartID]started),
+		queue:    queue.New(queue.Config{Tasks: config.QueuedTasks, Bytes: config.QueuedBytes}),
+		runtimes: runtimes.NewTable(runtimeKeys),
 	}
+	c.applyTeams()
+	return c
 }
 
+// runtimeKeys bounds the teams and kinds whose run times are learned.
+const runtimeKeys = 4096
+
 // SetConfig puts another policy in force.
-func (c *Core) SetConfig(config Config) { c.config = config }
+func (c *Core) SetConfig(config Config) {
+	c.config = config
+	c.queue.SetBounds(config.QueuedTasks, config.QueuedBytes)
+	c.applyTeams()
+}
 
 // Take returns the effects since the last call.
 func (c *Core) Take() Effects {
@@ -80,36 +89,44 @@
 // Submit admits a job. An error means that nothing of it was started and that
 // it is not admitted.
 func (c *Core) Submit(now time.Time, id JobID, spec *job.Spec) error {
-	if err := c.admit(now, spec); err != nil {
+	if err := c.checkRunnable(now, spec); err != nil {
 		return err
 	}
+	j := c.newJob(now, id, spec)
+	tasks := c.queueTasks(now, j)
+	if err := c.queue.Admit(now, j.queueJob(), tasks, c.slots(now)); err != nil {
+		return err
+	}
+	c.jobs[id] = j
+	c.queue.Push(j.queueJob(), tasks)
+	c.assign(now)
+	return nil
+}
+
+func (c *Core) newJob(now time.Time, id JobID, spec *job.Spec) *jobState {
 	deadline := c.config.DefaultDeadline
 	if spec.DeadlineMS > 0 {
 		deadline = time.Duration(spec.DeadlineMS) * time.Millisecond
 	}
-	j := &jobState{
+	return &jobState{
 		id:       id,
 		spec:     spec,
+		team:     c.teamOf(spec.Team),
 		deadline: now.Add(deadline),
 		outputs:  newOutputs(spec),
 		left:     len(spec.Tasks),
 	}
-	c.jobs[id] = j
-	for i := range spec.Tasks {
-		c.queue.push(taskRef{j, i})
-	}
-	c.assign(now)
-	return nil
 }
 
-func (c *Core) admit(now time.Time, spec *job.Spec) error {
-	if c.queue.tasks+len(spec.Tasks) > c.config.QueuedTasks {
-		return failure.New(failure.Overloaded, "the queue is full")
-	}
-	if c.queue.bytes+spec.PayloadBytes() > c.config.QueuedBytes {
-		return failure.New(failure.Overloaded, "the queue holds too many bytes")
+// slots returns the slots that this host can count on.
+func (c *Core) slots(now time.Time) int {
+	sum := 0
+	for _, t := range c.order {
+		if t.alive(now) {
+			sum += t.Slots
+		}
 	}
-	return c.checkRunnable(now, spec)
+	return sum
 }
 
 // checkRunnable refuses a job that no known target could run.
@@ -172,6 +189,7 @@
 		}
 	}
 	c.dropTargets(now)
+	c.queue.Sweep()
 	c.assign(now)
 }
 
@@ -194,7 +212,7 @@
 func (c *Core) Jobs() int { return len(c.jobs) }
 
 // Queued returns the number of tasks waiting for a slot.
-func (c *Core) Queued() int { return c.queue.tasks }
+func (c *Core) Queued() int { return c.queue.Tasks() }
 
 // Running returns the number of starts in progress.
 func (c *Core) Running() int { return len(c.starts) }
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -5,15 +5,18 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/queue"
+	"wasabifield.example/wasabifield/internal/request/runtimes"
 )
 
-// JobID names a job within this host: the sequence number of its ticket.
+// JobID names a job within this host.
 type JobID uint64
 
 // jobState is a job in progress.
 type jobState struct {
 	id       JobID
 	spec     *job.Spec
+	team     string
 	deadline time.Time
 	outputs  []json.RawMessage
 	left     int  // tasks without an output
@@ -22,10 +25,39 @@
 	done     bool // the answer was given
 }
 
-// taskRef is one task waiting for a slot.
-type taskRef struct {
-	job   *jobState
-	index int
+// started is an attempt in progress.
+type started struct {
+	ref    queue.Ref
+	job    *jobState
+	target *Target
+	at     time.Time
 }
 
-func (r taskRef) task() *job.Task { return &r.job.spec.Tasks[r.index] }
+func (s started) task() *job.Task { return &s.job.spec.Tasks[s.ref.Task.Index] }
+
+// key names the tasks whose run times and failures are like this one's.
+func (s started) key() runtimes.Key {
+	return runtimes.Key{Team: s.job.team, Kind: s.task().Kind}
+}
+
+// queueJob returns what the queue knows of a job.
+func (j *jobState) queueJob() queue.Job {
+	return queue.Job{ID: uint64(j.id), Team: j.team, Deadline: j.deadline}
+}
+
+// queueTasks returns the tasks of a job with their expected run times.
+func (c *Core) queueTasks(now time.Time, j *jobState) []queue.Task {
+	list := make([]queue.Task, len(j.spec.Tasks))
+	for i, t := range j.spec.Tasks {
+		declared := time.Duration(t.DeclaredMS) * time.Millisecond
+		e := c.runtimes.Estimate(now, runtimes.Key{Team: j.team, Kind: t.Kind}, declared)
+		list[i] = queue.Task{
+			Index:       i,
+			Accelerator: t.Accelerator,
+			Bytes:       int64(len(t.Payload)),
+			Cost:        e.Mean,
+			Learned:     e.Learned,
+		}
+	}
+	return list
+}
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -7,6 +7,7 @@
 
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/queue"
 )
 
 // Result takes in the end of an attempt. A result for an attempt that has
@@ -18,43 +19,58 @@
 	}
 	delete(c.starts, r.ID)
 	s.target.busy--
-	s.task.job.running--
-	if r.Outcome == NotStarted {
+	s.job.running--
+	c.account(now, s, r.Outcome)
+	if !s.job.done {
+		c.settle(s, r)
+	}
+	c.assign(now)
+}
+
+// account tells the queue and the learned run times how an attempt ended. A
+// task that goes back to the queue is settled there.
+func (c *Core) account(now time.Time, s started, outcome Outcome) {
+	ran := now.Sub(s.at)
+	switch {
+	case outcome != NotStarted:
+		s.job.ran = true
+		c.queue.Done(s.ref, ran)
+	case s.job.done:
+		c.queue.Done(s.ref, 0)
+	default:
+		c.queue.Return(s.ref)
+	}
+	if outcome == NotStarted {
 		s.target.avoided = now.Add(c.config.RefusalPause)
-	} else {
-		s.task.job.ran = true
 	}
-	if !s.task.job.done {
-		c.settle(s.task, r)
+	if outcome == Done {
+		c.runtimes.Observe(now, s.key(), ran)
 	}
-	c.assign(now)
 }
 
 // settle decides what the end of an attempt means for an unanswered job.
-func (c *Core) settle(t taskRef, r Result) {
+func (c *Core) settle(s started, r Result) {
 	switch r.Outcome {
 	case Done:
-		c.complete(t, r.Output)
-	case NotStarted:
-		c.queue.pushFront(t)
+		c.complete(s, r.Output)
 	case TaskError:
-		c.fail(t.job, failure.TaskFailed, taskMessage(t, r))
+		c.fail(s.job, failure.TaskFailed, taskMessage(s, r))
 	case Lost:
-		if t.job.spec.Idempotent && c.config.RestartIdempotent {
-			c.queue.pushFront(t)
+		if s.job.spec.Idempotent && c.config.RestartIdempotent {
+			c.queue.Push(s.job.queueJob(), []queue.Task{s.ref.Task})
 			return
 		}
-		c.fail(t.job, failure.OutcomeUnknown, taskMessage(t, r))
+		c.fail(s.job, failure.OutcomeUnknown, taskMessage(s, r))
 	}
 }
 
-func taskMessage(t taskRef, r Result) string {
-	return fmt.Sprintf("task %s: %s", t.task().ID, r.Message)
+func taskMessage(s started, r Result) string {
+	return fmt.Sprintf("task %s: %s", s.task().ID, r.Message)
 }
 
-func (c *Core) complete(t taskRef, output json.RawMessage) {
-	j := t.job
-	j.outputs[t.index] = output
+func (c *Core) complete(s started, output json.RawMessage) {
+	j := s.job
+	j.outputs[s.ref.Task.Index] = output
 	j.left--
 	if j.left > 0 {
 		return
@@ -77,25 +93,13 @@
 }
 
 func (c *Core) fail(j *jobState, kind failure.Kind, message string) {
-	queued, bytes := 0, int64(0)
-	c.discardQueued(j, &queued, &bytes)
 	c.finish(j, job.Refuse(failure.New(kind, message)))
-	c.queue.discard(queued, bytes)
-}
-
-// discardQueued counts the tasks of j that wait for a slot.
-func (c *Core) discardQueued(j *jobState, tasks *int, bytes *int64) {
-	for _, r := range c.queue.items[c.queue.head:] {
-		if r.job == j {
-			*tasks++
-			*bytes += int64(len(r.task().Payload))
-		}
-	}
 }
 
 func (c *Core) finish(j *jobState, answer *job.Answer) {
 	j.done = true
 	delete(c.jobs, j.id)
+	c.queue.Remove(uint64(j.id))
 	c.out.Finishes = append(c.out.Finishes, Finish{Job: j.id, Answer: answer})
 }
 
--- /dev/null
+++ b/internal/process/dispatch/team.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import "wasabifield.example/wasabifield/internal/request/queue"
+
+// Team is what the bundle grants a team.
+type Team struct {
+	Weight float64 // share of the slots in relation to the other teams; 0 counts as 1
+	Quota  int     // tasks that may run at once in the failure domain; 0 for no quota
+}
+
+// others is the team of all tasks whose team the bundle does not list, so that
+// a caller gains nothing by inventing teams.
+const others = "(others)"
+
+// teamOf returns the team that a job's name counts against.
+func (c *Core) teamOf(name string) string {
+	if _, ok := c.config.Teams[name]; ok || len(c.config.Teams) == 0 {
+		return name
+	}
+	return others
+}
+
+// applyTeams hands the teams' weights and limits to the queue.
+func (c *Core) applyTeams() {
+	policies := make(map[string]queue.TeamPolicy, len(c.config.Teams))
+	for name, t := range c.config.Teams {
+		policies[name] = queue.TeamPolicy{Weight: t.Weight, Limit: t.Quota}
+	}
+	c.queue.SetPolicies(policies)
+}
--- a/internal/request/queue/queue.go
+++ b/internal/request/queue/queue.go
@@ -82,19 +82,29 @@
 	return t
 }
 
-// Push adds a job's tasks. The caller has asked Admit.
+// Push adds a job's tasks. The caller has asked Admit. Tasks of a job that
+// waits already join it.
 func (q *Queue) Push(j Job, tasks []Task) {
-	q.seq++
-	e := &entry{job: j, seq: q.seq, place: [lanes]int{-1, -1}}
 	t := q.team(j.Team)
+	q.seq++
+	e := q.entry(j, q.seq)
 	for _, task := range tasks {
 		e.tasks[task.lane()] = append(e.tasks[task.lane()], task)
 		q.count(t, task, 1)
 	}
-	q.entries[j.ID] = e
 	t.enter(e)
 }
 
+// entry returns the waiting part of a job; a new one is put in place seq.
+func (q *Queue) entry(j Job, seq uint64) *entry {
+	e, ok := q.entries[j.ID]
+	if !ok {
+		e = &entry{job: j, seq: seq, place: [lanes]int{-1, -1}}
+		q.entries[j.ID] = e
+	}
+	return e
+}
+
 // Waiting reports whether a task waits that could start now: for an
 // accelerator if needAccelerator, else without one.
 func (q *Queue) Waiting(needAccelerator bool) bool {
@@ -151,11 +161,7 @@
 	t := q.team(r.Job.Team)
 	t.run(r.Task, -1)
 	t.charge(-r.Task.Cost)
-	e, ok := q.entries[r.Job.ID]
-	if !ok {
-		e = &entry{job: r.Job, place: [lanes]int{-1, -1}}
-		q.entries[r.Job.ID] = e
-	}
+	e := q.entry(r.Job, 0)
 	l := r.Task.lane()
 	e.tasks[l] = append([]Task{r.Task}, e.tasks[l]...)
 	q.count(t, r.Task, 1)
--- a/internal/request/queue/queue_test.go
+++ b/internal/request/queue/queue_test.go
@@ -190,9 +190,9 @@
 		for id := range uint64(300) {
 			switch rng.IntN(5) {
 			case 0, 1:
-				n := 1 + rng.IntN(8)
-				q.Push(theJob(int(id), fmt.Sprint(rng.IntN(5))), tasks(n))
-				waiting[id] = n
+				n, other := 1+rng.IntN(8), rng.Uint64N(id+1) // other may wait already
+				q.Push(theJob(int(other), fmt.Sprint(other%5)), tasks(n))
+				waiting[other] += n
 				total += n
 			case 2:
 				if r, ok := q.Pop(false); ok {
