Measure the daemon beside baselines and at several sizes

Cause: neither the cost of the dispatcher nor its distance from a perfect central one had been measured.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,16 @@
 	$(GO) build -o $(BIN)/wasabifield ./cmd/wasabifield
 	$(GO) build -o $(BIN)/standin ./internal/standin/cmd/standin
 
+# bench compares response times, messages and processor time with baselines of
+# the same run. It takes two and a half minutes.
+bench: build
+	$(GO) run ./internal/standin/cmd/bench --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
+
+# capacity measures costs at several sizes and rewrites the table in
+# docs/CAPACITY.md. It takes seven minutes and starts up to 160 processes.
+capacity: build
+	$(GO) run ./internal/standin/cmd/capacity --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin --write docs/CAPACITY.md
+
 demo: build
 	$(BIN)/standin demo --daemon $(BIN)/wasabifieldd --tool $(BIN)/wasabifield --target $(BIN)/standin
 
--- a/internal/process/host/observer.go
+++ b/internal/process/host/observer.go
@@ -125,11 +125,12 @@
 			return o.metrics.Close()
 		case <-ticker.C:
 		}
+		scope := o.metrics.Scope()
+		metrics.SampleRuntime(scope)
 		s, err := loop.Status(ctx)
 		if err != nil {
 			continue
 		}
-		scope := o.metrics.Scope()
 		scope.Gauge("jobs").Update(float64(s.Jobs))
 		scope.Gauge("queued_tasks").Update(float64(s.Queued))
 		scope.Gauge("running_tasks").Update(float64(s.Running))
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -62,3 +62,12 @@
 	}
 	g.Expect(m.Close()).To(Succeed())
 }
+
+func TestRuntimeValuesAreServed(t *testing.T) {
+	g := NewWithT(t)
+	m := metrics.NewMetrics(nil)
+	metrics.SampleRuntime(m.Scope())
+	g.Expect(m.Close()).To(Succeed())
+	g.Expect(scrape(m)).To(MatchRegexp(`wasabifield_goroutines [1-9]`))
+	g.Expect(scrape(m)).To(MatchRegexp(`wasabifield_heap_allocated_objects [1-9]`))
+}
--- /dev/null
+++ b/internal/process/metrics/runtime.go
@@ -0,0 +1,28 @@
+package metrics
+
+import (
+	"runtime/metrics"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// runtimeGauges are the Go runtime's own values that are served, by the names
+// that package runtime/metrics gives them.
+var runtimeGauges = map[string]string{
+	"/gc/heap/allocs:objects":            "heap_allocated_objects",
+	"/gc/heap/allocs:bytes":              "heap_allocated_bytes",
+	"/memory/classes/heap/objects:bytes": "heap_live_bytes",
+	"/sched/goroutines:goroutines":       "goroutines",
+}
+
+// SampleRuntime sets the gauges of the Go runtime.
+func SampleRuntime(scope tally.Scope) {
+	samples := make([]metrics.Sample, 0, len(runtimeGauges))
+	for name := range runtimeGauges {
+		samples = append(samples, metrics.Sample{Name: name})
+	}
+	metrics.Read(samples)
+	for _, s := range samples {
+		scope.Gauge(runtimeGauges[s.Name]).Update(float64(s.Value.Uint64()))
+	}
+}
--- a/internal/standin/launch/process.go
+++ b/internal/standin/launch/process.go
@@ -32,6 +32,9 @@
 	return p, nil
 }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends s.
 func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
 
--- /dev/null
+++ b/internal/standin/measure/fleet.go
@@ -0,0 +1,185 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/standin/launch"
+)
+
+const (
+	readyLimit = 60 * time.Second
+	stopLimit  = 40 * time.Second
+)
+
+// Programs are the binaries that a fleet runs.
+type Programs struct {
+	Daemon  string // entry host
+	Standin string // targets
+}
+
+// FleetConfig says what a fleet consists of.
+type FleetConfig struct {
+	Programs
+	Domains          int
+	HostsPerDomain   int
+	TargetsPerDomain int
+	Slots            int    // of each target
+	Service          string // run times of the targets, as "standin target" takes them
+}
+
+// Fleet is a set of running processes.
+type Fleet struct {
+	config    FleetConfig
+	folder    string
+	Hosts     []settings.Settings
+	processes []*launch.Process // entry hosts first, in the order of Hosts
+	log       *os.File
+}
+
+// StartFleet starts a fleet and waits until each host is ready and lists all
+// targets of its domain.
+func StartFleet(ctx context.Context, config FleetConfig) (*Fleet, error) {
+	folder, err := os.MkdirTemp("", "wasabifield-measure-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{config: config, folder: folder}
+	if err := f.start(ctx); err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	var err error
+	if f.log, err = os.Create(filepath.Join(f.folder, "log")); err != nil {
+		return err
+	}
+	if err := f.startHosts(); err != nil {
+		return err
+	}
+	if err := f.startTargets(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, h := range f.Hosts {
+		if err := launch.WaitReady(ctx, h.HTTP); err != nil {
+			return err
+		}
+		if err := launch.WaitTargets(ctx, h.HTTP, f.config.TargetsPerDomain); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startHosts() error {
+	ports := launch.NewPorts()
+	for d := range f.config.Domains {
+		for i := range f.config.HostsPerDomain {
+			s := settings.Default()
+			s.Domain = fmt.Sprintf("d%02d", d)
+			s.Host = fmt.Sprintf("%s-h%d", s.Domain, i)
+			s.Log.Level = "warn"
+			s.Timing.DrainNotice = 0
+			var err error
+			if s.HTTP, err = ports.Address(); err != nil {
+				return err
+			}
+			if s.Peer, err = ports.Address(); err != nil {
+				return err
+			}
+			f.Hosts = append(f.Hosts, s)
+		}
+	}
+	launch.Peers(f.Hosts, func(_, to settings.Settings) string { return to.Peer })
+	for _, s := range f.Hosts {
+		file, err := launch.WriteSettings(f.folder, s)
+		if err != nil {
+			return err
+		}
+		if err := f.run(s.Host, f.config.Daemon, "--config", file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startTargets starts one process of targets for each entry host, which they
+// announce themselves to first, so that announcements are spread evenly.
+func (f *Fleet) startTargets() error {
+	for n, s := range f.Hosts {
+		i := n % f.config.HostsPerDomain
+		count := f.config.TargetsPerDomain / f.config.HostsPerDomain
+		if i < f.config.TargetsPerDomain%f.config.HostsPerDomain {
+			count++
+		}
+		if count == 0 {
+			continue
+		}
+		entries := s.HTTP
+		for _, other := range f.Hosts {
+			if other.Domain == s.Domain && other.Host != s.Host {
+				entries += "," + other.HTTP
+			}
+		}
+		err := f.run("targets-"+s.Host, f.config.Standin, "target",
+			"--name", s.Host, "--domain", s.Domain, "--entry", entries, "--count", fmt.Sprint(count),
+			"--slots", fmt.Sprint(f.config.Slots), "--service", f.config.Service, "--linger", "0s")
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) run(name, program string, args ...string) error {
+	p, err := launch.Start(name, f.log, program, args...)
+	if err != nil {
+		return err
+	}
+	f.processes = append(f.processes, p)
+	return nil
+}
+
+// Entries returns the HTTP addresses of the entry hosts.
+func (f *Fleet) Entries() []string {
+	list := make([]string, len(f.Hosts))
+	for i, h := range f.Hosts {
+		list[i] = h.HTTP
+	}
+	return list
+}
+
+// Stop ends every process, targets first, and removes the fleet's files.
+func (f *Fleet) Stop() error {
+	var faults []error
+	for i := len(f.processes) - 1; i >= 0; i-- {
+		_ = f.processes[i].Terminate()
+		if i == len(f.Hosts) {
+			faults = append(faults, f.wait(f.processes[i:]))
+		}
+	}
+	faults = append(faults, f.wait(f.processes[:min(len(f.processes), len(f.Hosts))]))
+	if f.log != nil {
+		_ = f.log.Close()
+	}
+	return errors.Join(append(faults, os.RemoveAll(f.folder))...)
+}
+
+func (f *Fleet) wait(processes []*launch.Process) error {
+	var faults []error
+	for _, p := range processes {
+		if err := p.Stop(stopLimit); err != nil {
+			faults = append(faults, fmt.Errorf("%s ended badly: %w", p.Name, err))
+		}
+	}
+	return errors.Join(faults...)
+}
