Try the next heir only after a definite refusal

Cause: a drained host whose first neighbour was draining too lost its records. Ruled out: trying again after a lost reply; two heirs could then run one ticket. Change: the neighbours are tried in turn while the answer is a plain no.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -140,9 +140,18 @@
 	return nil
 }
 
-// HandOn passes the records of this drained host to another.
-func (c *Client) HandOn(ctx context.Context, host string, r *peerpb.HandOnRequest) (*peerpb.HandOnReply, error) {
-	return peerpb.NewPeerClient(c.conns[host]).HandOn(ctx, r)
+// HandOn passes the records of this drained host to another and reports
+// whether that took them over. Its errors are those of Forward.
+func (c *Client) HandOn(ctx context.Context, host string, r *peerpb.HandOnRequest) (bool, error) {
+	conn, err := c.reach(ctx, host)
+	if err != nil {
+		return false, err
+	}
+	reply, err := peerpb.NewPeerClient(conn).HandOn(ctx, r)
+	if err != nil {
+		return false, failure.New(failure.AnswerLost, "host "+host+" may have taken the records over")
+	}
+	return reply.GetAdopted(), nil
 }
 
 // Exchange sends what this host knows and returns what the other knows.
--- a/internal/process/host/handon.go
+++ b/internal/process/host/handon.go
@@ -7,6 +7,7 @@
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/record"
 	"wasabifield.example/wasabifield/internal/request/ticket"
@@ -15,11 +16,11 @@
 const handOnTimeout = 5 * time.Second
 
 // handOn passes the records of a drained host to one other host of the domain.
-// It is tried once: after a lost reply a second heir could start what the
-// first may start.
+// The next host is tried only after a definite refusal: after a lost reply a
+// second heir could start what the first may start.
 func (h *Host) handOn(ctx context.Context) {
-	heir := h.heir(time.Now())
-	if heir == "" {
+	heirs := h.hosts.heirs(time.Now(), h.settings.Domain)
+	if len(heirs) == 0 {
 		h.log.Warn("No other host takes the records.")
 		return
 	}
@@ -34,8 +35,13 @@
 	for _, legacy := range list {
 		request.Legacies = append(request.Legacies, legacyMessage(legacy))
 	}
-	reply, err := h.client.HandOn(ctx, heir, request)
-	h.log.Info("Handed the records on.", "heir", heir, "adopted", reply.GetAdopted(), "error", err)
+	for _, heir := range heirs {
+		adopted, err := h.client.HandOn(ctx, heir, request)
+		h.log.Info("Handed the records on.", "heir", heir, "adopted", adopted, "error", err)
+		if adopted || failure.KindOf(err) == failure.AnswerLost {
+			return
+		}
+	}
 }
 
 // Adopt implements peer.Backend.
