--- /dev/null
+++ b/internal/process/dispatch/core.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/queue"
+	"wasabifield.example/wasabifield/internal/request/runtimes"
+)
+
+// Config is the policy of a Core.
+type Config struct {
+	QueuedTasks       int           // tasks waiting for a slot at most
+	QueuedBytes       int64         // payload bytes of those tasks at most
+	AttemptTimeout    time.Duration // an attempt is given up after this
+	DefaultDeadline   time.Duration // for a job that states none
+	RefusalPause      time.Duration // a target that refused a start is avoided for this
+	RestartIdempotent bool          // start a task of an idempotent job again after an unknown outcome
+	Teams             map[string]Team
+}
+
+// DefaultConfig returns the policy in force until a bundle states another.
+func DefaultConfig() Config {
+	return Config{
+		QueuedTasks:     20_000,
+		QueuedBytes:     64 << 20,
+		AttemptTimeout:  30 * time.Second,
+		DefaultDeadline: 30 * time.Second,
+		RefusalPause:    20 * time.Millisecond,
+	}
+}
+
+// Core is the state of all jobs in progress at one entry host. It is not safe
+// for concurrent use.
+type Core struct {
+	config   Config
+	random   *rand.Rand
+	targets  map[string]*Target
+	order    []*Target // the targets in the order of their first announcement
+	jobs     map[JobID]*jobState
+	starts   map[StartID]started
+	last     StartID
+	queue    *queue.Queue
+	runtimes *runtimes.Table
+	out      Effects
+}
+
+// Effects are what the owner of a Core has to do.
+type Effects struct {
+	Starts   []Start
+	Finishes []Finish
+}
+
+// NewCore returns a Core without targets. The random source breaks ties.
+func NewCore(config Config, random *rand.Rand) *Core {
+	c := &Core{
+		config:   config,
+		random:   random,
+		targets:  make(map[string]*Target),
+		jobs:     make(map[JobID]*jobState),
+		starts:   make(map[StartID]started),
+		queue:    queue.New(queue.Config{Tasks: config.QueuedTasks, Bytes: config.QueuedBytes}),
+		runtimes: runtimes.NewTable(runtimeKeys),
+	}
+	c.applyTeams()
+	return c
+}
+
+// runtimeKeys bounds the teams and kinds whose run times are learned.
+const runtimeKeys = 4096
+
+// SetConfig puts another policy in force.
+func (c *Core) SetConfig(config Config) {
+	c.config = config
+	c.queue.SetBounds(config.QueuedTasks, config.QueuedBytes)
+	c.applyTeams()
+}
+
+// Take returns the effects since the last call.
+func (c *Core) Take() Effects {
+	out := c.out
+	c.out = Effects{}
+	return out
+}
+
+// Submit admits a job. An error means that nothing of it was started and that
+// it is not admitted.
+func (c *Core) Submit(now time.Time, id JobID, spec *job.Spec) error {
+	if err := c.checkRunnable(now, spec); err != nil {
+		return err
+	}
+	j := c.newJob(now, id, spec)
+	tasks := c.queueTasks(now, j)
+	if err := c.queue.Admit(now, j.queueJob(), tasks, c.slots(now)); err != nil {
+		return err
+	}
+	c.jobs[id] = j
+	c.queue.Push(j.queueJob(), tasks)
+	c.assign(now)
+	return nil
+}
+
+func (c *Core) newJob(now time.Time, id JobID, spec *job.Spec) *jobState {
+	deadline := c.config.DefaultDeadline
+	if spec.DeadlineMS > 0 {
+		deadline = time.Duration(spec.DeadlineMS) * time.Millisecond
+	}
+	return &jobState{
+		id:       id,
+		spec:     spec,
+		team:     c.teamOf(spec.Team),
+		deadline: now.Add(deadline),
+		outputs:  newOutputs(spec),
+		left:     len(spec.Tasks),
+	}
+}
+
+// slots returns the slots that this host can count on.
+func (c *Core) slots(now time.Time) int {
+	sum := 0
+	for _, t := range c.order {
+		if t.alive(now) {
+			sum += t.Slots
+		}
+	}
+	return sum
+}
+
+// checkRunnable refuses a job that no known target could run.
+func (c *Core) checkRunnable(now time.Time, spec *job.Spec) error {
+	alive, accelerators := 0, 0
+	for _, t := range c.order {
+		if !t.alive(now) {
+			continue
+		}
+		alive++
+		accelerators += t.Accelerators
+	}
+	if alive == 0 {
+		return failure.New(failure.NoTargets, "no target is alive")
+	}
+	for i, t := range spec.Tasks {
+		if t.Accelerator && accelerators == 0 {
+			field := fmt.Sprintf("tasks[%d].accelerator", i)
+			return &failure.Error{Kind: failure.NeverRunnable, Field: field, Message: "no target has an accelerator"}
+		}
+	}
+	return nil
+}
+
+// Cancel withdraws a job. It is answered at once.
+func (c *Core) Cancel(now time.Time, id JobID) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return
+	}
+	c.giveUp(j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
+	c.assign(now)
+}
+
+// SetTargets adds targets or updates them. Starts in progress at an earlier
+// incarnation of a target count until they end.
+func (c *Core) SetTargets(now time.Time, list []Target) {
+	for _, t := range list {
+		c.setTarget(t)
+	}
+	c.assign(now)
+}
+
+func (c *Core) setTarget(t Target) {
+	known, ok := c.targets[t.Target]
+	if !ok {
+		known = &Target{}
+		c.targets[t.Target] = known
+		c.order = append(c.order, known)
+	}
+	known.Announcement = t.Announcement
+	known.LeaseEnd = t.LeaseEnd
+}
+
+// Tick expires jobs and targets and makes the starts that became possible.
+func (c *Core) Tick(now time.Time) {
+	for _, j := range c.jobs {
+		if !now.Before(j.deadline) {
+			c.giveUp(j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
+		}
+	}
+	c.dropTargets(now)
+	c.queue.Sweep()
+	c.assign(now)
+}
+
+const forgetAfter = time.Minute // a target without lease is forgotten after this
+
+func (c *Core) dropTargets(now time.Time) {
+	kept := c.order[:0]
+	for _, t := range c.order {
+		if t.busy == 0 && now.Sub(t.LeaseEnd) > forgetAfter {
+			delete(c.targets, t.Target)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(c.order[len(kept):])
+	c.order = kept
+}
+
+// Jobs returns the number of jobs in progress.
+func (c *Core) Jobs() int { return len(c.jobs) }
+
+// Queued returns the number of tasks waiting for a slot.
+func (c *Core) Queued() int { return c.queue.Tasks() }
+
+// Running returns the number of starts in progress.
+func (c *Core) Running() int { return len(c.starts) }
+
+// Load returns the free capacity at now.
+func (c *Core) Load(now time.Time) Load {
+	load := Load{Queued: c.Queued()}
+	for _, t := range c.order {
+		if !t.free(now) {
+			continue
+		}
+		free := t.Slots - t.busy
+		load.Free += free
+		if t.Accelerators > 0 {
+			load.Accelerators += free
+		}
+	}
+	return load
+}
+
+// Targets returns the known targets in the order of their announcement.
+func (c *Core) Targets() []Target {
+	list := make([]Target, len(c.order))
+	for i, t := range c.order {
+		list[i] = *t
+	}
+	return list
+}
--- /dev/null
+++ b/internal/process/dispatch/loop.go
@@ -0,0 +1,246 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/record"
+	"wasabifield.example/wasabifield/internal/request/ticket"
+)
+
+// Sender makes one attempt to start a task and returns how it ended. It is
+// called on a goroutine of its own for each attempt.
+type Sender interface {
+	Send(ctx context.Context, s Start) Result
+}
+
+// Spiller runs a job in another failure domain. It returns nil if no host took
+// the job, and is called on a goroutine of its own.
+type Spiller interface {
+	Spill(ctx context.Context, spec *job.Spec) *job.Answer
+}
+
+// LoopConfig configures a Loop.
+type LoopConfig struct {
+	Core    *Core
+	Records record.Config
+	Minter  *ticket.Minter
+	Sender  Sender
+	Copier  Copier
+	Spiller Spiller          // nil if no job is passed to another domain
+	Ring    int              // messages waiting at most
+	Clock   func() time.Time // the host's clock
+	Tick    time.Duration    // between two ticks of the Core
+}
+
+// Copier takes the answers that this host gave, to be copied to another host.
+// It must not block.
+type Copier interface {
+	Copy(key record.CopyKey, digest uint64, answer *job.Answer)
+}
+
+// Loop owns a Core and the records of its jobs. One goroutine runs it; others
+// reach it through a bounded ring.
+type Loop struct {
+	config  LoopConfig
+	ring    chan func(now time.Time)
+	results chan Result
+	spilled chan spillResult
+	load    atomic.Pointer[Load]
+	issuers map[ticket.Issuer]*issuer
+	copies  *record.Copies
+	jobs    map[JobID]*pending
+	byKey   map[record.CopyKey]JobID
+	last    JobID
+	drain   bool            // new jobs are refused
+	handed  bool            // the records were handed on: nothing may start
+	running context.Context // Run's; ends the spills
+	stopped chan struct{}
+}
+
+// issuer is an incarnation whose tickets this host answers for: its own, and
+// those that drained hosts handed on.
+type issuer struct {
+	minter *ticket.Minter
+	book   *record.Book
+	ends   time.Time // when the last ticket expires; zero for this host's own incarnation
+}
+
+// pending is a job in progress and who waits for its answer.
+type pending struct {
+	key     record.CopyKey
+	digest  uint64
+	book    *record.Book
+	waiters []chan *job.Answer
+	cancel  context.CancelFunc // ends the spill; nil if the job runs here
+}
+
+// NewLoop returns a Loop that Run has to drive.
+func NewLoop(config LoopConfig) *Loop {
+	l := &Loop{
+		config:  config,
+		ring:    make(chan func(time.Time), config.Ring),
+		results: make(chan Result, config.Ring),
+		spilled: make(chan spillResult, config.Ring),
+		issuers: make(map[ticket.Issuer]*issuer),
+		copies:  record.NewCopies(config.Records),
+		jobs:    make(map[JobID]*pending),
+		byKey:   make(map[record.CopyKey]JobID),
+		stopped: make(chan struct{}),
+	}
+	l.load.Store(&Load{})
+	l.issuers[config.Minter.Issuer()] = &issuer{minter: config.Minter, book: record.NewBook(config.Records)}
+	return l
+}
+
+// Run drives the Core until ctx is cancelled.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.stopped)
+	l.running = ctx
+	ticker := time.NewTicker(l.config.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-l.ring:
+			message(l.config.Clock())
+		case r := <-l.results:
+			l.config.Core.Result(l.config.Clock(), r)
+		case r := <-l.spilled:
+			l.settleSpill(r)
+		case <-ticker.C:
+			l.tick(l.config.Clock())
+		}
+		l.apply(ctx, l.config.Core.Take())
+	}
+}
+
+func (l *Loop) tick(now time.Time) {
+	l.config.Core.Tick(now)
+	load := l.config.Core.Load(now)
+	l.load.Store(&load)
+	for id, i := range l.issuers {
+		i.book.Expire(now)
+		if !i.ends.IsZero() && now.After(i.ends) {
+			delete(l.issuers, id)
+		}
+	}
+}
+
+// post hands a message to the Loop. A full ring refuses.
+func (l *Loop) post(message func(now time.Time)) error {
+	select {
+	case l.ring <- message:
+		return nil
+	default:
+		return failure.New(failure.Overloaded, "too many messages are waiting")
+	}
+}
+
+// ask runs f on the Loop's goroutine and returns its results. Its own errors
+// are Overloaded for a full ring, Draining if the Loop has stopped, and ctx's.
+func ask[T any](ctx context.Context, l *Loop, f func(now time.Time) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	reply := make(chan result, 1)
+	var zero T
+	err := l.post(func(now time.Time) {
+		value, err := f(now)
+		reply <- result{value, err}
+	})
+	if err != nil {
+		return zero, err
+	}
+	select {
+	case r := <-reply:
+		return r.value, r.err
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-l.stopped:
+		return zero, failure.New(failure.Draining, "the host has stopped")
+	}
+}
+
+// tell is ask for a function without a value.
+func tell(ctx context.Context, l *Loop, f func(now time.Time) error) error {
+	_, err := ask(ctx, l, func(now time.Time) (struct{}, error) { return struct{}{}, f(now) })
+	return err
+}
+
+// SetTargets adds or updates targets.
+func (l *Loop) SetTargets(list []Target) error {
+	return l.post(func(now time.Time) { l.config.Core.SetTargets(now, list) })
+}
+
+// Drain makes the Loop refuse jobs that it does not know yet.
+func (l *Loop) Drain() error {
+	return l.post(func(time.Time) { l.drain = true })
+}
+
+// Status is a count of what a Loop holds.
+type Status struct {
+	Jobs    int
+	Queued  int
+	Running int
+	Answers int
+	Targets []Target
+}
+
+// Status returns what the Loop holds.
+func (l *Loop) Status(ctx context.Context) (Status, error) {
+	return ask(ctx, l, func(time.Time) (Status, error) { return l.status(), nil })
+}
+
+func (l *Loop) status() Status {
+	c := l.config.Core
+	s := Status{Jobs: len(l.jobs), Queued: c.Queued(), Running: c.Running(), Targets: c.Targets()}
+	for _, i := range l.issuers {
+		s.Answers += i.book.Stored()
+	}
+	return s
+}
+
+// apply carries out the effects of the Core. Each start gets a goroutine, so
+// their number is bounded by the slots of all targets.
+func (l *Loop) apply(ctx context.Context, out Effects) {
+	for _, s := range out.Starts {
+		go l.send(ctx, s)
+	}
+	for _, f := range out.Finishes {
+		l.finish(f)
+	}
+}
+
+func (l *Loop) send(ctx context.Context, s Start) {
+	result := l.config.Sender.Send(ctx, s)
+	select {
+	case l.results <- result:
+	case <-l.stopped:
+	}
+}
+
+func (l *Loop) finish(f Finish) {
+	p := l.jobs[f.Job]
+	l.drop(f.Job)
+	p.book.Finish(p.key.Seq, f.Answer)
+	l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	p.reply(f.Answer)
+}
+
+func (p *pending) reply(answer *job.Answer) {
+	for _, waiter := range p.waiters {
+		waiter <- answer
+	}
+}
+
+// drop ends a job in progress.
+func (l *Loop) drop(id JobID) {
+	delete(l.byKey, l.jobs[id].key)
+	delete(l.jobs, id)
+}
--- /dev/null
+++ b/internal/process/dispatch/result.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/queue"
+)
+
+// Result takes in the end of an attempt. A result for an attempt that has
+// ended is ignored.
+func (c *Core) Result(now time.Time, r Result) {
+	s, ok := c.starts[r.ID]
+	if !ok {
+		return
+	}
+	delete(c.starts, r.ID)
+	s.target.busy--
+	s.job.running--
+	c.account(now, s, r.Outcome)
+	if !s.job.done {
+		c.settle(s, r)
+	}
+	c.assign(now)
+}
+
+// account tells the queue and the learned run times how an attempt ended. A
+// task that goes back to the queue is settled there.
+func (c *Core) account(now time.Time, s started, outcome Outcome) {
+	ran := now.Sub(s.at)
+	switch {
+	case outcome != NotStarted:
+		s.job.ran = true
+		c.queue.Done(s.ref, ran)
+	case s.job.done:
+		c.queue.Done(s.ref, 0)
+	default:
+		c.queue.Return(s.ref)
+	}
+	if outcome == NotStarted {
+		s.target.avoided = now.Add(c.config.RefusalPause)
+	}
+	if outcome == Done {
+		c.runtimes.Observe(now, s.key(), ran)
+	}
+}
+
+// settle decides what the end of an attempt means for an unanswered job.
+func (c *Core) settle(s started, r Result) {
+	switch r.Outcome {
+	case Done:
+		c.complete(s, r.Output)
+	case TaskError:
+		c.fail(s.job, failure.TaskFailed, taskMessage(s, r))
+	case Lost:
+		if s.job.spec.Idempotent && c.config.RestartIdempotent {
+			c.queue.Push(s.job.queueJob(), []queue.Task{s.ref.Task})
+			return
+		}
+		c.fail(s.job, failure.OutcomeUnknown, taskMessage(s, r))
+	}
+}
+
+func taskMessage(s started, r Result) string {
+	return fmt.Sprintf("task %s: %s", s.task().ID, r.Message)
+}
+
+func (c *Core) complete(s started, output json.RawMessage) {
+	j := s.job
+	j.outputs[s.ref.Task.Index] = output
+	j.left--
+	if j.left > 0 {
+		return
+	}
+	answer := &job.Answer{Outcome: job.Complete, Outputs: make([]job.Output, len(j.outputs))}
+	for i, o := range j.outputs {
+		answer.Outputs[i] = job.Output{ID: j.spec.Tasks[i].ID, Output: o}
+	}
+	c.finish(j, answer)
+}
+
+// giveUp answers a job with kind notRun if none of its tasks may have been
+// started, else with kind mayHaveRun.
+func (c *Core) giveUp(j *jobState, notRun, mayHaveRun failure.Kind, message string) {
+	if j.ran || j.running > 0 {
+		c.fail(j, mayHaveRun, message)
+		return
+	}
+	c.fail(j, notRun, message)
+}
+
+func (c *Core) fail(j *jobState, kind failure.Kind, message string) {
+	c.finish(j, job.Refuse(failure.New(kind, message)))
+}
+
+func (c *Core) finish(j *jobState, answer *job.Answer) {
+	j.done = true
+	delete(c.jobs, j.id)
+	c.queue.Remove(uint64(j.id))
+	c.out.Finishes = append(c.out.Finishes, Finish{Job: j.id, Answer: answer})
+}
+
+func newOutputs(spec *job.Spec) []json.RawMessage {
+	return make([]json.RawMessage, len(spec.Tasks))
+}
--- /dev/null
+++ b/internal/process/host/exchange.go
@@ -0,0 +1,94 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wasabifield.example/wasabifield/internal/connection/peerpb"
+)
+
+const exchangePoll = 10 * time.Millisecond // between two looks at which host is due
+
+// exchange asks the other hosts in turn until ctx is cancelled. A host that
+// has not answered yet is not asked again.
+func (h *Host) exchange(ctx context.Context) error {
+	ticker := time.NewTicker(exchangePoll)
+	defer ticker.Stop()
+	asking := make(map[string]bool)
+	done := make(chan string, len(h.settings.Peers))
+	var group errgroup.Group
+	for {
+		select {
+		case <-ctx.Done():
+			return group.Wait()
+		case name := <-done:
+			delete(asking, name)
+		case now := <-ticker.C:
+			for _, name := range h.hosts.due(now) {
+				if asking[name] {
+					continue
+				}
+				asking[name] = true
+				group.Go(func() error {
+					h.ask(ctx, name)
+					done <- name
+					return nil
+				})
+			}
+		}
+	}
+}
+
+// ask sends a question to another host and takes in its answer.
+func (h *Host) ask(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, h.settings.Timing.DialTimeout)
+	defer cancel()
+	asked := time.Now()
+	domain := h.hosts.domainOf(asked, name)
+	m := h.message(asked, domain)
+	if domain == h.settings.Domain {
+		m.Cursor = h.targets.cursor(name)
+		m.Copies = h.outbox.take(name)
+	}
+	answer, err := h.client.Exchange(ctx, name, m)
+	if err != nil {
+		h.log.Debug("An exchange failed.", "peer", name, "error", err)
+		return
+	}
+	h.hosts.answered(asked, answer)
+	if answer.GetDelta() != nil {
+		h.setTargets(h.targets.merge(name, asked, answer.GetDelta()))
+	}
+}
+
+// message states what this host knows to a host of domain.
+func (h *Host) message(now time.Time, domain string) *peerpb.ExchangeMessage {
+	load := h.loop.Load()
+	return &peerpb.ExchangeMessage{
+		Host:             h.settings.Host,
+		Domain:           h.settings.Domain,
+		Incarnation:      h.hosts.incarnation(),
+		Draining:         h.draining.Load(),
+		Rumours:          h.hosts.rumours(now, domain),
+		FreeSlots:        uint32(load.Free),
+		FreeAccelerators: uint32(load.Accelerators),
+		QueuedTasks:      uint32(load.Queued),
+	}
+}
+
+// Merge implements peer.Backend.
+func (h *Host) Merge(m *peerpb.ExchangeMessage) *peerpb.ExchangeMessage {
+	now := time.Now()
+	held := h.hosts.asked(now, m)
+	for _, c := range m.GetCopies() {
+		h.putCopy(c)
+	}
+	answer := h.message(now, m.GetDomain())
+	answer.Held = held
+	if m.GetDomain() == h.settings.Domain {
+		answer.Delta = h.targets.delta(now, m.GetCursor())
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/process/host/host.go
@@ -0,0 +1,189 @@
+package host
+
+import (
+	"context"
+	crand "crypto/rand"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"wasabifield.example/wasabifield/internal/connection/callerapi"
+	"wasabifield.example/wasabifield/internal/connection/peer"
+	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/connection/peertls"
+	"wasabifield.example/wasabifield/internal/connection/targetlink"
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/membership"
+	"wasabifield.example/wasabifield/internal/process/profiles"
+	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/request/record"
+	"wasabifield.example/wasabifield/internal/request/ticket"
+)
+
+const (
+	tick              = 10 * time.Millisecond
+	macKeyBytes       = 32
+	incarnationRandom = 20 // low bits of an incarnation that are random
+	headerTimeout     = 10 * time.Second
+)
+
+// Host is one entry host.
+type Host struct {
+	settings    settings.Settings
+	log         *slog.Logger
+	incarnation uint64
+	minter      *ticket.Minter
+	loop        *dispatch.Loop
+	targets     *targetTable
+	hosts       *hostTable
+	outbox      *outbox
+	client      *peer.Client
+	security    peertls.Credentials
+	observer    *observer
+	draining    atomic.Bool
+}
+
+// New returns a Host with a new incarnation.
+func New(s settings.Settings, log *slog.Logger) (*Host, error) {
+	h := &Host{
+		settings:    s,
+		log:         logging.For(log, "host"),
+		incarnation: newIncarnation(time.Now()),
+		observer:    newObserver(s.Host, s.Domain),
+	}
+	h.hosts = newHostTable(s, h.incarnation)
+	h.outbox = &outbox{limit: s.Limits.Ring, heir: h.heir}
+	h.targets = newTargetTable(membership.TargetsConfig{
+		Table:  h.incarnation,
+		Domain: s.Domain,
+		Lease:  s.Timing.TargetLease,
+	})
+	key := make([]byte, macKeyBytes)
+	if _, err := crand.Read(key); err != nil {
+		return nil, err
+	}
+	issuer := ticket.Issuer{Host: s.Host, Incarnation: h.incarnation}
+	h.minter = ticket.NewMinter(issuer, key, s.Timing.TicketLife)
+	security, err := peertls.Load(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	h.security = security
+	h.client, err = peer.NewClient(peer.ClientConfig{
+		Peers:       s.Peers,
+		Security:    security.Client,
+		DialTimeout: s.Timing.DialTimeout,
+		Meter:       h.observer.meter(peerLinks),
+	})
+	if err != nil {
+		return nil, err
+	}
+	h.loop = h.newLoop()
+	return h, nil
+}
+
+// newIncarnation is greater than that of an earlier start of the host unless
+// its clock went back.
+func newIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<incarnationRandom | uint64(rand.Uint32N(1<<incarnationRandom))
+}
+
+func (h *Host) newLoop() *dispatch.Loop {
+	policy := dispatch.DefaultConfig()
+	policy.QueuedTasks = h.settings.Limits.QueuedTasks
+	policy.QueuedBytes = h.settings.Limits.QueuedBytes
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return dispatch.NewLoop(dispatch.LoopConfig{
+		Core: dispatch.NewCore(policy, random),
+		Records: record.Config{
+			Answers:     h.settings.Limits.Records,
+			AnswerBytes: h.settings.Limits.RecordBytes,
+		},
+		Copier:  h.outbox,
+		Spiller: &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		Minter:  h.minter,
+		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
+			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
+			DialTimeout: h.settings.Timing.DialTimeout,
+		})),
+		Ring:  h.settings.Limits.Ring,
+		Clock: time.Now,
+		Tick:  tick,
+	})
+}
+
+// Run serves until ctx is cancelled, then drains. When cut is cancelled it
+// stops at once. A nil error means that nothing was cut.
+func (h *Host) Run(ctx, cut context.Context) error {
+	defer h.client.Close()
+	web, err := net.Listen("tcp", h.settings.HTTP)
+	if err != nil {
+		return err
+	}
+	link, err := net.Listen("tcp", h.settings.Peer)
+	if err != nil {
+		return err
+	}
+	web = h.observer.meter(webLinks).Listen(web)
+	link = h.observer.meter(peerLinks).Listen(link)
+	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
+	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
+	peerpb.RegisterPeerServer(grpcServer, peer.NewServer(h))
+
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, duties := errgroup.WithContext(running)
+	group.Go(func() error { return h.loop.Run(duties) })
+	group.Go(func() error { return h.observer.sample(duties, h.loop) })
+	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
+	group.Go(func() error { return grpcServer.Serve(link) })
+	group.Go(func() error { return h.exchange(duties) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-duties.Done():
+		}
+		err := h.drain(cut, httpServer, grpcServer)
+		stop()
+		return err
+	})
+	h.log.Info("Serving.", "host", h.settings.Host, "domain", h.settings.Domain, "http", h.settings.HTTP)
+	return group.Wait()
+}
+
+// defaultDeadline is for a job that states none.
+func (h *Host) defaultDeadline() time.Duration { return dispatch.DefaultConfig().DefaultDeadline }
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (h *Host) mux() *http.ServeMux {
+	mux := http.NewServeMux()
+	callerapi.New(callerapi.Config{
+		Host:      h.settings.Host,
+		BodyBytes: h.settings.Limits.BodyBytes,
+		Backend:   h,
+		Minter:    h.minter,
+		Clock:     time.Now,
+		Log:       h.log,
+	}).Register(mux)
+	mux.Handle("GET "+wire.PathMetrics, h.observer.metrics.Handler())
+	if h.settings.Profiles {
+		profiles.Register(mux)
+	}
+	return mux
+}
--- /dev/null
+++ b/internal/process/host/targets.go
@@ -0,0 +1,65 @@
+package host
+
+import (
+	"sync"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/membershippb"
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/membership"
+)
+
+// targetTable shares a membership.Targets among the exchanges.
+type targetTable struct {
+	mu    sync.Mutex
+	table *membership.Targets
+}
+
+func newTargetTable(config membership.TargetsConfig) *targetTable {
+	return &targetTable{table: membership.NewTargets(config)}
+}
+
+// announce takes in an announcement received at now.
+func (t *targetTable) announce(now time.Time, a wire.Announcement) (dispatch.Target, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.table.Announce(now, a); err != nil {
+		return dispatch.Target{}, err
+	}
+	held, _ := t.table.Get(a.Target)
+	return toDispatch(held), nil
+}
+
+// cursor returns the question to peer.
+func (t *targetTable) cursor(peer string) *membershippb.TargetCursor {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Cursor(peer)
+}
+
+// delta answers a peer's question.
+func (t *targetTable) delta(now time.Time, cursor *membershippb.TargetCursor) *membershippb.TargetDelta {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Delta(now, cursor)
+}
+
+// merge takes in peer's answer to a question sent at asked and returns all
+// targets.
+func (t *targetTable) merge(peer string, asked time.Time, delta *membershippb.TargetDelta) []dispatch.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Merge(peer, asked, delta)
+	t.table.Expire(asked)
+	all := t.table.All()
+	list := make([]dispatch.Target, len(all))
+	for i, held := range all {
+		list[i] = toDispatch(held)
+	}
+	return list
+}
+
+func toDispatch(t membership.Target) dispatch.Target {
+	return dispatch.Target{Announcement: t.Announcement, LeaseEnd: t.Ends}
+}
