Serve operators over HTTP at an entry host

Cause: the control state has no way in.

Ruled out: a dry run judged in the tool, which has neither the whole state nor the operators' keys; the host judges it with the same function as a change.

Shown failing: a dry run that changes the state fails TestADryRunChangesNothing; an unbounded body and accepted unknown fields fail their rows of TestAnErrorNamesTheField.

--- /dev/null
+++ b/internal/connection/operatorapi/command.go
@@ -0,0 +1,88 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/version/control"
+)
+
+// command serves one action.
+func (a *API) command(action control.Action) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := a.readCommand(w, r, action)
+		if err != nil {
+			a.fail(w, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), a.config.Timeout)
+		defer cancel()
+		answer, err := a.judge(ctx, r, c)
+		if err != nil {
+			a.fail(w, err)
+			return
+		}
+		a.answer(w, answer)
+	}
+}
+
+// judge carries a command out, or says what it would be answered.
+func (a *API) judge(ctx context.Context, r *http.Request, c control.Command) (control.Answer, error) {
+	dry, err := strconv.ParseBool(r.URL.Query().Get(wire.DryRunParam))
+	if err != nil || !dry {
+		return a.config.Changer.Change(ctx, c)
+	}
+	view, err := a.config.Changer.State(ctx)
+	if err != nil {
+		return control.Answer{}, err
+	}
+	_, answer := a.config.Rules.Apply(view.State, c, a.config.Clock())
+	return answer, nil
+}
+
+// readCommand reads the command in a request's body. Its errors are TooLarge
+// and InvalidRequest with the field.
+func (a *API) readCommand(w http.ResponseWriter, r *http.Request, action control.Action) (control.Command, error) {
+	var c control.Command
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.config.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return c, &failure.Error{Kind: failure.TooLarge, Field: "body", Message: fmt.Sprintf("must be at most %d bytes", tooLarge.Limit)}
+	}
+	if err != nil {
+		return c, failure.Invalid("body", "could not be read: "+err.Error())
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&c); err != nil {
+		return c, decodeFault(err)
+	}
+	if decoder.More() {
+		return c, failure.Invalid("body", "must be one JSON document")
+	}
+	if c.Action != action {
+		return c, failure.Invalid("action", fmt.Sprintf("is %q, but the path says %q", c.Action, action))
+	}
+	return c, nil
+}
+
+// decodeFault names the field of a JSON error.
+func decodeFault(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) && wrongType.Field != "" {
+		return failure.Invalid(wrongType.Field, fmt.Sprintf("is a JSON %s, must be a %s", wrongType.Value, wrongType.Type))
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return failure.Invalid(strings.Trim(name, `"`), "is not known")
+	}
+	return failure.Invalid("body", "must be a command in JSON: "+err.Error())
+}
