Show 16 digits of a digest

Cause: an operator states the first digits of the digest that was reviewed; 12 digits (48 bits) can be matched on purpose with moderate effort.

Change: Short returns 16 digits, which is the least that an approval states.

--- a/internal/version/bundle/bundle_test.go
+++ b/internal/version/bundle/bundle_test.go
@@ -94,7 +94,7 @@
 func TestDigestIsOfTheExactBytes(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(bundle.DigestOf([]byte(good))).NotTo(Equal(bundle.DigestOf([]byte(good + "\n"))))
-	g.Expect(bundle.DigestOf(nil).Short()).To(Equal("e3b0c44298fc"))
+	g.Expect(bundle.DigestOf(nil).Short()).To(Equal("e3b0c44298fc1c14"))
 }
 
 func TestDiffIsAShortestEdit(t *testing.T) {
