Ask entry hosts on behalf of an operator

Cause: an operator names several hosts; which failure may go to the next one must be decided in one place.

Change: a command goes to the next host only after a refused connection or a refusal that promises that nothing was done; any other failure leaves its outcome unknown. A reading goes on to the next host. Connections are not kept, so that net/http repeats nothing by itself.

--- /dev/null
+++ b/internal/connection/operatorclient/client.go
@@ -0,0 +1,146 @@
+package operatorclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/version/control"
+)
+
+const maxAnswer = 32 << 20 // bytes of one answer
+
+// Client asks entry hosts. It is safe for concurrent use.
+type Client struct {
+	hosts []string
+	http  *http.Client
+}
+
+// NewClient returns a Client of hosts, each an IP number and port. Timeout
+// bounds one request to one host. Connections are not kept, so that a request
+// is never repeated below the Client.
+func NewClient(hosts []string, timeout time.Duration) *Client {
+	transport := &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: timeout}).DialContext,
+		DisableKeepAlives: true,
+	}
+	return &Client{hosts: hosts, http: &http.Client{Transport: transport, Timeout: timeout}}
+}
+
+// Send sends a command. Dry makes the host say what it would answer and change
+// nothing. Its errors are of the types of this package.
+func (c *Client) Send(ctx context.Context, command control.Command, dry bool) (control.Answer, error) {
+	var answer control.Answer
+	body, err := json.Marshal(command)
+	if err != nil {
+		return answer, fmt.Errorf("encode command: %w", err)
+	}
+	q := question{method: http.MethodPost, path: wire.PathControl + string(command.Action), body: body}
+	if dry {
+		q.path += "?" + wire.DryRunParam + "=true"
+		q.read = true
+	}
+	err = c.ask(ctx, q, &answer)
+	return answer, err
+}
+
+// Get reads a document.
+func (c *Client) Get(ctx context.Context, path string, document any) error {
+	return c.ask(ctx, question{method: http.MethodGet, path: path, read: true}, document)
+}
+
+// question is what one host after another is asked.
+type question struct {
+	method string
+	path   string
+	body   []byte
+	read   bool // whether it can change nothing
+}
+
+// ask tries one host after another until one answers or may have acted.
+func (c *Client) ask(ctx context.Context, q question, document any) error {
+	var causes []error
+	var refused *RefusedError
+	for _, host := range c.hosts {
+		err := c.askHost(ctx, host, q, document)
+		switch {
+		case isDial(err), q.read && isUnknown(err):
+			causes = append(causes, err)
+		case errors.As(err, &refused) && notRun(refused.Answer):
+			continue
+		default:
+			return err
+		}
+	}
+	if refused != nil {
+		return refused
+	}
+	return &UnreachableError{Causes: causes}
+}
+
+func isUnknown(err error) bool {
+	var unknown *UnknownError
+	return errors.As(err, &unknown)
+}
+
+// isDial says whether err is a connection that was never made.
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// notRun says whether a refusal promises that nothing was done and that it may
+// be asked again.
+func notRun(a control.Answer) bool {
+	row := failure.Lookup(a.Kind)
+	return row.AttemptRan == failure.No && row.ComeBack != failure.Never
+}
+
+func (c *Client) askHost(ctx context.Context, host string, q question, document any) error {
+	request, err := http.NewRequestWithContext(ctx, q.method, "http://"+host+q.path, bytes.NewReader(q.body))
+	if err != nil {
+		return fmt.Errorf("host %s: %w", host, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if isDial(err) {
+		return err
+	}
+	if err != nil {
+		return &UnknownError{Host: host, Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return &UnknownError{Host: host, Cause: err}
+	}
+	err = decode(host, response.StatusCode, text, document)
+	if refused, ok := err.(*RefusedError); ok {
+		refused.Read = q.read
+	}
+	return err
+}
+
+// decode reads an answer. One that is no answer of an entry host leaves the
+// outcome unknown.
+func decode(host string, status int, text []byte, document any) error {
+	if status == http.StatusOK {
+		if err := json.Unmarshal(text, document); err != nil {
+			return &UnknownError{Host: host, Cause: err}
+		}
+		return nil
+	}
+	var answer control.Answer
+	if err := json.Unmarshal(text, &answer); err != nil || answer.Kind == "" {
+		return &UnknownError{Host: host, Cause: fmt.Errorf("HTTP status %d", status)}
+	}
+	return &RefusedError{Answer: answer}
+}
