Add the operators' tool and its page

Cause: operators had no way to change or read the service.

Change: package tool, one command per file: bundle check, propose, approve, roll, replace, withdraw, sign, status, history, diff, show; hosts, targets, jobs, audit, audit verify, report, keygen; cobra's completion. Tables or JSON, dry runs, request ids, exit codes 0 to 4. docs/operations/bundle.md walks from check to replace; a test runs every command of it as written.

Shown failing: a fresh request id in place of the operator's fails unreachable.txtar, refused.txtar and the page; a verification that does not read the trail fails audit.txtar; an approval that does not compare the reviewed digest fails roll.txtar.

--- a/cmd/wasabifield/main.go
+++ b/cmd/wasabifield/main.go
@@ -1,4 +1,12 @@
 // Command wasabifield is the operators' tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"wasabifield.example/wasabifield/internal/process/tool"
+)
+
+func main() {
+	os.Exit(tool.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/process/tool/bundle_check.go
@@ -0,0 +1,51 @@
+package tool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"wasabifield.example/wasabifield/internal/version/bundle"
+)
+
+// checkResult is what bundle check prints.
+type checkResult struct {
+	Version uint64        `json:"version"`
+	Digest  bundle.Digest `json:"digest"`
+	Faults  bundle.Faults `json:"faults"`
+}
+
+func (t *tool) bundleCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a bundle without asking a host",
+		Args:  cobra.ExactArgs(1),
+		RunE: run(func(_ context.Context, args []string) error {
+			return t.checkBundle(args[0])
+		}),
+	}
+}
+
+func (t *tool) checkBundle(file string) error {
+	f, err := loadBundle(file)
+	result := checkResult{Version: f.bundle.Version, Digest: f.digest, Faults: bundle.Faults{}}
+	if err != nil && !errors.As(err, &result.Faults) {
+		return err
+	}
+	printErr := t.print(result, func(w io.Writer) {
+		for _, fault := range result.Faults {
+			line(w, "%s", fault)
+		}
+		if err == nil {
+			line(w, "Version %d is a valid bundle.", result.Version)
+			line(w, "Digest %s", result.Digest)
+		}
+	})
+	if len(result.Faults) > 0 {
+		return fmt.Errorf("%s has %d faults", file, len(result.Faults))
+	}
+	return printErr
+}
--- /dev/null
+++ b/internal/process/tool/hosts.go
@@ -0,0 +1,38 @@
+package tool
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+)
+
+func (t *tool) listHosts() *cobra.Command {
+	return &cobra.Command{
+		Use:   "hosts",
+		Short: "List the entry hosts",
+		Args:  cobra.NoArgs,
+		RunE: run(func(ctx context.Context, _ []string) error {
+			hosts := []wire.HostStatus{}
+			if err := t.get(ctx, wire.PathHosts, &hosts); err != nil {
+				return err
+			}
+			return t.print(hosts, func(w io.Writer) {
+				row(w, "HOST", "DOMAIN", "REGION", "STATE", "HEARD", "CONTROL VERSION")
+				for _, h := range hosts {
+					row(w, h.Host, h.Domain, h.Region, h.State, heard(h.HeardMS), h.Control)
+				}
+			})
+		}),
+	}
+}
+
+func heard(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%d ms ago", ms)
+}
