Put a bundle's policy in force at a host

Cause: the dispatch core ran on a fixed policy. Ruled out: checking a job's limits before its ticket; a resubmission of a job that ran under the bundle before would be refused as 'not run'. Change: a host holds the bundle in force, never replaces it by an older one, and turns it into the core's policy; limits are checked when a job is first admitted. Shown failing first: with the version check left out the bundle goes back to 2.

--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -30,10 +30,11 @@
 	Minter  *ticket.Minter
 	Sender  Sender
 	Copier  Copier
-	Spiller Spiller          // nil if no job is passed to another domain
-	Ring    int              // messages waiting at most
-	Clock   func() time.Time // the host's clock
-	Tick    time.Duration    // between two ticks of the Core
+	Spiller Spiller                    // nil if no job is passed to another domain
+	Allow   func(spec *job.Spec) error // refuses a new job that the bundle forbids; nil allows all
+	Ring    int                        // messages waiting at most
+	Clock   func() time.Time           // the host's clock
+	Tick    time.Duration              // between two ticks of the Core
 }
 
 // Copier takes the answers that this host gave, to be copied to another host.
@@ -178,6 +179,11 @@
 	return l.post(func(now time.Time) { l.config.Core.SetTargets(now, list) })
 }
 
+// SetConfig puts another policy in force.
+func (l *Loop) SetConfig(config Config) error {
+	return l.post(func(time.Time) { l.config.Core.SetConfig(config) })
+}
+
 // Drain makes the Loop refuse jobs that it does not know yet.
 func (l *Loop) Drain() error {
 	return l.post(func(time.Time) { l.drain = true })
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -105,6 +105,9 @@
 
 func (l *Loop) admit(now time.Time, s submission, i *issuer) {
 	err := l.refuseDraining()
+	if err == nil && l.config.Allow != nil {
+		err = l.config.Allow(s.spec)
+	}
 	if err == nil {
 		err = l.config.Core.Submit(now, l.last+1, s.spec)
 	}
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -169,4 +169,4 @@
 }
 
 // Bundle implements callerapi.Backend.
-func (h *Host) Bundle() uint64 { return 0 }
+func (h *Host) Bundle() uint64 { return h.policy.current().Version }
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -26,6 +26,7 @@
 	"wasabifield.example/wasabifield/internal/process/membership"
 	"wasabifield.example/wasabifield/internal/process/profiles"
 	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/record"
 	"wasabifield.example/wasabifield/internal/request/ticket"
 )
@@ -47,6 +48,7 @@
 	targets     *targetTable
 	hosts       *hostTable
 	outbox      *outbox
+	policy      *policy
 	client      *peer.Client
 	security    peertls.Credentials
 	observer    *observer
@@ -60,6 +62,7 @@
 		log:         logging.For(log, "host"),
 		incarnation: newIncarnation(time.Now()),
 		observer:    newObserver(s.Host, s.Domain),
+		policy:      newPolicy(time.Now()),
 	}
 	h.hosts = newHostTable(s, h.incarnation)
 	h.outbox = &outbox{limit: s.Limits.Ring, heir: h.heir}
@@ -99,17 +102,16 @@
 }
 
 func (h *Host) newLoop() *dispatch.Loop {
-	policy := dispatch.DefaultConfig()
-	policy.QueuedTasks = h.settings.Limits.QueuedTasks
-	policy.QueuedBytes = h.settings.Limits.QueuedBytes
+	config := dispatchConfig(h.policy.current().Bundle, h.settings.Limits, domainHosts(h.settings))
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return dispatch.NewLoop(dispatch.LoopConfig{
-		Core: dispatch.NewCore(policy, random),
+		Core: dispatch.NewCore(config, random),
 		Records: record.Config{
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
 		},
 		Copier:  h.outbox,
+		Allow:   func(spec *job.Spec) error { return h.policy.current().checkLimits(spec) },
 		Spiller: &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		Minter:  h.minter,
 		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
@@ -162,7 +164,7 @@
 }
 
 // defaultDeadline is for a job that states none.
-func (h *Host) defaultDeadline() time.Duration { return dispatch.DefaultConfig().DefaultDeadline }
+func (h *Host) defaultDeadline() time.Duration { return h.policy.current().Deadlines.Default }
 
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
