Split single requests from the calling stand-in's resubmissions

Scenarios send each attempt to a chosen host; the caller's own loop would pick the host itself. Targets can announce the address of a relay before them.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -1,49 +1,36 @@
 package caller
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"net/http"
 	"time"
 
-	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
-	"wasabifield.example/wasabifield/internal/standin/history"
 )
 
-const (
-	lostPause     = 50 * time.Millisecond // between a lost answer and the resubmission
-	ticketTimeout = 2 * time.Second
-)
+// lostPause is the time between a lost answer and the resubmission.
+const lostPause = 50 * time.Millisecond
 
 // CallerConfig configures a Caller.
 type CallerConfig struct {
-	Entries       []string // HTTP addresses of entry hosts, tried in turn
-	First         int      // index of the entry host to begin with
-	Team          string
-	Deadline      time.Duration
+	Sender        SenderConfig
+	Entries       []string      // HTTP addresses of entry hosts, tried in turn
+	First         int           // index of the entry host to begin with
 	ResubmitAfter time.Duration // an answer that takes longer counts as lost; 0 waits for ever
 	GiveUpAfter   time.Duration // no resubmission after this time
-	Client        *http.Client
-	History       *history.Writer
 }
 
 // Caller submits one job at a time. It is not safe for concurrent use.
 type Caller struct {
 	config CallerConfig
+	sender *Sender
 	entry  int
 	ticket string
 }
 
 // NewCaller returns a Caller without a ticket.
 func NewCaller(config CallerConfig) *Caller {
-	if config.Client == nil {
-		config.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	}
-	return &Caller{config: config, entry: config.First}
+	return &Caller{config: config, sender: NewSender(config.Sender), entry: config.First}
 }
 
 // Result is what became of one job.
@@ -72,26 +59,29 @@
 
 // attempt sends the job once. It returns when to send it again.
 func (c *Caller) attempt(ctx context.Context, result *Result, tasks []job.Task) (wait time.Duration, done bool) {
-	if c.ticket == "" && c.firstTicket(ctx) != nil {
+	if c.ticket == "" && !c.firstTicket(ctx) {
 		c.turn()
 		return lostPause, false
 	}
 	result.Attempts++
-	event := history.Event{Job: result.Job, Attempt: result.Attempts, Entry: c.address(), Ticket: c.ticket}
-	c.recordSubmit(event, tasks)
-	answer, status, err := c.post(ctx, tasks)
+	answer, err := c.send(ctx, Submission{Job: result.Job, Attempt: result.Attempts, Ticket: c.ticket, Tasks: tasks})
 	if err != nil {
-		event.What, event.Reason = history.Lost, err.Error()
-		c.config.History.Write(event)
 		c.turn()
 		return lostPause, false
 	}
-	event.What, event.Answer, event.Status = history.Answer, &answer, status
-	c.config.History.Write(event)
 	result.Answered, result.Answer = true, answer
 	return c.next(answer)
 }
 
+func (c *Caller) send(ctx context.Context, submission Submission) (job.Answer, error) {
+	if c.config.ResubmitAfter > 0 {
+		limited, cancel := context.WithTimeout(ctx, c.config.ResubmitAfter)
+		defer cancel()
+		ctx = limited
+	}
+	return c.sender.Submit(ctx, c.address(), submission)
+}
+
 // next takes over the answer's ticket, or keeps the old one for another
 // attempt.
 func (c *Caller) next(answer job.Answer) (wait time.Duration, done bool) {
@@ -112,12 +102,10 @@
 	return k == failure.TicketRequired || k == failure.TicketInvalid
 }
 
-func (c *Caller) recordSubmit(event history.Event, tasks []job.Task) {
-	event.What = history.Submit
-	for _, t := range tasks {
-		event.Tasks = append(event.Tasks, t.ID)
-	}
-	c.config.History.Write(event)
+func (c *Caller) firstTicket(ctx context.Context) bool {
+	ticket, err := c.sender.Ticket(ctx, c.address())
+	c.ticket = ticket
+	return err == nil
 }
 
 func (c *Caller) address() string {
@@ -127,58 +115,6 @@
 // turn goes to the next entry host.
 func (c *Caller) turn() { c.entry++ }
 
-func (c *Caller) post(ctx context.Context, tasks []job.Task) (job.Answer, int, error) {
-	spec := job.Spec{Ticket: c.ticket, Team: c.config.Team, DeadlineMS: c.config.Deadline.Milliseconds(), Tasks: tasks}
-	if c.config.ResubmitAfter > 0 {
-		limited, cancel := context.WithTimeout(ctx, c.config.ResubmitAfter)
-		defer cancel()
-		ctx = limited
-	}
-	var answer job.Answer
-	status, err := c.exchange(ctx, wire.PathJobs, spec, &answer)
-	if err == nil && answer.Outcome == "" {
-		err = fmt.Errorf("status %d without an outcome", status)
-	}
-	return answer, status, err
-}
-
-func (c *Caller) firstTicket(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, ticketTimeout)
-	defer cancel()
-	var grant wire.TicketGrant
-	status, err := c.exchange(ctx, wire.PathTickets, struct{}{}, &grant)
-	if err == nil && status != http.StatusOK {
-		err = fmt.Errorf("ticket: status %d", status)
-	}
-	if err == nil {
-		c.ticket = grant.Ticket
-	}
-	return err
-}
-
-// exchange posts one document and reads the whole answer.
-func (c *Caller) exchange(ctx context.Context, path string, in, out any) (status int, err error) {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return 0, err
-	}
-	url := "http://" + c.address() + path
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, err
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := c.config.Client.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
-		return response.StatusCode, err
-	}
-	return response.StatusCode, nil
-}
-
 func pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/standin/command/target.go
+++ b/internal/standin/command/target.go
@@ -39,6 +39,8 @@
 	flags.IntVar(&f.one.Slots, "slots", 8, "tasks that a target runs at once")
 	flags.IntVar(&f.one.Connections, "connections", 64, "connections that a target accepts")
 	flags.IntVar(&f.one.Accelerators, "accelerators", 0, "accelerators of a target")
+	flags.StringVar(&f.one.Listen, "listen", "", "IP:port to listen at; empty is a free port of 127.0.0.1")
+	flags.StringVar(&f.one.Announce, "announce", "", "IP:port to announce; empty is the one listened at")
 	flags.StringVar(&f.one.Domain, "domain", "", "failure domain")
 	flags.StringVar(&f.one.Rack, "rack", "", "rack")
 	flags.StringVar(&f.one.Worker, "worker", "", "worker")
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -136,7 +136,8 @@
 	defer func() { _ = file.Close() }()
 	config := caller.LoadConfig{
 		Caller: caller.CallerConfig{
-			Team: "demo", Deadline: jobDeadline, GiveUpAfter: giveUpAfter, History: writer,
+			Sender:      caller.SenderConfig{Team: "demo", Deadline: jobDeadline, History: writer},
+			GiveUpAfter: giveUpAfter,
 		},
 		Jobs: d.config.Jobs, Parallel: d.config.Parallel,
 		TasksLow: 1, TasksHigh: 210,
--- a/internal/standin/target/announce.go
+++ b/internal/standin/target/announce.go
@@ -67,7 +67,7 @@
 	return wire.Announcement{
 		Target:       t.config.Name,
 		Incarnation:  t.config.Incarnation,
-		Address:      t.Address(),
+		Address:      t.announced(),
 		Domain:       t.config.Domain,
 		Rack:         t.config.Rack,
 		Worker:       t.config.Worker,
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -16,6 +16,8 @@
 type TargetConfig struct {
 	Name         string
 	Incarnation  uint64
+	Listen       string // IP:port to listen at; empty is a free port of 127.0.0.1
+	Announce     string // IP:port to announce; empty is the one listened at
 	Domain       string
 	Rack         string
 	Worker       string
@@ -44,9 +46,12 @@
 	idle    chan struct{} // closed when a leaving target runs nothing
 }
 
-// NewTarget returns a Target that listens on a free port of 127.0.0.1.
+// NewTarget returns a Target that listens but does not serve yet.
 func NewTarget(config TargetConfig) (*Target, error) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if config.Listen == "" {
+		config.Listen = "127.0.0.1:0"
+	}
+	inner, err := net.Listen("tcp", config.Listen)
 	if err != nil {
 		return nil, err
 	}
@@ -62,9 +67,17 @@
 	return t, nil
 }
 
-// Address returns the target's IP:port.
+// Address returns the IP:port that the target listens at.
 func (t *Target) Address() string { return t.listener.Addr().String() }
 
+// announced returns the IP:port that the target announces.
+func (t *Target) announced() string {
+	if t.config.Announce != "" {
+		return t.config.Announce
+	}
+	return t.Address()
+}
+
 // Run serves until ctx ends. It then announces the leaving, ends its running
 // tasks and returns.
 func (t *Target) Run(ctx context.Context) error {
