--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -15,6 +15,7 @@
 type CallerConfig struct {
 	Sender        SenderConfig
 	Entries       []string      // HTTP addresses of entry hosts, tried in turn
+	Deadline      time.Duration // of each job
 	First         int           // index of the entry host to begin with
 	ResubmitAfter time.Duration // an answer that takes longer counts as lost; 0 waits for ever
 	GiveUpAfter   time.Duration // no resubmission after this time
@@ -64,7 +65,9 @@
 		return lostPause, false
 	}
 	result.Attempts++
-	answer, err := c.send(ctx, Submission{Job: result.Job, Attempt: result.Attempts, Ticket: c.ticket, Tasks: tasks})
+	answer, err := c.send(ctx, Submission{
+		Job: result.Job, Attempt: result.Attempts, Ticket: c.ticket, Deadline: c.config.Deadline, Tasks: tasks,
+	})
 	if err != nil {
 		c.turn()
 		return lostPause, false
--- a/internal/standin/caller/sender.go
+++ b/internal/standin/caller/sender.go
@@ -17,10 +17,9 @@
 
 // SenderConfig configures a Sender.
 type SenderConfig struct {
-	Team     string
-	Deadline time.Duration
-	Client   *http.Client // nil makes one
-	History  *history.Writer
+	Team    string
+	Client  *http.Client // nil makes one
+	History *history.Writer
 }
 
 // Sender sends single requests of callers and records them. It is safe for
@@ -31,10 +30,11 @@
 
 // Submission is one attempt to submit a job.
 type Submission struct {
-	Job     string // the caller's label, the same in each attempt
-	Attempt int    // from 1
-	Ticket  string
-	Tasks   []job.Task
+	Job      string // the caller's label, the same in each attempt
+	Attempt  int    // from 1
+	Ticket   string
+	Deadline time.Duration
+	Tasks    []job.Task
 }
 
 // NewSender returns a Sender.
@@ -68,7 +68,7 @@
 	spec := job.Spec{
 		Ticket:     submission.Ticket,
 		Team:       s.config.Team,
-		DeadlineMS: s.config.Deadline.Milliseconds(),
+		DeadlineMS: submission.Deadline.Milliseconds(),
 		Tasks:      submission.Tasks,
 	}
 	var answer job.Answer
--- a/internal/standin/command/caller.go
+++ b/internal/standin/command/caller.go
@@ -35,7 +35,7 @@
 	flags.Float64Var(&f.load.Rate, "rate", 0, "jobs a second; 0 is as fast as answers come")
 	flags.IntVar(&f.load.Parallel, "parallel", 1, "callers at once")
 	flags.StringVar(&f.load.Caller.Sender.Team, "team", "standin", "team of the jobs")
-	flags.DurationVar(&f.load.Caller.Sender.Deadline, "deadline", 10*time.Second, "deadline of a job")
+	flags.DurationVar(&f.load.Caller.Deadline, "deadline", 10*time.Second, "deadline of a job")
 	flags.DurationVar(&f.load.Caller.ResubmitAfter, "resubmit-after", 0, "an answer that takes longer counts as lost; 0 waits for ever")
 	flags.DurationVar(&f.load.Caller.GiveUpAfter, "give-up-after", 30*time.Second, "no resubmission after this time")
 	flags.DurationVar(&f.load.RunLow, "run-low", 50*time.Millisecond, "shortest run time of a task")
--- a/internal/standin/history/payload.go
+++ b/internal/standin/history/payload.go
@@ -12,6 +12,7 @@
 	Hang           bool   `json:"hang,omitempty"`             // start and never answer
 	Cut            bool   `json:"cut,omitempty"`              // close the connection in the middle of the answer
 	WrongID        bool   `json:"wrong_id,omitempty"`         // answer under another task's id
+	WrongRefusal   bool   `json:"wrong_refusal,omitempty"`    // run, then answer as if another task was not started
 	DropAfterStart bool   `json:"drop_after_start,omitempty"` // close the connection after the start
 	Refuse         bool   `json:"refuse,omitempty"`           // answer that the task was not started
 }
--- a/internal/standin/launch/process.go
+++ b/internal/standin/launch/process.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// ExitCode waits for the end of the process for at most limit and returns its
+// exit code, -1 if a signal ended it.
+func (p *Process) ExitCode(limit time.Duration) (int, error) {
+	err := p.Wait(limit)
+	if !p.Exited() {
+		return 0, err
+	}
+	return p.cmd.ProcessState.ExitCode(), nil
+}
+
 // Stop asks for a graceful shutdown and waits for it. A process that does not
 // end within limit is killed.
 func (p *Process) Stop(limit time.Duration) error {
--- /dev/null
+++ b/internal/standin/scenario/processes.go
@@ -0,0 +1,171 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/standin/launch"
+)
+
+// scenarioTiming shortens what scenarios wait for.
+func scenarioTiming(t *settings.Timing) {
+	t.TargetLease = time.Second
+	t.Exchange = 50 * time.Millisecond
+	t.DrainNotice = 100 * time.Millisecond
+}
+
+// Entry declares an entry host. All are declared before the first starts, since
+// each knows the others. Overrides are settings in YAML.
+func (w *World) Entry(name, domain string, overrides ...string) error {
+	s := settings.Default()
+	s.Host, s.Domain = name, domain
+	s.Log.Level = "debug"
+	scenarioTiming(&s.Timing)
+	var err error
+	if s.HTTP, err = w.ports.Address(); err != nil {
+		return err
+	}
+	if s.Peer, err = w.ports.Address(); err != nil {
+		return err
+	}
+	for _, o := range overrides {
+		if err := yaml.Unmarshal([]byte(o), &s); err != nil {
+			return fmt.Errorf("%s: %w", o, err)
+		}
+	}
+	w.hosts[name] = &hostProcess{settings: s}
+	w.names = append(w.names, name)
+	if err := w.connect("caller-"+name, s.HTTP); err != nil {
+		return err
+	}
+	return w.connect("targets-"+name, s.HTTP)
+}
+
+// Target declares a target that announces itself to the entry hosts.
+func (w *World) Target(name, domain string, entries []string, flags ...string) error {
+	listen, err := w.ports.Address()
+	if err != nil {
+		return err
+	}
+	w.targets[name] = &targetProcess{domain: domain, entries: entries, flags: flags, listen: listen}
+	w.names = append(w.names, name)
+	return w.connect(name, listen)
+}
+
+// Start starts a declared host or target, for the first time or again, and
+// waits until it serves.
+func (w *World) Start(name string) error {
+	if h, ok := w.hosts[name]; ok {
+		return w.startHost(h)
+	}
+	if t, ok := w.targets[name]; ok {
+		return w.startTarget(name, t)
+	}
+	return fmt.Errorf("%s: not declared", name)
+}
+
+func (w *World) startHost(h *hostProcess) error {
+	if err := w.joinPeers(); err != nil {
+		return err
+	}
+	file, err := launch.WriteSettings(w.config.Folder, h.settings)
+	if err != nil {
+		return err
+	}
+	h.process, err = w.start(h.settings.Host, w.config.Daemon, "--config", file)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	return launch.WaitReady(ctx, h.settings.HTTP)
+}
+
+// joinPeers makes each host know the others by the links to them.
+func (w *World) joinPeers() error {
+	var all []settings.Settings
+	for _, name := range w.names {
+		if h, ok := w.hosts[name]; ok {
+			all = append(all, h.settings)
+		}
+	}
+	for _, from := range all {
+		for _, to := range all {
+			if from.Host == to.Host {
+				continue
+			}
+			if err := w.connect(from.Host+"-"+to.Host, to.Peer); err != nil {
+				return err
+			}
+		}
+	}
+	launch.Peers(all, func(from, to settings.Settings) string {
+		return w.links[from.Host+"-"+to.Host].Address()
+	})
+	for _, s := range all {
+		w.hosts[s.Host].settings = s
+	}
+	return nil
+}
+
+func (w *World) startTarget(name string, t *targetProcess) error {
+	var entries []string
+	for _, e := range t.entries {
+		link, err := w.Link("targets-" + e)
+		if err != nil {
+			return err
+		}
+		entries = append(entries, link.Address())
+	}
+	args := []string{"target", "--name", name, "--domain", t.domain,
+		"--entry", strings.Join(entries, ","), "--listen", t.listen,
+		"--announce", w.links[name].Address(), "--history", w.historyFile(name)}
+	var err error
+	t.process, err = w.start(name, w.config.Target, append(args, t.flags...)...)
+	if err != nil {
+		return err
+	}
+	return w.Listed(t.entries[0], name, true)
+}
+
+// Listed waits until the host lists the target as alive, or as not alive.
+func (w *World) Listed(host, target string, alive bool) error {
+	return poll(func() error {
+		got, err := w.isAlive(host, target)
+		if err == nil && got != alive {
+			err = fmt.Errorf("%s lists %s with alive=%t", host, target, got)
+		}
+		return err
+	})
+}
+
+func (w *World) isAlive(host, target string) (bool, error) {
+	h, ok := w.hosts[host]
+	if !ok {
+		return false, fmt.Errorf("%s: no such host", host)
+	}
+	client := &http.Client{Timeout: waitLimit}
+	response, err := client.Get("http://" + h.settings.HTTP + wire.PathTargets)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var list []wire.TargetStatus
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		return false, err
+	}
+	for _, t := range list {
+		if t.Target == target {
+			return t.Alive, nil
+		}
+	}
+	return false, nil
+}
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -16,12 +16,13 @@
 
 // serveTask answers POST wire.PathTasks.
 func (t *Target) serveTask(w http.ResponseWriter, r *http.Request) {
+	header := r.Header.Get(wire.TaskHeader)
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayload))
 	if err != nil {
+		w.Header().Set(wire.TaskHeader, header)
 		refuse(w, http.StatusBadRequest, "the payload was cut short")
 		return
 	}
-	header := r.Header.Get(wire.TaskHeader)
 	var payload history.Payload
 	_ = json.Unmarshal(raw, &payload)
 	event := history.Event{Job: payload.Job, Task: taskID(header), Header: header}
@@ -66,10 +67,14 @@
 		return
 	}
 	returned := header
-	if payload.WrongID {
+	if payload.WrongID || payload.WrongRefusal {
 		returned = header + "-other"
 	}
 	w.Header().Set(wire.TaskHeader, returned)
+	if payload.WrongRefusal {
+		refuse(w, http.StatusTooManyRequests, "scripted")
+		return
+	}
 	if payload.Fail || t.config.Service.Chance(t.config.FailRate) {
 		w.Header().Set(wire.RanHeader, "yes")
 		http.Error(w, "the task failed", http.StatusInternalServerError)
