--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -12,12 +12,15 @@
 	"google.golang.org/grpc/credentials"
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/connection/traffic"
 	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
-const maxMessageBytes = math.MaxInt32
+// MaxMessageBytes bounds a message between entry hosts: the records that a
+// drained host hands on are the greatest.
+const MaxMessageBytes = math.MaxInt32
 
 // backoffConfig keeps a host that comes back within a second's reach.
 var backoffConfig = backoff.Config{
@@ -33,11 +36,19 @@
 	dial  time.Duration
 }
 
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Peers       []settings.Peer
+	Security    credentials.TransportCredentials
+	DialTimeout time.Duration
+	Meter       traffic.Meter // counts the bytes of all links
+}
+
 // NewClient returns a Client for the given hosts. It connects when first used.
-func NewClient(peers []settings.Peer, security credentials.TransportCredentials, dial time.Duration) (*Client, error) {
-	c := &Client{conns: make(map[string]*grpc.ClientConn, len(peers)), dial: dial}
-	for _, p := range peers {
-		conn, err := grpc.NewClient("passthrough:///"+p.Peer, dialOptions(security, dial)...)
+func NewClient(config ClientConfig) (*Client, error) {
+	c := &Client{conns: make(map[string]*grpc.ClientConn, len(config.Peers)), dial: config.DialTimeout}
+	for _, p := range config.Peers {
+		conn, err := grpc.NewClient("passthrough:///"+p.Peer, dialOptions(config)...)
 		if err != nil {
 			c.Close()
 			return nil, failure.Wrap(failure.Internal, "peer", err)
@@ -47,11 +58,12 @@
 	return c, nil
 }
 
-func dialOptions(security credentials.TransportCredentials, dial time.Duration) []grpc.DialOption {
+func dialOptions(config ClientConfig) []grpc.DialOption {
 	return []grpc.DialOption{
-		grpc.WithTransportCredentials(security),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoffConfig, MinConnectTimeout: dial}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithTransportCredentials(config.Security),
+		grpc.WithContextDialer(config.Meter.Dial),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoffConfig, MinConnectTimeout: config.DialTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(0),
@@ -107,6 +119,11 @@
 	return nil
 }
 
+// HandOn passes the records of this drained host to another.
+func (c *Client) HandOn(ctx context.Context, host string, r *peerpb.HandOnRequest) (*peerpb.HandOnReply, error) {
+	return peerpb.NewPeerClient(c.conns[host]).HandOn(ctx, r)
+}
+
 // Exchange sends what this host knows and returns what the other knows.
 func (c *Client) Exchange(ctx context.Context, host string, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	return peerpb.NewPeerClient(c.conns[host]).Exchange(ctx, m)
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -14,15 +14,17 @@
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"wasabifield.example/wasabifield/internal/connection/callerapi"
 	"wasabifield.example/wasabifield/internal/connection/peer"
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/connection/peertls"
 	"wasabifield.example/wasabifield/internal/connection/targetlink"
+	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
 	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/process/membership"
+	"wasabifield.example/wasabifield/internal/process/profiles"
 	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/request/record"
 	"wasabifield.example/wasabifield/internal/request/ticket"
@@ -43,8 +45,11 @@
 	minter      *ticket.Minter
 	loop        *dispatch.Loop
 	targets     *targetTable
-	peers       *peerTable
+	hosts       *hostTable
+	outbox      *outbox
 	client      *peer.Client
+	security    peertls.Credentials
+	observer    *observer
 	draining    atomic.Bool
 }
 
@@ -54,8 +59,10 @@
 		settings:    s,
 		log:         logging.For(log, "host"),
 		incarnation: newIncarnation(time.Now()),
-		peers:       newPeerTable(s.Peers),
+		observer:    newObserver(s.Host, s.Domain),
 	}
+	h.hosts = newHostTable(s, h.incarnation)
+	h.outbox = &outbox{limit: s.Limits.Ring, heir: h.heir}
 	h.targets = newTargetTable(membership.TargetsConfig{
 		Table:  h.incarnation,
 		Domain: s.Domain,
@@ -65,12 +72,22 @@
 	if _, err := crand.Read(key); err != nil {
 		return nil, err
 	}
-	h.minter = ticket.NewMinter(s.Host, h.incarnation, key, s.Timing.TicketLife)
-	client, err := peer.NewClient(s.Peers, insecure.NewCredentials(), s.Timing.DialTimeout)
+	issuer := ticket.Issuer{Host: s.Host, Incarnation: h.incarnation}
+	h.minter = ticket.NewMinter(issuer, key, s.Timing.TicketLife)
+	security, err := peertls.Load(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	h.security = security
+	h.client, err = peer.NewClient(peer.ClientConfig{
+		Peers:       s.Peers,
+		Security:    security.Client,
+		DialTimeout: s.Timing.DialTimeout,
+		Meter:       h.observer.meter(peerLinks),
+	})
 	if err != nil {
 		return nil, err
 	}
-	h.client = client
 	h.loop = h.newLoop()
 	return h, nil
 }
@@ -88,15 +105,16 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return dispatch.NewLoop(dispatch.LoopConfig{
 		Core: dispatch.NewCore(policy, random),
-		Book: record.NewBook(record.Config{
+		Records: record.Config{
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
-		}),
+		},
+		Copier: h.outbox,
 		Minter: h.minter,
-		Sender: targetlink.NewLinks(targetlink.Config{
+		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
 			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
 			DialTimeout: h.settings.Timing.DialTimeout,
-		}),
+		})),
 		Ring:  h.settings.Limits.Ring,
 		Clock: time.Now,
 		Tick:  tick,
@@ -115,21 +133,20 @@
 	if err != nil {
 		return err
 	}
-	httpServer := &http.Server{Handler: h.mux(), ReadHeaderTimeout: headerTimeout}
-	grpcServer := grpc.NewServer()
+	web = h.observer.meter(webLinks).Listen(web)
+	link = h.observer.meter(peerLinks).Listen(link)
+	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
+	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
 	peerpb.RegisterPeerServer(grpcServer, peer.NewServer(h))
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, duties := errgroup.WithContext(running)
 	group.Go(func() error { return h.loop.Run(duties) })
+	group.Go(func() error { return h.observer.sample(duties, h.loop) })
 	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
 	group.Go(func() error { return grpcServer.Serve(link) })
-	for _, p := range h.settings.Peers {
-		if h.exchanges(p) {
-			group.Go(func() error { return h.exchangeWith(duties, p) })
-		}
-	}
+	group.Go(func() error { return h.exchange(duties) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -143,6 +160,9 @@
 	return group.Wait()
 }
 
+// defaultDeadline is for a job that states none.
+func (h *Host) defaultDeadline() time.Duration { return dispatch.DefaultConfig().DefaultDeadline }
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -160,5 +180,9 @@
 		Clock:     time.Now,
 		Log:       h.log,
 	}).Register(mux)
+	mux.Handle("GET "+wire.PathMetrics, h.observer.metrics.Handler())
+	if h.settings.Profiles {
+		profiles.Register(mux)
+	}
 	return mux
 }
