Wait for log lines in scenarios and end open submissions first

The name kill is taken by the script engine's own command; a first signal's effect is awaited before the second, since the kernel merges equal signals.

--- a/internal/standin/scenario/commands.go
+++ b/internal/standin/scenario/commands.go
@@ -25,7 +25,8 @@
 //	entry NAME DOMAIN [SETTINGS]      declare an entry host
 //	target NAME DOMAIN HOST[,HOST] [FLAG...]  declare a target
 //	start NAME...                     start processes and wait until they serve
-//	kill|freeze|thaw|terminate|lapse NAME...  signal processes
+//	crash|freeze|thaw|terminate|lapse NAME...  signal processes
+//	logged NAME TEXT                  wait until the process's log has TEXT
 //	exits NAME CODE                   wait for a process's end
 //	alive|gone HOST TARGET            wait until HOST lists TARGET so
 //	cut|cutup|cutdown|heal|silence|refuse LINK...  change links
@@ -45,11 +46,12 @@
 		"entry":     run(2, func(w *World, a []string) error { return w.Entry(a[0], a[1], a[2:]...) }),
 		"target":    run(3, func(w *World, a []string) error { return w.Target(a[0], a[1], strings.Split(a[2], ","), a[3:]...) }),
 		"start":     each((*World).Start),
-		"kill":      each((*World).Kill),
+		"crash":     each((*World).Kill),
 		"freeze":    signal(syscall.SIGSTOP),
 		"thaw":      signal(syscall.SIGCONT),
 		"terminate": signal(syscall.SIGTERM),
 		"lapse":     signal(syscall.SIGUSR1),
+		"logged":    run(2, func(w *World, a []string) error { return w.Logged(a[0], a[1]) }),
 		"exits":     run(2, exits),
 		"alive":     run(2, func(w *World, a []string) error { return w.Listed(a[0], a[1], true) }),
 		"gone":      run(2, func(w *World, a []string) error { return w.Listed(a[0], a[1], false) }),
--- a/internal/standin/scenario/world.go
+++ b/internal/standin/scenario/world.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -94,6 +95,9 @@
 	for _, link := range w.links {
 		link.Close()
 	}
+	for _, state := range w.jobs {
+		state.open.Wait()
+	}
 	for _, closer := range w.closers {
 		closer()
 	}
@@ -145,6 +149,17 @@
 	return nil
 }
 
+// Logged waits until the log of the process has text.
+func (w *World) Logged(name, text string) error {
+	return poll(func() error {
+		log, err := os.ReadFile(w.logFile(name))
+		if err == nil && !strings.Contains(string(log), text) {
+			err = fmt.Errorf("%s: the log does not have %q", name, text)
+		}
+		return err
+	})
+}
+
 // Link returns the relay of a link: "caller-HOST", "targets-HOST", "HOST-HOST"
 // or the name of a target.
 func (w *World) Link(name string) (*relay.Relay, error) {
@@ -170,8 +185,7 @@
 
 // start runs a program whose output is appended to NAME.log.
 func (w *World) start(name, program string, args ...string) (*launch.Process, error) {
-	file := filepath.Join(w.config.Folder, name+".log")
-	log, err := os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	log, err := os.OpenFile(w.logFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
 	}
@@ -179,6 +193,10 @@
 	return launch.Start(name, log, program, args...)
 }
 
+func (w *World) logFile(name string) string {
+	return filepath.Join(w.config.Folder, name+".log")
+}
+
 func (w *World) historyFile(name string) string {
 	return filepath.Join(w.config.Folder, name+".history")
 }
