Wait for the latest submission only, reach targets without a relay

A foreground submission waited for those of frozen hosts as well, which made the freeze as long as their timeout. A crashed target behind a relay accepts connections and then resets them, which proves nothing; without one its port refuses them.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/standin/history"
 )
 
 // lostPause is the time between a lost answer and the resubmission.
@@ -13,7 +15,9 @@
 
 // CallerConfig configures a Caller.
 type CallerConfig struct {
-	Sender        SenderConfig
+	Team          string
+	Client        *http.Client // nil makes one
+	History       *history.Writer
 	Entries       []string      // HTTP addresses of entry hosts, tried in turn
 	Deadline      time.Duration // of each job
 	First         int           // index of the entry host to begin with
@@ -31,7 +35,8 @@
 
 // NewCaller returns a Caller without a ticket.
 func NewCaller(config CallerConfig) *Caller {
-	return &Caller{config: config, sender: NewSender(config.Sender), entry: config.First}
+	sender := NewSender(SenderConfig{Team: config.Team, Client: config.Client, History: config.History})
+	return &Caller{config: config, sender: sender, entry: config.First}
 }
 
 // Result is what became of one job.
--- a/internal/standin/command/caller.go
+++ b/internal/standin/command/caller.go
@@ -34,7 +34,7 @@
 	flags.StringVar(&f.tasks, "tasks", "1-210", "tasks of a job, as a number or a range")
 	flags.Float64Var(&f.load.Rate, "rate", 0, "jobs a second; 0 is as fast as answers come")
 	flags.IntVar(&f.load.Parallel, "parallel", 1, "callers at once")
-	flags.StringVar(&f.load.Caller.Sender.Team, "team", "standin", "team of the jobs")
+	flags.StringVar(&f.load.Caller.Team, "team", "standin", "team of the jobs")
 	flags.DurationVar(&f.load.Caller.Deadline, "deadline", 10*time.Second, "deadline of a job")
 	flags.DurationVar(&f.load.Caller.ResubmitAfter, "resubmit-after", 0, "an answer that takes longer counts as lost; 0 waits for ever")
 	flags.DurationVar(&f.load.Caller.GiveUpAfter, "give-up-after", 30*time.Second, "no resubmission after this time")
@@ -58,7 +58,7 @@
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	f.load.Caller.Sender.History = writer
+	f.load.Caller.History = writer
 	runs := caller.Load(ctx, f.load)
 	caller.PrintTimes(c.OutOrStdout(), runs)
 	return ctx.Err()
--- a/internal/standin/command/target.go
+++ b/internal/standin/command/target.go
@@ -47,6 +47,7 @@
 	flags.StringSliceVar(&f.one.Entries, "entry", nil, "HTTP addresses of entry hosts, tried in turn")
 	flags.StringVar(&f.service, "service", "scripted", "run times: fixed:D, uniform:D-D or scripted")
 	flags.Float64Var(&f.one.FailRate, "fail-rate", 0, "probability that a task fails")
+	flags.Float64Var(&f.one.RefuseRate, "refuse-rate", 0, "probability that a task is refused without being started")
 	flags.DurationVar(&f.one.Linger, "linger", time.Second, "how long a leaving target goes on refusing tasks")
 	flags.StringVar(&f.history, "history", "", "file that the history is appended to")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of the run times and failures")
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -136,7 +136,8 @@
 	defer func() { _ = file.Close() }()
 	config := caller.LoadConfig{
 		Caller: caller.CallerConfig{
-			Sender:      caller.SenderConfig{Team: "demo", History: writer},
+			Team:        "demo",
+			History:     writer,
 			Deadline:    jobDeadline,
 			GiveUpAfter: giveUpAfter,
 		},
--- a/internal/standin/scenario/commands.go
+++ b/internal/standin/scenario/commands.go
@@ -23,7 +23,7 @@
 // Commands returns the scenario language:
 //
 //	entry NAME DOMAIN [SETTINGS]      declare an entry host
-//	target NAME DOMAIN HOST[,HOST] [FLAG...]  declare a target
+//	target NAME DOMAIN HOST[,HOST] [direct] [FLAG...]  declare a target
 //	start NAME...                     start processes and wait until they serve
 //	crash|freeze|thaw|terminate|lapse NAME...  signal processes
 //	logged NAME TEXT                  wait until the process's log has TEXT
@@ -33,10 +33,12 @@
 //	job LABEL [tasks=N] [run=D] [deadline=D] [FAULT]  declare a job
 //	ticket LABEL HOST                 get the job a ticket issued by HOST
 //	submit LABEL HOST [timeout=D] [&] submit or resubmit the job
+//	persist LABEL HOST                submit until no resubmission would change the answer
 //	cancel LABEL HOST                 withdraw the job
-//	answer LABEL VERDICT [OR VERDICT] wait for the answers, check the last one
+//	answer LABEL VERDICT [or VERDICT] check the answer to the latest submission
 //	started LABEL N                   wait for N starts of the job's tasks
 //	starts LABEL N                    check the number of starts so far
+//	refused TARGET N                  wait until TARGET has refused N tasks
 //	post HOST PATH FILE               print the status and body of the answer
 //	get HOST PATH                     print the status and body of the answer
 //	pause D                           let time pass
@@ -64,10 +66,12 @@
 		"job":       run(1, declareJob),
 		"ticket":    run(2, func(w *World, a []string) error { return w.Ticket(a[0], a[1]) }),
 		"submit":    run(2, submit),
+		"persist":   run(2, func(w *World, a []string) error { return w.Persist(a[0], a[1]) }),
 		"cancel":    run(2, func(w *World, a []string) error { return w.Cancel(a[0], a[1]) }),
 		"answer":    run(2, answer),
 		"started":   count((*World).Started),
 		"starts":    count((*World).Starts),
+		"refused":   count((*World).Refused),
 		"post":      post,
 		"get":       get,
 		"pause":     run(1, pause),
@@ -196,7 +200,8 @@
 	if err := w.Submit(args[0], args[1], timeout); err != nil || background {
 		return err
 	}
-	return w.Await(args[0])
+	_, err := w.last(args[0])
+	return err
 }
 
 func answer(w *World, args []string) error {
--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,15 +50,28 @@
 	return w.connect("targets-"+name, s.HTTP)
 }
 
+// direct is a flag of a target that is reached without a relay, so that its
+// port refuses connections when it is gone.
+const direct = "direct"
+
 // Target declares a target that announces itself to the entry hosts.
 func (w *World) Target(name, domain string, entries []string, flags ...string) error {
 	listen, err := w.ports.Address()
 	if err != nil {
 		return err
 	}
-	w.targets[name] = &targetProcess{domain: domain, entries: entries, flags: flags, listen: listen}
+	t := &targetProcess{domain: domain, entries: entries, listen: listen, announce: listen}
+	t.flags = slices.DeleteFunc(flags, func(f string) bool { return f == direct })
+	w.targets[name] = t
 	w.names = append(w.names, name)
-	return w.connect(name, listen)
+	if len(t.flags) < len(flags) {
+		return nil
+	}
+	if err := w.connect(name, listen); err != nil {
+		return err
+	}
+	t.announce = w.links[name].Address()
+	return nil
 }
 
 // Start starts a declared host or target, for the first time or again, and
@@ -127,7 +141,7 @@
 	}
 	args := []string{"target", "--name", name, "--domain", t.domain,
 		"--entry", strings.Join(entries, ","), "--listen", t.listen,
-		"--announce", w.links[name].Address(), "--history", w.historyFile(name)}
+		"--announce", t.announce, "--history", w.historyFile(name)}
 	var err error
 	t.process, err = w.start(name, w.config.Target, append(args, t.flags...)...)
 	if err != nil {
--- a/internal/standin/scenario/world.go
+++ b/internal/standin/scenario/world.go
@@ -52,11 +52,12 @@
 
 // targetProcess is a target. Process is nil before its first start.
 type targetProcess struct {
-	domain  string
-	entries []string // names of entry hosts that it announces itself to
-	flags   []string
-	listen  string
-	process *launch.Process
+	domain   string
+	entries  []string // names of entry hosts that it announces itself to
+	flags    []string
+	listen   string // address that it listens at
+	announce string // address that it announces: its relay's, or the same
+	process  *launch.Process
 }
 
 // NewWorld returns a World without processes.
@@ -95,9 +96,7 @@
 	for _, link := range w.links {
 		link.Close()
 	}
-	for _, state := range w.jobs {
-		state.open.Wait()
-	}
+	w.await()
 	for _, closer := range w.closers {
 		closer()
 	}
@@ -201,8 +200,9 @@
 	return filepath.Join(w.config.Folder, name+".history")
 }
 
-// Account checks the histories so far.
+// Account waits for the answers and checks the histories so far.
 func (w *World) Account() (history.Account, error) {
+	w.await()
 	events, err := w.events()
 	if err != nil {
 		return history.Account{}, err
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -27,6 +27,7 @@
 	Entries      []string // HTTP addresses of entry hosts, tried in turn
 	Service      *Service
 	FailRate     float64       // probability that a task fails after its run
+	RefuseRate   float64       // probability that a task is refused without being started
 	Linger       time.Duration // how long a leaving target goes on refusing tasks
 	History      *history.Writer
 }
