Replace a silent connection to another host and bound the wait for it

Cause: a forwarded submission waited for its holder as long as the holder was not suspect, 30 s for a host of another domain; and gRPC keeps a connection that has gone silent, so later forwards met the same one. Ruled out: gRPC's keepalive, whose shortest period is 10 s and which answers for a frozen process's kernel no better; a shorter bound for suspicion, since hosts of other domains are asked in turn and rarely. Change: while a call waits, its connection is probed each dial timeout with the standard health check; a probe without an answer, or two exchanges in a row, replace the connection and end its calls. A fast forward costs no message more.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -8,7 +8,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
@@ -32,8 +31,7 @@
 
 // Client reaches the other entry hosts.
 type Client struct {
-	conns map[string]*grpc.ClientConn // by host
-	dial  time.Duration
+	links map[string]*link // by host
 }
 
 // ClientConfig configures a Client.
@@ -46,14 +44,16 @@
 
 // NewClient returns a Client for the given hosts. It connects when first used.
 func NewClient(config ClientConfig) (*Client, error) {
-	c := &Client{conns: make(map[string]*grpc.ClientConn, len(config.Peers)), dial: config.DialTimeout}
+	c := &Client{links: make(map[string]*link, len(config.Peers))}
 	for _, p := range config.Peers {
-		conn, err := grpc.NewClient("passthrough:///"+p.Peer, dialOptions(config)...)
+		l, err := newLink(config.DialTimeout, func() (*grpc.ClientConn, error) {
+			return grpc.NewClient("passthrough:///"+p.Peer, dialOptions(config)...)
+		})
 		if err != nil {
 			c.Close()
 			return nil, failure.Wrap(failure.Internal, "peer", err)
 		}
-		c.conns[p.Host] = conn
+		c.links[p.Host] = l
 	}
 	return c, nil
 }
@@ -72,50 +72,64 @@
 
 // Close ends all connections.
 func (c *Client) Close() {
-	for _, conn := range c.conns {
-		_ = conn.Close()
+	for _, l := range c.links {
+		l.close()
 	}
 }
 
-// Conn returns the connection to host, nil if it is not in the settings.
-func (c *Client) Conn(host string) *grpc.ClientConn { return c.conns[host] }
+// Conn returns the connection to host, nil if it is not in the settings. It may
+// be replaced by another, so it is not to be kept.
+func (c *Client) Conn(host string) *grpc.ClientConn {
+	if l, ok := c.links[host]; ok {
+		return l.current()
+	}
+	return nil
+}
 
 // Forward passes a submission to the issuer of its ticket. Its errors are
 // TicketInvalid for an unknown issuer, HolderUnreachable if nothing was sent,
 // and AnswerLost if the outcome is unknown.
 func (c *Client) Forward(ctx context.Context, host string, body []byte) (*job.Answer, error) {
-	conn, err := c.reach(ctx, host)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := peerpb.NewPeerClient(conn).Forward(ctx, &peerpb.ForwardRequest{Spec: body})
+	var reply *peerpb.ForwardReply
+	err := c.call(ctx, host, func(ctx context.Context, p peerpb.PeerClient) (err error) {
+		reply, err = p.Forward(ctx, &peerpb.ForwardRequest{Spec: body})
+		return err
+	})
 	return readAnswer(host, reply, err)
 }
 
 // Spill passes a job to a host of another failure domain. Its errors are those
 // of Forward.
 func (c *Client) Spill(ctx context.Context, host string, body []byte) (*job.Answer, error) {
-	conn, err := c.reach(ctx, host)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := peerpb.NewPeerClient(conn).Spill(ctx, &peerpb.SpillRequest{Spec: body})
+	var reply *peerpb.ForwardReply
+	err := c.call(ctx, host, func(ctx context.Context, p peerpb.PeerClient) (err error) {
+		reply, err = p.Spill(ctx, &peerpb.SpillRequest{Spec: body})
+		return err
+	})
 	return readAnswer(host, reply, err)
 }
 
-// reach returns a connection to host over which nothing was sent yet.
-func (c *Client) reach(ctx context.Context, host string) (*grpc.ClientConn, error) {
-	conn, ok := c.conns[host]
+// call connects to host and calls f, which ends when the connection goes
+// silent. Its own errors are TicketInvalid for an unknown host, and
+// HolderUnreachable if f was not called.
+func (c *Client) call(ctx context.Context, host string, f func(context.Context, peerpb.PeerClient) error) error {
+	l, ok := c.links[host]
 	if !ok {
-		return nil, &failure.Error{Kind: failure.TicketInvalid, Field: "ticket", Message: "its issuer is not known"}
+		return &failure.Error{Kind: failure.TicketInvalid, Field: "ticket", Message: "its issuer is not known"}
 	}
-	if !c.connected(ctx, conn) {
-		return nil, failure.New(failure.HolderUnreachable, "host "+host+" holds the record and cannot be reached")
+	conn := l.current()
+	if !l.connected(ctx, conn) {
+		return failure.New(failure.HolderUnreachable, "host "+host+" holds the record and cannot be reached")
 	}
-	return conn, nil
+	return l.attend(ctx, conn, func(ctx context.Context) error {
+		return f(ctx, peerpb.NewPeerClient(conn))
+	})
 }
 
 func readAnswer(host string, reply *peerpb.ForwardReply, err error) (*job.Answer, error) {
+	if _, ok := failure.As(err); ok {
+		return nil, err
+	}
 	if err != nil {
 		return nil, failure.New(failure.AnswerLost, "host "+host+" got the job and its answer was lost")
 	}
@@ -129,43 +143,26 @@
 // Cancel passes a cancellation to the issuer of a ticket. Its errors are
 // those of Forward.
 func (c *Client) Cancel(ctx context.Context, host, ticket string) error {
-	conn, err := c.reach(ctx, host)
-	if err != nil {
+	err := c.call(ctx, host, func(ctx context.Context, p peerpb.PeerClient) error {
+		_, err := p.Cancel(ctx, &peerpb.CancelRequest{Ticket: ticket})
+		return err
+	})
+	if _, ok := failure.As(err); ok || err == nil {
 		return err
 	}
-	_, err = peerpb.NewPeerClient(conn).Cancel(ctx, &peerpb.CancelRequest{Ticket: ticket})
-	if err != nil {
-		return failure.New(failure.AnswerLost, "host "+host+" may not have withdrawn the job")
-	}
-	return nil
+	return failure.New(failure.AnswerLost, "host "+host+" may not have withdrawn the job")
 }
 
 // HandOn passes the records of this drained host to another.
 func (c *Client) HandOn(ctx context.Context, host string, r *peerpb.HandOnRequest) (*peerpb.HandOnReply, error) {
-	return peerpb.NewPeerClient(c.conns[host]).HandOn(ctx, r)
+	return peerpb.NewPeerClient(c.Conn(host)).HandOn(ctx, r)
 }
 
 // Exchange sends what this host knows and returns what the other knows.
 func (c *Client) Exchange(ctx context.Context, host string, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
-	return peerpb.NewPeerClient(c.conns[host]).Exchange(ctx, m)
-}
-
-// connected waits up to the dial timeout for a connection. Nothing of a
-// request is sent before it is there, so its absence proves a request unsent.
-func (c *Client) connected(ctx context.Context, conn *grpc.ClientConn) bool {
-	ctx, cancel := context.WithTimeout(ctx, c.dial)
-	defer cancel()
-	for {
-		state := conn.GetState()
-		if state == connectivity.Ready {
-			return true
-		}
-		if state == connectivity.TransientFailure {
-			return false
-		}
-		conn.Connect()
-		if !conn.WaitForStateChange(ctx, state) {
-			return false
-		}
-	}
+	l := c.links[host]
+	conn := l.current()
+	answer, err := peerpb.NewPeerClient(conn).Exchange(ctx, m)
+	l.exchanged(conn, err)
+	return answer, err
 }
--- /dev/null
+++ b/internal/connection/peer/link.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
+)
+
+// missedExchanges is how many exchanges in a row get no answer before the
+// connection is taken for silent.
+const missedExchanges = 2
+
+// link holds the connection to one host. A connection that something between
+// the hosts has lost track of stays open and silent, while a new one would
+// work, so a connection that does not answer in time is replaced.
+type link struct {
+	connect func() (*grpc.ClientConn, error)
+	timeout time.Duration // for a connection to be made or to answer
+
+	mu     sync.Mutex
+	conn   *grpc.ClientConn
+	missed int // exchanges in a row without an answer
+	closed bool
+}
+
+func newLink(timeout time.Duration, connect func() (*grpc.ClientConn, error)) (*link, error) {
+	conn, err := connect()
+	return &link{connect: connect, timeout: timeout, conn: conn}, err
+}
+
+// current returns the connection in use.
+func (l *link) current() *grpc.ClientConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	_ = l.conn.Close()
+}
+
+// replace closes conn and makes a new connection, unless another call did.
+// Calls in progress on conn end with an error.
+func (l *link) replace(conn *grpc.ClientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.conn != conn {
+		return
+	}
+	fresh, err := l.connect()
+	if err != nil {
+		return
+	}
+	l.conn, l.missed = fresh, 0
+	_ = conn.Close()
+}
+
+// exchanged takes in how an exchange over conn ended.
+func (l *link) exchanged(conn *grpc.ClientConn, err error) {
+	l.mu.Lock()
+	if status.Code(err) == codes.DeadlineExceeded {
+		l.missed++
+	} else {
+		l.missed = 0
+	}
+	silent := l.missed >= missedExchanges
+	l.mu.Unlock()
+	if silent {
+		l.replace(conn)
+	}
+}
+
+// attend calls f and probes conn until f returns. If a probe gets no answer,
+// conn is replaced and f's context is cancelled. Hence f waits for a silent
+// connection or a frozen host at most twice the link's timeout, and for a slow
+// answer as long as ctx allows.
+func (l *link) attend(ctx context.Context, conn *grpc.ClientConn, f func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.probe(ctx, cancel, conn)
+	return f(ctx)
+}
+
+func (l *link) probe(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn) {
+	ticker := time.NewTicker(l.timeout)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !l.answers(ctx, conn) && ctx.Err() == nil {
+			l.replace(conn)
+			cancel()
+			return
+		}
+	}
+}
+
+// answers reports whether conn answers within the timeout, be it by an error.
+func (l *link) answers(ctx context.Context, conn *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	_, err := healthpb.NewHealthClient(conn).Check(ctx, &healthpb.HealthCheckRequest{})
+	return status.Code(err) != codes.DeadlineExceeded
+}
+
+// connected waits up to the timeout for conn to be made. Nothing of a request
+// is sent before it is there, so its absence proves a request unsent.
+func (l *link) connected(ctx context.Context, conn *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	for {
+		state := conn.GetState()
+		if state == connectivity.Ready {
+			return true
+		}
+		if state == connectivity.TransientFailure {
+			return false
+		}
+		conn.Connect()
+		if !conn.WaitForStateChange(ctx, state) {
+			return false
+		}
+	}
+}
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
@@ -31,6 +34,12 @@
 	backend Backend
 }
 
+// Register makes link answer other entry hosts, their health probes included.
+func Register(link *grpc.Server, backend Backend) {
+	peerpb.RegisterPeerServer(link, NewServer(backend))
+	healthpb.RegisterHealthServer(link, health.NewServer())
+}
+
 // NewServer returns a Server.
 func NewServer(backend Backend) *Server { return &Server{backend: backend} }
 
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -17,7 +17,6 @@
 
 	"wasabifield.example/wasabifield/internal/connection/callerapi"
 	"wasabifield.example/wasabifield/internal/connection/peer"
-	"wasabifield.example/wasabifield/internal/connection/peerpb"
 	"wasabifield.example/wasabifield/internal/connection/peertls"
 	"wasabifield.example/wasabifield/internal/connection/targetlink"
 	"wasabifield.example/wasabifield/internal/connection/wire"
@@ -138,7 +137,7 @@
 	link = h.observer.meter(peerLinks).Listen(link)
 	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
 	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
-	peerpb.RegisterPeerServer(grpcServer, peer.NewServer(h))
+	peer.Register(grpcServer, h)
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
