Take no refusal that names another task

Cause: only answers with status 200 were checked for the task's name. A refusal that belonged to another start was taken as proof that this task was not started, and it was started again at once. Ruled out: keeping such answers for the start that they name; the connection that mixed them up proves nothing. Change: every answer must name its task, refusals included.

--- a/internal/connection/targetlink/link.go
+++ b/internal/connection/targetlink/link.go
@@ -174,12 +174,12 @@
 }
 
 func (a *attempt) read(response *http.Response) (dispatch.Outcome, json.RawMessage, string) {
+	if response.Header.Get(wire.TaskHeader) != a.name {
+		return dispatch.Lost, nil, "the answer, " + response.Status + ", does not name the task"
+	}
 	if response.StatusCode != http.StatusOK {
 		return refusal(response)
 	}
-	if response.Header.Get(wire.TaskHeader) != a.name {
-		return dispatch.Lost, nil, "the answer belongs to another task"
-	}
 	output, err := io.ReadAll(io.LimitReader(response.Body, maxOutputBytes+1))
 	if err != nil {
 		return dispatch.Lost, nil, "the answer was cut short: " + err.Error()
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -17,7 +17,7 @@
 // Headers of a task start and its answer.
 const (
 	// TaskHeader names the start: "<host>.<incarnation>.<seq>/<task id>". The target
-	// returns it unchanged, so that a crossed answer is detected.
+	// returns it unchanged, refusals included, so that a crossed answer is detected.
 	TaskHeader = "Wasabifield-Task"
 	// BudgetHeader is the time left to the job's deadline, ms.
 	BudgetHeader = "Wasabifield-Budget-Ms"
