Send nothing after a target's lease, cancel at the heir too

Cause: a host frozen between the decision and the write could start a task at a target that had left meanwhile; a cancellation of a drained host's ticket was refused though its heir holds the record. Ruled out: checking the lease when the goroutine starts; dialling and waiting for a connection come after that. Change: the lease is checked when the connection is at hand, just before the write; a cancellation asks the issuer's domain in turn, as a submission does.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -140,17 +140,24 @@
 	return answer, nil
 }
 
-// Cancel passes a cancellation to the issuer of a ticket. Its errors are
-// those of Forward.
+// Cancel passes a cancellation to a host that may hold the records of a
+// ticket. Its errors are those of Forward and the other host's refusal.
 func (c *Client) Cancel(ctx context.Context, host, ticket string) error {
-	err := c.call(ctx, host, func(ctx context.Context, p peerpb.PeerClient) error {
-		_, err := p.Cancel(ctx, &peerpb.CancelRequest{Ticket: ticket})
+	var reply *peerpb.CancelReply
+	err := c.call(ctx, host, func(ctx context.Context, p peerpb.PeerClient) (err error) {
+		reply, err = p.Cancel(ctx, &peerpb.CancelRequest{Ticket: ticket})
 		return err
 	})
-	if _, ok := failure.As(err); ok || err == nil {
+	if _, ok := failure.As(err); ok {
 		return err
 	}
-	return failure.New(failure.AnswerLost, "host "+host+" may not have withdrawn the job")
+	if err != nil {
+		return failure.New(failure.AnswerLost, "host "+host+" may not have withdrawn the job")
+	}
+	if reply.GetRefusal() != "" {
+		return failure.New(failure.Kind(reply.GetRefusal()), reply.GetMessage())
+	}
+	return nil
 }
 
 // HandOn passes the records of this drained host to another and reports
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
@@ -71,10 +72,12 @@
 
 // Cancel implements peerpb.PeerServer.
 func (s *Server) Cancel(ctx context.Context, r *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	reply := &peerpb.CancelReply{}
 	if err := s.backend.CancelLocal(ctx, r.GetTicket()); err != nil {
-		return nil, status.Error(codes.FailedPrecondition, err.Error())
+		reply.Refusal = string(failure.KindOf(err))
+		reply.Message = err.Error()
 	}
-	return &peerpb.CancelReply{}, nil
+	return reply, nil
 }
 
 // HandOn implements peerpb.PeerServer.
--- a/internal/connection/targetlink/link.go
+++ b/internal/connection/targetlink/link.go
@@ -166,10 +166,18 @@
 	return request, nil
 }
 
+// gotConn is called before the request is written. A connection that came too
+// late, as after a freeze of this host, is closed, so that nothing is sent to a
+// target whose lease is over.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*countingConn); ok {
-		a.conn = c
-		a.before = c.written.Load()
+	c, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	a.conn = c
+	a.before = c.written.Load()
+	if !time.Now().Before(a.start.LeaseEnd) {
+		_ = c.Close()
 	}
 }
 
--- a/internal/connection/targetlink/link_test.go
+++ b/internal/connection/targetlink/link_test.go
@@ -33,6 +33,7 @@
 		Conns:    4,
 		Task:     &job.Task{ID: "t1", Payload: []byte(`{"a":1}`)},
 		Deadline: time.Now().Add(timeout),
+		LeaseEnd: time.Now().Add(limit),
 	}
 }
 
@@ -123,6 +124,17 @@
 	g.Expect(links().Send(context.Background(), start(address, limit)).Outcome).To(Equal(dispatch.NotStarted))
 }
 
+func TestNothingIsSentAfterTheLease(t *testing.T) {
+	g := NewWithT(t)
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer server.Close()
+	s := start(server.Listener.Addr().String(), limit)
+	s.LeaseEnd = time.Now()
+	g.Expect(links().Send(context.Background(), s).Outcome).To(Equal(dispatch.NotStarted))
+	g.Expect(requests.Load()).To(BeZero())
+}
+
 // TestRequestIsSentOnce closes the connection after the request on a reused
 // connection, where HTTP clients are tempted to send again.
 func TestRequestIsSentOnce(t *testing.T) {
--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -78,5 +78,6 @@
 		Conns:    t.Connections,
 		Task:     task,
 		Deadline: deadline,
+		LeaseEnd: t.LeaseEnd,
 	})
 }
--- a/internal/process/dispatch/effect.go
+++ b/internal/process/dispatch/effect.go
@@ -19,6 +19,7 @@
 	Conns    int    // connections that the target accepts
 	Task     *job.Task
 	Deadline time.Time // the attempt is given up at this time
+	LeaseEnd time.Time // nothing is sent to the target from this time on
 }
 
 // Outcome says how an attempt ended.
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -42,8 +42,11 @@
 	if a.Error == nil {
 		return false
 	}
-	kind := failure.Kind(a.Error.Kind)
-	return kind == failure.RecordLost || kind == failure.HolderUnreachable
+	return isGone(failure.Kind(a.Error.Kind))
+}
+
+func isGone(k failure.Kind) bool {
+	return k == failure.RecordLost || k == failure.HolderUnreachable
 }
 
 // kin returns the other hosts of a host's domain, this one included.
@@ -91,10 +94,21 @@
 	if err != nil {
 		return err
 	}
-	if t.Host == h.settings.Host {
+	err = h.cancelAt(ctx, t.Host, text)
+	for _, kin := range h.kin(t.Host) {
+		if !isGone(failure.KindOf(err)) {
+			break
+		}
+		err = h.cancelAt(ctx, kin, text)
+	}
+	return err
+}
+
+func (h *Host) cancelAt(ctx context.Context, host, text string) error {
+	if host == h.settings.Host {
 		return h.CancelLocal(ctx, text)
 	}
-	return h.client.Cancel(ctx, t.Host, text)
+	return h.client.Cancel(ctx, host, text)
 }
 
 // CancelLocal implements peer.Backend.
--- a/internal/process/host/host_test.go
+++ b/internal/process/host/host_test.go
@@ -179,7 +179,7 @@
 	g := NewWithT(t)
 	f := startFleet(t, "a1", "a2", "b1")
 	f.target("a", "a1", "a2")
-	used, unused := f.ticket("a1"), f.ticket("a1")
+	used, unused, cancelled := f.ticket("a1"), f.ticket("a1"), f.ticket("a1")
 	first := f.submit("b1", used)
 	g.Expect(first.Outcome).To(Equal(job.Complete))
 	f.stops["a1"]()
@@ -189,6 +189,8 @@
 		g.Expect(again.Outputs).To(Equal(first.Outputs))
 	}
 	g.Expect(f.submit("b1", unused).Outcome).To(Equal(job.Complete))
+	g.Expect(f.cancel("b1", cancelled)).To(Equal(http.StatusNoContent))
+	g.Expect(kind(f.submit("b1", cancelled))).To(Equal(failure.Cancelled))
 }
 
 func TestCancellationReachesTheIssuer(t *testing.T) {
