--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -153,9 +153,21 @@
 	return failure.New(failure.AnswerLost, "host "+host+" may not have withdrawn the job")
 }
 
-// HandOn passes the records of this drained host to another.
-func (c *Client) HandOn(ctx context.Context, host string, r *peerpb.HandOnRequest) (*peerpb.HandOnReply, error) {
-	return peerpb.NewPeerClient(c.Conn(host)).HandOn(ctx, r)
+// HandOn passes the records of this drained host to another and reports
+// whether that took them over. Its errors are those of Forward.
+func (c *Client) HandOn(ctx context.Context, host string, r *peerpb.HandOnRequest) (bool, error) {
+	var reply *peerpb.HandOnReply
+	err := c.call(ctx, host, func(ctx context.Context, p peerpb.PeerClient) (err error) {
+		reply, err = p.HandOn(ctx, r)
+		return err
+	})
+	if _, ok := failure.As(err); ok {
+		return false, err
+	}
+	if err != nil {
+		return false, failure.New(failure.AnswerLost, "host "+host+" may have taken the records over")
+	}
+	return reply.GetAdopted(), nil
 }
 
 // Exchange sends what this host knows and returns what the other knows.
