Make the fake targets name the task in their refusals, test wrong names

The test's fakes of a refusal and a failure left out the header that a target returns unchanged, so a link that takes no such answer as proof called them lost. The fakes now follow the protocol; two cases are added for a refusal without a name and with another task's.

--- a/internal/connection/targetlink/link_test.go
+++ b/internal/connection/targetlink/link_test.go
@@ -85,11 +85,22 @@
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write([]byte(`{}`))
 		}, dispatch.Lost},
-		"refused as not run": {func(w http.ResponseWriter, _ *http.Request) {
+		"refused as not run": {func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(wire.TaskHeader, r.Header.Get(wire.TaskHeader))
 			w.Header().Set(wire.RanHeader, "no")
 			w.WriteHeader(http.StatusTooManyRequests)
 		}, dispatch.NotStarted},
-		"failed": {func(w http.ResponseWriter, _ *http.Request) {
+		"refusal of another task": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.TaskHeader, "a1.1.3.8/t1")
+			w.Header().Set(wire.RanHeader, "no")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, dispatch.Lost},
+		"refusal without a name": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.RanHeader, "no")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, dispatch.Lost},
+		"failed": {func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(wire.TaskHeader, r.Header.Get(wire.TaskHeader))
 			w.Header().Set(wire.RanHeader, "yes")
 			w.WriteHeader(http.StatusInternalServerError)
 		}, dispatch.TaskError},
