--- a/internal/connection/targetlink/link_test.go
+++ b/internal/connection/targetlink/link_test.go
@@ -96,6 +96,10 @@
 			w.Header().Set(wire.RanHeader, "no")
 			w.WriteHeader(http.StatusTooManyRequests)
 		}, dispatch.Lost},
+		"refusal without a name": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.RanHeader, "no")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, dispatch.Lost},
 		"failed": {func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(wire.TaskHeader, r.Header.Get(wire.TaskHeader))
 			w.Header().Set(wire.RanHeader, "yes")
