Send rumours in answers only, few of them within a domain

Cause: 78 daemons in 13 domains sent and received 30.3 KB a second each over their peer links, against a bound of 19 KB for control. A third was rumours in questions, which nobody may use (a question does not bound the age of what it says), and rumours within a domain, repeated 40 times a second.

Ruled out: fewer probes (the bundle spreads by them) and a longer exchange (leaving targets and copies of answers wait for it).

Change: rumours only in answers, 2 within a domain and 16 across.

--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -47,7 +47,7 @@
 	defer cancel()
 	asked := time.Now()
 	domain := h.hosts.domainOf(asked, name)
-	m := h.message(asked, domain)
+	m := h.message()
 	if domain == h.settings.Domain {
 		m.Cursor = h.targets.cursor(name)
 		m.Copies = h.outbox.take(name)
@@ -63,15 +63,14 @@
 	}
 }
 
-// message states what this host knows to a host of domain.
-func (h *Host) message(now time.Time, domain string) *peerpb.ExchangeMessage {
+// message states what this host says of itself.
+func (h *Host) message() *peerpb.ExchangeMessage {
 	load := h.loop.Load()
 	return &peerpb.ExchangeMessage{
 		Host:             h.settings.Host,
 		Domain:           h.settings.Domain,
 		Incarnation:      h.hosts.incarnation(),
 		Draining:         h.draining.Load(),
-		Rumours:          h.hosts.rumours(now, domain),
 		FreeSlots:        uint32(load.Free),
 		FreeAccelerators: uint32(load.Accelerators),
 		QueuedTasks:      uint32(load.Queued),
@@ -85,8 +84,9 @@
 	for _, c := range m.GetCopies() {
 		h.putCopy(c)
 	}
-	answer := h.message(now, m.GetDomain())
+	answer := h.message()
 	answer.Held = held
+	answer.Rumours = h.hosts.rumours(now, m.GetDomain())
 	if m.GetDomain() == h.settings.Domain {
 		answer.Delta = h.targets.delta(now, m.GetCursor())
 	}
--- a/internal/process/host/hosts.go
+++ b/internal/process/host/hosts.go
@@ -16,7 +16,6 @@
 const (
 	suspectExchanges = 6                // a host of the domain is suspect after as many intervals
 	silentAfter      = 30 * time.Second // a host that nobody hears is silent after this
-	maxRumours       = 8                // in one message
 )
 
 // hostTable shares a membership.Hosts among the exchanges.
@@ -127,7 +126,7 @@
 func (t *hostTable) rumours(now time.Time, domain string) []*membershippb.HostRumour {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.Rumours(now, domain, maxRumours)
+	return t.table.Rumours(now, domain)
 }
 
 // heirs returns the hosts of domain that answer this host and are not
--- a/internal/process/membership/hosts.go
+++ b/internal/process/membership/hosts.go
@@ -184,10 +184,21 @@
 	return a
 }
 
-// Rumours returns at most limit rumours for a host of domain. Hosts of that
-// domain are left out, since they hear each other. Successive calls go round
-// all hosts.
-func (h *Hosts) Rumours(now time.Time, domain string, limit int) []*membershippb.HostRumour {
+// The greatest number of rumours in one answer. Hosts of one domain ask each
+// other so often that few rumours in each answer still go round in a second.
+const (
+	rumoursWithin = 2  // to a host of the own domain
+	rumoursAcross = 16 // to a host of another domain
+)
+
+// Rumours returns a bounded number of rumours for a host of domain. Hosts of
+// that domain are left out, since they hear each other. Successive calls go
+// round all hosts.
+func (h *Hosts) Rumours(now time.Time, domain string) []*membershippb.HostRumour {
+	limit := rumoursAcross
+	if domain == h.config.Self.Domain {
+		limit = rumoursWithin
+	}
 	var rumours []*membershippb.HostRumour
 	for range h.peers {
 		if len(rumours) == limit {
