--- a/internal/standin/cmd/capacity/main.go
+++ b/internal/standin/cmd/capacity/main.go
@@ -45,6 +45,7 @@
 	flags.StringVar(&s.programs.Standin, "standin", "bin/standin", "program of the stand-ins")
 	flags.DurationVar(&s.duration, "duration", 8*time.Second, "length of each measurement")
 	flags.StringSliceVar(&s.only, "only", nil, "experiments to run; all if not given")
+	flags.DurationVar(&s.exchange, "exchange", 0, "time between exchanges of entry hosts; 0 is the default setting")
 	flags.StringVar(&page, "write", "", "page whose table is replaced")
 	return c
 }
--- a/internal/standin/cmd/capacity/suite.go
+++ b/internal/standin/cmd/capacity/suite.go
@@ -16,6 +16,7 @@
 	programs measure.Programs
 	duration time.Duration
 	only     []string
+	exchange time.Duration // between exchanges of entry hosts; the default if 0
 }
 
 // experiment measures one cost at several sizes.
@@ -43,7 +44,7 @@
 	idle := func(domains, hosts, targets int) measure.FleetConfig {
 		return measure.FleetConfig{
 			Programs: s.programs, Domains: domains, HostsPerDomain: hosts,
-			TargetsPerDomain: targets, Slots: slots, Service: scripted,
+			TargetsPerDomain: targets, Slots: slots, Service: scripted, Exchange: s.exchange,
 		}
 	}
 	busy := func(int) measure.FleetConfig { return idle(1, 1, 50) }
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -29,8 +29,9 @@
 	Domains          int
 	HostsPerDomain   int
 	TargetsPerDomain int
-	Slots            int    // of each target
-	Service          string // run times of the targets, as "standin target" takes them
+	Slots            int           // of each target
+	Service          string        // run times of the targets, as "standin target" takes them
+	Exchange         time.Duration // between exchanges of entry hosts; the default if 0
 }
 
 // Fleet is a set of running processes.
@@ -89,6 +90,9 @@
 			s.Host = fmt.Sprintf("%s-h%d", s.Domain, i)
 			s.Log.Level = "warn"
 			s.Timing.DrainNotice = 0
+			if f.config.Exchange > 0 {
+				s.Timing.Exchange = f.config.Exchange
+			}
 			var err error
 			if s.HTTP, err = ports.Address(); err != nil {
 				return err
