--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	$(GO) run ./internal/standin/cmd/prooflist
 
 fmt:
 	gofmt -w $$(git ls-files -co --exclude-standard '*.go')
