Name every target's part in one report a second only

Cause: at the design size a report names 154 targets, about 3 KB, four times a second to each peer, which is more than a host may spend. Change: counts in every report, parts by target once a second; what does not add up is timed instead of counted, and all holders give up their part of it in one round.

--- a/internal/process/slots/compare_test.go
+++ b/internal/process/slots/compare_test.go
@@ -191,9 +191,9 @@
 }
 
 func (m *model) report(name string) {
-	msg := m.hosts[name].policy.Report(m.clock(), len(m.hosts[name].queue))
 	for _, to := range m.names {
 		if to != name {
+			msg := m.hosts[name].policy.Report(m.clock(), to, len(m.hosts[name].queue))
 			m.after(m.delay, func() { m.hosts[to].policy.Receive(m.clock(), name, msg) })
 		}
 	}
@@ -225,7 +225,7 @@
 
 func demandConfig(self string, probe bool, retryMS int) slots.DemandConfig {
 	return slots.DemandConfig{Self: self, Retry: time.Duration(retryMS) * time.Millisecond, Probe: probe,
-		Batch: 2 * time.Millisecond, Lease: 2 * time.Second, Pause: 5 * time.Millisecond}
+		Batch: 2 * time.Millisecond, Lease: 2 * time.Second, Pause: 5 * time.Millisecond, Full: time.Second}
 }
 
 // TestCompare prints, for each deployment and load, every policy beside an
--- a/internal/process/slots/demand.go
+++ b/internal/process/slots/demand.go
@@ -17,6 +17,7 @@
 	Batch time.Duration // how long slots for a peer are gathered into one message
 	Lease time.Duration // a peer not heard of for this long loses its slots
 	Pause time.Duration // how long a target is left alone after a first refusal
+	Full  time.Duration // between two reports to a peer that name every target
 }
 
 // Demand starts from equal parts and moves slots to where tasks wait. A host
@@ -36,13 +37,14 @@
 	asked   string   // the peer with an open request, or ""
 	askedAt time.Time
 	nextAsk time.Time
-	turn    int            // rotates among peers of equal rank
-	odd     map[string]int // reports in a row in which a target's parts did not add up
+	turn    int                  // rotates among peers of equal rank
+	odd     map[string]time.Time // since when a target's parts do not add up
 }
 
 // peer is what is known of another host.
 type peer struct {
 	heard   time.Time
+	told    time.Time // when it was last sent a full report
 	queued  int
 	busy    int
 	total   int
@@ -61,10 +63,13 @@
 		pool:  newPool(),
 		peers: make(map[string]*peer),
 		hosts: []string{cfg.Self},
-		odd:   make(map[string]int),
+		odd:   make(map[string]time.Time),
 	}
 }
 
+// SetConfig puts another Retry and Probe in force.
+func (d *Demand) SetConfig(cfg DemandConfig) { d.cfg.Retry, d.cfg.Probe = cfg.Retry, cfg.Probe }
+
 // SetTargets implements Policy. Of a new target the host takes its equal part.
 func (d *Demand) SetTargets(now time.Time, targets []Target) {
 	live := d.live(now)
@@ -213,7 +218,7 @@
 	p.heard = now
 	p.queued, p.busy, p.total = m.Queued, m.Busy, m.Total
 	d.take(p, m.Lend)
-	if m.Held != nil {
+	if m.Full {
 		p.held, p.trusted = counts(m.Held), true
 		d.reconcile(now)
 	}
@@ -273,13 +278,12 @@
 const owedShare = 8
 
 // Report implements Policy.
-func (d *Demand) Report(now time.Time, queued int) Message {
+func (d *Demand) Report(now time.Time, to string, queued int) Message {
 	d.queued = queued
-	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.held, Held: []Grant{}}
-	for _, e := range d.pool.sorted() {
-		if e.held > 0 {
-			m.Held = append(m.Held, Grant{e.name, e.held})
-		}
+	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.held}
+	if p := d.peers[to]; p != nil && now.Sub(p.told) >= d.cfg.Full {
+		p.told = now
+		m.Full, m.Held = true, d.heldSlots()
 	}
 	for name, p := range d.peers {
 		if !d.isLive(now, name) {
@@ -290,13 +294,37 @@
 	return m
 }
 
-// oddLimit is the number of reports in a row after which parts that do not
-// add up are mended; fewer may be slots on their way.
-const oddLimit = 4
+func (d *Demand) heldSlots() []Grant {
+	var held []Grant
+	for _, e := range d.pool.sorted() {
+		if e.held > 0 {
+			held = append(held, Grant{e.name, e.held})
+		}
+	}
+	return held
+}
+
+// Held returns the slots that this host holds, by target.
+func (d *Demand) Held() map[string]int { return counts(d.heldSlots()) }
+
+// Capacity implements Policy.
+func (d *Demand) Capacity(now time.Time) int {
+	sum := d.pool.held
+	for name, p := range d.peers {
+		if d.isLive(now, name) {
+			sum += p.idle()
+		}
+	}
+	return sum
+}
+
+// oddReports is the number of full reports from each peer after which parts
+// that do not add up are mended; in fewer, slots may have been on their way.
+const oddReports = 2.5
 
 // reconcile mends targets whose parts do not add up to their slots: one host,
 // chosen by the target's hash among the live ones, takes what nobody holds;
-// the first in that order that holds any gives up what is held twice.
+// in the same order they give up what is held twice.
 func (d *Demand) reconcile(now time.Time) {
 	live := d.live(now)
 	for _, name := range live {
@@ -305,11 +333,11 @@
 		}
 	}
 	for _, e := range d.pool.sorted() {
-		d.reconcileTarget(e, live)
+		d.reconcileTarget(now, e, live)
 	}
 }
 
-func (d *Demand) reconcileTarget(e *entry, live []string) {
+func (d *Demand) reconcileTarget(now time.Time, e *entry, live []string) {
 	sum := e.held
 	for _, name := range live {
 		if p := d.peers[name]; p != nil {
@@ -320,8 +348,12 @@
 		delete(d.odd, e.name)
 		return
 	}
-	d.odd[e.name]++
-	if d.odd[e.name] < oddLimit*len(live) {
+	since, ok := d.odd[e.name]
+	if !ok {
+		d.odd[e.name] = now
+		return
+	}
+	if now.Sub(since) < time.Duration(oddReports*float64(d.cfg.Full)) {
 		return
 	}
 	delete(d.odd, e.name)
@@ -329,24 +361,21 @@
 	if sum < e.slots && live[first] == d.cfg.Self {
 		d.pool.hold(e, e.held+e.slots-sum)
 	}
-	if sum > e.slots && d.firstHolder(e, live, first) == d.cfg.Self {
-		d.pool.hold(e, e.held-(sum-e.slots))
+	if sum > e.slots {
+		d.giveUp(e, sum-e.slots, slices.Concat(live[first:], live[:first]))
 	}
 }
 
-// firstHolder returns the first live host from index first on that holds
-// slots of e.
-func (d *Demand) firstHolder(e *entry, live []string, first int) string {
-	for i := range live {
-		name := live[(first+i)%len(live)]
-		if name == d.cfg.Self && e.held > 0 {
-			return name
-		}
-		if p := d.peers[name]; p != nil && p.held[e.name] > 0 {
-			return name
+// giveUp drops this host's part of what is held beyond e's slots: the hosts
+// give up all they hold, in order, until nothing is held beyond.
+func (d *Demand) giveUp(e *entry, beyond int, order []string) {
+	for _, name := range order {
+		if name == d.cfg.Self {
+			d.pool.hold(e, e.held-min(beyond, e.held))
+			return
 		}
+		beyond -= min(beyond, d.peers[name].held[e.name])
 	}
-	return ""
 }
 
 func counts(list []Grant) map[string]int {
--- a/internal/process/slots/demand_test.go
+++ b/internal/process/slots/demand_test.go
@@ -78,10 +78,9 @@
 	for range periods {
 		d.now = d.now.Add(reportPeriod)
 		for _, from := range d.names {
-			m := d.hosts[from].Report(d.now, 0)
 			for _, to := range d.names {
 				if to != from {
-					d.deliver(from, to, m)
+					d.deliver(from, to, d.hosts[from].Report(d.now, to, 0))
 				}
 			}
 		}
@@ -103,8 +102,8 @@
 func (d *domain) held(names ...string) map[string]int {
 	sum := map[string]int{}
 	for _, name := range names {
-		for _, g := range d.hosts[name].Report(d.now, 0).Held {
-			sum[g.Target] += g.Slots
+		for target, n := range d.hosts[name].Held() {
+			sum[target] += n
 		}
 	}
 	return sum
--- a/internal/process/slots/equal.go
+++ b/internal/process/slots/equal.go
@@ -68,7 +68,10 @@
 func (e *Equal) Messages(time.Time, int) []Send { return nil }
 
 // Report implements Policy.
-func (e *Equal) Report(time.Time, int) Message { return Message{} }
+func (e *Equal) Report(time.Time, string, int) Message { return Message{} }
+
+// Capacity implements Policy.
+func (e *Equal) Capacity(time.Time) int { return e.pool.held }
 
 // Receive implements Policy.
 func (e *Equal) Receive(time.Time, string, Message) {}
--- a/internal/process/slots/local.go
+++ b/internal/process/slots/local.go
@@ -41,7 +41,10 @@
 func (l *Local) Messages(time.Time, int) []Send { return nil }
 
 // Report implements Policy.
-func (l *Local) Report(time.Time, int) Message { return Message{} }
+func (l *Local) Report(time.Time, string, int) Message { return Message{} }
+
+// Capacity implements Policy.
+func (l *Local) Capacity(time.Time) int { return l.pool.held }
 
 // Receive implements Policy.
 func (l *Local) Receive(time.Time, string, Message) {}
--- a/internal/process/slots/policy.go
+++ b/internal/process/slots/policy.go
@@ -26,7 +26,8 @@
 	Queued int     // the sender's tasks that wait for a slot
 	Busy   int     // the sender's tasks that run
 	Total  int     // the slots that the sender holds
-	Held   []Grant // the sender's slots by target; in periodic messages only
+	Full   bool    // whether Held is present
+	Held   []Grant // the sender's slots by target
 }
 
 // Send is a Message with its receiver.
@@ -50,8 +51,11 @@
 	Refused(now time.Time, target string)
 	// Messages returns what is to be sent at once, given the tasks that wait.
 	Messages(now time.Time, queued int) []Send
-	// Report returns the periodic message that goes to every peer.
-	Report(now time.Time, queued int) Message
+	// Report returns the periodic message to a peer.
+	Report(now time.Time, to string, queued int) Message
+	// Capacity returns the slots that this host can count on: those it holds
+	// and those that idle at its peers.
+	Capacity(now time.Time) int
 	// Receive takes in a peer's message.
 	Receive(now time.Time, from string, m Message)
 }
