Mend slot parts without mistaking loans between others for losses

Cause: with full reports once a second, a loan between two other hosts looks like a loss until both have reported. Ruled out: full reports four times a second, about 36 KB/s a host at the design size. Change: a dead peer's slots are shared out at once when its lease is over; what else does not add up is mended only after ten full reports in which it erred in one direction, by the least error of the second half. The bound on refused starts is now 0.002 a task. The tests of a woken peer and of random losses wait for the longer time; the test of a dead peer waits less than before.

--- a/internal/process/slots/compare_test.go
+++ b/internal/process/slots/compare_test.go
@@ -219,8 +219,8 @@
 }{
 	{"local", func(string) slots.Policy { return slots.NewLocal(5 * time.Millisecond) }, 15, 0.001},
 	{"equal", func(s string) slots.Policy { return slots.NewEqual(s, 5*time.Millisecond) }, 0.001, 0.001},
-	{"demand", func(s string) slots.Policy { return slots.NewDemand(demandConfig(s, false, 50)) }, 0.02, 0.2},
-	{"demand-probe", func(s string) slots.Policy { return slots.NewDemand(demandConfig(s, true, 10)) }, 0.03, 1},
+	{"demand", func(s string) slots.Policy { return slots.NewDemand(demandConfig(s, false, 50)) }, 0.002, 0.2},
+	{"demand-probe", func(s string) slots.Policy { return slots.NewDemand(demandConfig(s, true, 10)) }, 0.002, 1},
 }
 
 func demandConfig(self string, probe bool, retryMS int) slots.DemandConfig {
@@ -238,7 +238,7 @@
 	}{{"truot domain", 13, 2}, {"vatuwaqa domain", 17, 3}, {"50 targets", 50, 4}, {"design domain", 154, 4}}
 	loads, length := []float64{0.8, 0.5, 0.95, 1.2}, 40*time.Second
 	if !testing.Verbose() {
-		domains, loads, length = domains[1:2], loads[:1], 5*time.Second
+		domains, loads, length = domains[1:2], loads[:1], 15*time.Second
 	}
 	for _, d := range domains {
 		for _, load := range loads {
--- a/internal/process/slots/demand.go
+++ b/internal/process/slots/demand.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // DemandConfig configures a Demand.
@@ -37,8 +35,8 @@
 	asked   string   // the peer with an open request, or ""
 	askedAt time.Time
 	nextAsk time.Time
-	turn    int                  // rotates among peers of equal rank
-	odd     map[string]time.Time // since when a target's parts do not add up
+	turn    int             // rotates among peers of equal rank
+	odd     map[string]odds // targets whose parts do not add up
 }
 
 // peer is what is known of another host.
@@ -54,6 +52,7 @@
 	since   time.Time      // when the first of lend was gathered
 	reply   bool           // a reply is due
 	trusted bool           // a full report has arrived since the peer appeared
+	lapsed  bool           // the lease is over and its slots were shared out
 }
 
 // NewDemand returns a Demand that holds nothing.
@@ -63,7 +62,7 @@
 		pool:  newPool(),
 		peers: make(map[string]*peer),
 		hosts: []string{cfg.Self},
-		odd:   make(map[string]time.Time),
+		odd:   make(map[string]odds),
 	}
 }
 
@@ -191,7 +190,7 @@
 	for i := range d.hosts {
 		name := d.hosts[(i+d.turn)%len(d.hosts)]
 		p := d.peers[name]
-		if p == nil || !d.isLive(now, name) {
+		if p == nil || p.total == 0 || !d.isLive(now, name) {
 			continue
 		}
 		if idle := p.idle(); idle > most {
@@ -201,6 +200,18 @@
 	return best
 }
 
+// Idle returns the held slots that are not used, here and, by their last word,
+// at the live peers.
+func (d *Demand) Idle(now time.Time) int {
+	sum := d.pool.idle()
+	for name, p := range d.peers {
+		if d.isLive(now, name) {
+			sum += p.idle()
+		}
+	}
+	return sum
+}
+
 // idle returns the peer's idle slots by its last word.
 func (p *peer) idle() int {
 	if p.queued > 0 {
@@ -215,7 +226,7 @@
 	if p == nil {
 		return
 	}
-	p.heard = now
+	p.heard, p.lapsed = now, false
 	p.queued, p.busy, p.total = m.Queued, m.Busy, m.Total
 	d.take(p, m.Lend)
 	if m.Full {
@@ -285,11 +296,7 @@
 		p.told = now
 		m.Full, m.Held = true, d.heldSlots()
 	}
-	for name, p := range d.peers {
-		if !d.isLive(now, name) {
-			p.owed = 0
-		}
-	}
+	d.expire(now)
 	d.reconcile(now)
 	return m
 }
@@ -309,73 +316,7 @@
 
 // Capacity implements Policy.
 func (d *Demand) Capacity(now time.Time) int {
-	sum := d.pool.held
-	for name, p := range d.peers {
-		if d.isLive(now, name) {
-			sum += p.idle()
-		}
-	}
-	return sum
-}
-
-// oddReports is the number of full reports from each peer after which parts
-// that do not add up are mended; in fewer, slots may have been on their way.
-const oddReports = 2.5
-
-// reconcile mends targets whose parts do not add up to their slots: one host,
-// chosen by the target's hash among the live ones, takes what nobody holds;
-// in the same order they give up what is held twice.
-func (d *Demand) reconcile(now time.Time) {
-	live := d.live(now)
-	for _, name := range live {
-		if p := d.peers[name]; p != nil && !p.trusted {
-			return
-		}
-	}
-	for _, e := range d.pool.sorted() {
-		d.reconcileTarget(now, e, live)
-	}
-}
-
-func (d *Demand) reconcileTarget(now time.Time, e *entry, live []string) {
-	sum := e.held
-	for _, name := range live {
-		if p := d.peers[name]; p != nil {
-			sum += p.held[e.name]
-		}
-	}
-	if sum == e.slots {
-		delete(d.odd, e.name)
-		return
-	}
-	since, ok := d.odd[e.name]
-	if !ok {
-		d.odd[e.name] = now
-		return
-	}
-	if now.Sub(since) < time.Duration(oddReports*float64(d.cfg.Full)) {
-		return
-	}
-	delete(d.odd, e.name)
-	first := int(xxhash.Sum64String(e.name) % uint64(len(live)))
-	if sum < e.slots && live[first] == d.cfg.Self {
-		d.pool.hold(e, e.held+e.slots-sum)
-	}
-	if sum > e.slots {
-		d.giveUp(e, sum-e.slots, slices.Concat(live[first:], live[:first]))
-	}
-}
-
-// giveUp drops this host's part of what is held beyond e's slots: the hosts
-// give up all they hold, in order, until nothing is held beyond.
-func (d *Demand) giveUp(e *entry, beyond int, order []string) {
-	for _, name := range order {
-		if name == d.cfg.Self {
-			d.pool.hold(e, e.held-min(beyond, e.held))
-			return
-		}
-		beyond -= min(beyond, d.peers[name].held[e.name])
-	}
+	return d.pool.held + d.Idle(now) - d.pool.idle()
 }
 
 func counts(list []Grant) map[string]int {
--- a/internal/process/slots/demand_test.go
+++ b/internal/process/slots/demand_test.go
@@ -134,7 +134,7 @@
 	d.cut["h2"] = true
 	d.pass(4)
 	g.Expect(d.held("h0", "h1")).NotTo(Equal(everySlotOnce(6)))
-	d.pass(20)
+	d.pass(6)
 	g.Expect(d.held("h0", "h1")).To(Equal(everySlotOnce(6)))
 }
 
@@ -145,7 +145,7 @@
 	d.cut["h2"] = true
 	d.pass(24)
 	d.cut["h2"] = false
-	d.pass(20)
+	d.pass(60)
 	g.Expect(d.held(d.names...)).To(Equal(everySlotOnce(6)))
 }
 
--- a/internal/request/queue/queue.go
+++ b/internal/request/queue/queue.go
@@ -57,6 +57,17 @@
 // Bytes returns the payload bytes of the waiting tasks.
 func (q *Queue) Bytes() int64 { return q.bytes }
 
+// Startable returns the waiting tasks, without and with an accelerator, that a
+// team's limit would let start now.
+func (q *Queue) Startable() (withoutAccelerator, withAccelerator int) {
+	for _, t := range q.teams {
+		p, a := t.startable()
+		withoutAccelerator += p
+		withAccelerator += a
+	}
+	return withoutAccelerator, withAccelerator
+}
+
 // Demand returns the tasks that wait or run, by team.
 func (q *Queue) Demand() map[string]int {
 	demand := make(map[string]int, len(q.teams))
--- a/internal/request/queue/team.go
+++ b/internal/request/queue/team.go
@@ -17,6 +17,7 @@
 	virtual     float64 // start tag of the next task, in weighted seconds
 	heaps       [lanes]jobHeap
 	waiting     int
+	accelerated int // of the waiting tasks, those that need an accelerator
 	bytes       int64
 	work        time.Duration // learned run times of the waiting tasks
 	running     int
@@ -46,6 +47,17 @@
 
 func (t *team) idle() bool { return t.waiting == 0 && t.running == 0 }
 
+// startable returns the waiting tasks of both lanes that the limit lets start.
+func (t *team) startable() (plain, accelerated int) {
+	plain, accelerated = t.waiting-t.accelerated, t.accelerated
+	if t.policy.Limit > 0 {
+		room := max(0, t.policy.Limit-t.running)
+		accelerated = min(accelerated, room)
+		plain = min(plain, room-accelerated)
+	}
+	return plain, accelerated
+}
+
 // run takes a running task into the counts (sign 1) or out of them (-1).
 func (t *team) run(task Task, sign int) {
 	t.running += sign
@@ -57,6 +69,9 @@
 // count takes a waiting task into the counts (sign 1) or out of them (-1).
 func (t *team) count(task Task, sign int) {
 	t.waiting += sign
+	if task.Accelerator {
+		t.accelerated += sign
+	}
 	t.bytes += int64(sign) * task.Bytes
 	if task.Learned {
 		t.work += time.Duration(sign) * task.Cost
