Share the slots of a domain's targets among its entry hosts

Cause: each host saw its own starts only, so under load most starts found a full target. Change: the core takes slots from the pools of parts moved by demand, one for targets with an accelerator and one for the others; requests, loans and reports travel in Exchange messages; a team's quota is split by the demand that the hosts report, and by equal parts during a cut.

--- a/internal/process/dispatch/bench_test.go
+++ b/internal/process/dispatch/bench_test.go
@@ -23,6 +23,7 @@
 	teams   map[dispatch.JobID]string
 	ends    map[time.Time][]dispatch.Result
 	open    map[dispatch.StartID]dispatch.JobID
+	tells   []dispatch.Tell
 
 	// serve says how a start ends and how long it takes; the default is Done
 	// after 100 ms.
@@ -42,13 +43,18 @@
 		open:    map[dispatch.StartID]dispatch.JobID{},
 		serve:   func(dispatch.Start) (dispatch.Outcome, time.Duration) { return dispatch.Done, 100 * time.Millisecond },
 	}
+	b.announce(targets, slots)
+	return b
+}
+
+// announce adds targets with a long lease.
+func (b *bench) announce(targets, slots int) {
 	var list []dispatch.Target
 	for i := range targets {
 		a := wire.Announcement{Target: fmt.Sprintf("t%d", i), Slots: slots}
 		list = append(list, dispatch.Target{Announcement: a, LeaseEnd: b.now.Add(time.Hour)})
 	}
 	b.core.SetTargets(b.now, list)
-	return b
 }
 
 // submit hands in a job of n tasks of one kind; deadline 0 stands for the default.
@@ -77,6 +83,7 @@
 		b.ends[at] = append(b.ends[at], r)
 		b.open[s.ID] = s.Job
 	}
+	b.tells = append(b.tells, out.Tells...)
 	for _, f := range out.Finishes {
 		b.answers[f.Job] = f.Answer
 	}
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -17,9 +17,13 @@
 	QueuedBytes       int64         // payload bytes of those tasks at most
 	AttemptTimeout    time.Duration // an attempt is given up after this
 	DefaultDeadline   time.Duration // for a job that states none
-	RefusalPause      time.Duration // a target that refused a start is avoided for this
+	RefusalPause      time.Duration // a target that refused a start is avoided for this at first
 	RestartIdempotent bool          // start a task of an idempotent job again after an unknown outcome
 	Teams             map[string]Team
+	Host              string        // this host's name
+	PeerLease         time.Duration // a peer not heard of for this long loses its slots
+	SlotRetry         time.Duration // between two requests for a peer's idle slots
+	SlotProbe         bool          // request slots also of peers that were busy when last heard of
 }
 
 // DefaultConfig returns the policy in force until a bundle states another.
@@ -29,7 +33,10 @@
 		QueuedBytes:     64 << 20,
 		AttemptTimeout:  30 * time.Second,
 		DefaultDeadline: 30 * time.Second,
-		RefusalPause:    20 * time.Millisecond,
+		RefusalPause:    5 * time.Millisecond,
+		Host:            "self",
+		PeerLease:       2 * time.Second,
+		SlotRetry:       50 * time.Millisecond,
 	}
 }
 
@@ -45,6 +52,9 @@
 	last     StartID
 	queue    *queue.Queue
 	runtimes *runtimes.Table
+	pools    *pools
+	peers    map[string]*peerDemand
+	heard    bool // every peer has reported within the lease
 	out      Effects
 }
 
@@ -52,6 +62,7 @@
 type Effects struct {
 	Starts   []Start
 	Finishes []Finish
+	Tells    []Tell
 }
 
 // NewCore returns a Core without targets. The random source breaks ties.
@@ -64,6 +75,7 @@
 		starts:   make(map[StartID]started),
 		queue:    queue.New(queue.Config{Tasks: config.QueuedTasks, Bytes: config.QueuedBytes}),
 		runtimes: runtimes.NewTable(runtimeKeys),
+		pools:    newPools(config),
 	}
 	c.applyTeams()
 	return c
@@ -72,10 +84,14 @@
 // runtimeKeys bounds the teams and kinds whose run times are learned.
 const runtimeKeys = 4096
 
-// SetConfig puts another policy in force.
+// SetConfig puts another policy in force. The host's name stays.
 func (c *Core) SetConfig(config Config) {
+	config.Host = c.config.Host
 	c.config = config
 	c.queue.SetBounds(config.QueuedTasks, config.QueuedBytes)
+	for _, pool := range c.pools.demand {
+		pool.SetConfig(config.sharing())
+	}
 	c.applyTeams()
 }
 
@@ -94,7 +110,7 @@
 	}
 	j := c.newJob(now, id, spec)
 	tasks := c.queueTasks(now, j)
-	if err := c.queue.Admit(now, j.queueJob(), tasks, c.slots(now)); err != nil {
+	if err := c.queue.Admit(now, j.queueJob(), tasks, c.capacity(now)); err != nil {
 		return err
 	}
 	c.jobs[id] = j
@@ -118,17 +134,6 @@
 	}
 }
 
-// slots returns the slots that this host can count on.
-func (c *Core) slots(now time.Time) int {
-	sum := 0
-	for _, t := range c.order {
-		if t.alive(now) {
-			sum += t.Slots
-		}
-	}
-	return sum
-}
-
 // checkRunnable refuses a job that no known target could run.
 func (c *Core) checkRunnable(now time.Time, spec *job.Spec) error {
 	alive, accelerators := 0, 0
@@ -167,6 +172,7 @@
 	for _, t := range list {
 		c.setTarget(t)
 	}
+	c.refreshTargets(now)
 	c.assign(now)
 }
 
@@ -189,7 +195,10 @@
 		}
 	}
 	c.dropTargets(now)
+	c.refreshTargets(now)
 	c.queue.Sweep()
+	c.heard = c.heardAll(now)
+	c.applyTeams()
 	c.assign(now)
 }
 
@@ -219,18 +228,12 @@
 
 // Load returns the free capacity at now.
 func (c *Core) Load(now time.Time) Load {
-	load := Load{Queued: c.Queued()}
-	for _, t := range c.order {
-		if !t.free(now) {
-			continue
-		}
-		free := t.Slots - t.busy
-		load.Free += free
-		if t.Accelerators > 0 {
-			load.Accelerators += free
-		}
+	accelerators := c.pools.demand[acceleratorPool].Idle(now)
+	return Load{
+		Free:         c.pools.demand[plainPool].Idle(now) + accelerators,
+		Accelerators: accelerators,
+		Queued:       c.Queued(),
 	}
-	return load
 }
 
 // Targets returns the known targets in the order of their announcement.
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -30,6 +30,7 @@
 	ref    queue.Ref
 	job    *jobState
 	target *Target
+	pool   int // that the target's slot was taken from
 	at     time.Time
 }
 
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -28,6 +28,7 @@
 	Core    *Core
 	Records record.Config
 	Minter  *ticket.Minter
+	Teller  Teller // nil without other hosts in the domain
 	Sender  Sender
 	Copier  Copier
 	Spiller Spiller          // nil if no job is passed to another domain
@@ -215,6 +216,7 @@
 	for _, f := range out.Finishes {
 		l.finish(f)
 	}
+	l.tell(ctx, out.Tells)
 }
 
 func (l *Loop) send(ctx context.Context, s Start) {
--- /dev/null
+++ b/internal/process/dispatch/peers.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	sharing "wasabifield.example/wasabifield/internal/process/slots"
+	"wasabifield.example/wasabifield/internal/request/queue"
+)
+
+// PoolMessage shares the slots of one pool.
+type PoolMessage struct {
+	Pool    int
+	Message sharing.Message
+}
+
+// PeerMessage is what hosts of one failure domain tell each other about slots
+// and quotas.
+type PeerMessage struct {
+	Pools  []PoolMessage
+	Report bool           // whether Demand is present
+	Demand map[string]int // tasks that wait or run, by team with a quota
+}
+
+// Tell asks for a PeerMessage to be sent to a peer.
+type Tell struct {
+	To      string
+	Message PeerMessage
+}
+
+// peerDemand is what a peer last reported.
+type peerDemand struct {
+	heard  time.Time
+	demand map[string]int
+}
+
+// SetPeers names the other entry hosts of the failure domain.
+func (c *Core) SetPeers(now time.Time, names []string) {
+	c.peers = make(map[string]*peerDemand, len(names))
+	for _, name := range names {
+		c.peers[name] = &peerDemand{}
+	}
+	for _, pool := range c.pools.demand {
+		pool.SetPeers(now, names)
+	}
+	c.heard = c.heardAll(now)
+	c.applyTeams()
+}
+
+// Report returns the periodic message to a peer.
+func (c *Core) Report(now time.Time, to string) PeerMessage {
+	waiting := c.waiting()
+	m := PeerMessage{Report: true, Demand: c.demand()}
+	for i, pool := range c.pools.demand {
+		m.Pools = append(m.Pools, PoolMessage{i, pool.Report(now, to, waiting[i])})
+	}
+	return m
+}
+
+// Receive takes in a peer's message.
+func (c *Core) Receive(now time.Time, from string, m PeerMessage) {
+	for _, p := range m.Pools {
+		if p.Pool < poolCount {
+			c.pools.demand[p.Pool].Receive(now, from, p.Message)
+		}
+	}
+	if peer := c.peers[from]; peer != nil && m.Report {
+		peer.heard, peer.demand = now, m.Demand
+		c.heard = c.heardAll(now)
+		c.applyTeams()
+	}
+	c.assign(now)
+}
+
+// TakeFor removes the messages to a peer from the effects and returns them as
+// one, to be sent as the answer to the peer's own message.
+func (c *Core) TakeFor(peer string) PeerMessage {
+	var m PeerMessage
+	c.out.Tells = slices.DeleteFunc(c.out.Tells, func(t Tell) bool {
+		if t.To == peer {
+			m.Pools = append(m.Pools, t.Message.Pools...)
+		}
+		return t.To == peer
+	})
+	return m
+}
+
+// tell adds what the pools have to say to the effects.
+func (c *Core) tell(now time.Time) {
+	waiting := c.waiting()
+	for i, pool := range c.pools.demand {
+		for _, s := range pool.Messages(now, waiting[i]) {
+			c.out.Tells = append(c.out.Tells, Tell{s.To, PeerMessage{Pools: []PoolMessage{{i, s.Message}}}})
+		}
+	}
+}
+
+// demand returns this host's demand of the teams with a quota.
+func (c *Core) demand() map[string]int {
+	all := c.queue.Demand()
+	own := make(map[string]int)
+	for name, t := range c.config.Teams {
+		if n := all[name]; n > 0 && t.Quota > 0 {
+			own[name] = n
+		}
+	}
+	return own
+}
+
+// applyTeams hands the teams' weights and this host's parts of their quotas to
+// the queue.
+func (c *Core) applyTeams() {
+	own := c.demand()
+	policies := make(map[string]queue.TeamPolicy, len(c.config.Teams))
+	for name, t := range c.config.Teams {
+		all := own[name]
+		for _, p := range c.peers {
+			all += p.demand[name]
+		}
+		limit := queue.QuotaShare(t.Quota, len(c.peers)+1, own[name], all, c.heard)
+		policies[name] = queue.TeamPolicy{Weight: t.Weight, Limit: limit}
+	}
+	c.queue.SetPolicies(policies)
+}
+
+// heardAll reports whether every peer has reported within the lease.
+func (c *Core) heardAll(now time.Time) bool {
+	for _, p := range c.peers {
+		if now.Sub(p.heard) >= c.config.PeerLease {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -40,9 +40,7 @@
 	default:
 		c.queue.Return(s.ref)
 	}
-	if outcome == NotStarted {
-		s.target.avoided = now.Add(c.config.RefusalPause)
-	}
+	c.free(now, s, outcome)
 	if outcome == Done {
 		c.runtimes.Observe(now, s.key(), ran)
 	}
--- a/internal/process/dispatch/team.go
+++ b/internal/process/dispatch/team.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import "wasabifield.example/wasabifield/internal/request/queue"
-
 // Team is what the bundle grants a team.
 type Team struct {
 	Weight float64 // share of the slots in relation to the other teams; 0 counts as 1
@@ -19,12 +17,3 @@
 	}
 	return others
 }
-
-// applyTeams hands the teams' weights and limits to the queue.
-func (c *Core) applyTeams() {
-	policies := make(map[string]queue.TeamPolicy, len(c.config.Teams))
-	for name, t := range c.config.Teams {
-		policies[name] = queue.TeamPolicy{Weight: t.Weight, Limit: t.Quota}
-	}
-	c.queue.SetPolicies(policies)
-}
--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -51,6 +51,7 @@
 	if domain == h.settings.Domain {
 		m.Cursor = h.targets.cursor(name)
 		m.Copies = h.outbox.take(name)
+		h.report(ctx, name, m)
 	}
 	answer, err := h.client.Exchange(ctx, name, m)
 	if err != nil {
@@ -61,6 +62,9 @@
 	if answer.GetDelta() != nil {
 		h.setTargets(h.targets.merge(name, asked, answer.GetDelta()))
 	}
+	if len(answer.GetSlots()) > 0 {
+		_ = h.loop.Receive(name, peerMessageFrom(answer))
+	}
 }
 
 // message states what this host knows to a host of domain.
@@ -80,6 +84,11 @@
 
 // Merge implements peer.Backend.
 func (h *Host) Merge(m *peerpb.ExchangeMessage) *peerpb.ExchangeMessage {
+	if m.GetSlotsOnly() {
+		answer := &peerpb.ExchangeMessage{}
+		h.mergeSlots(m, answer)
+		return answer
+	}
 	now := time.Now()
 	held := h.hosts.asked(now, m)
 	for _, c := range m.GetCopies() {
@@ -89,6 +98,7 @@
 	answer.Held = held
 	if m.GetDomain() == h.settings.Domain {
 		answer.Delta = h.targets.delta(now, m.GetCursor())
+		h.mergeSlots(m, answer)
 	}
 	return answer
 }
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -35,6 +35,7 @@
 	macKeyBytes       = 32
 	incarnationRandom = 20 // low bits of an incarnation that are random
 	headerTimeout     = 10 * time.Second
+	leaseExchanges    = 8 // a peer not heard of for so many exchanges loses its slots
 )
 
 // Host is one entry host.
@@ -102,9 +103,14 @@
 	policy := dispatch.DefaultConfig()
 	policy.QueuedTasks = h.settings.Limits.QueuedTasks
 	policy.QueuedBytes = h.settings.Limits.QueuedBytes
+	policy.Host = h.settings.Host
+	policy.PeerLease = leaseExchanges * h.settings.Timing.Exchange
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	core := dispatch.NewCore(policy, random)
+	core.SetPeers(time.Now(), h.domainPeers())
 	return dispatch.NewLoop(dispatch.LoopConfig{
-		Core: dispatch.NewCore(policy, random),
+		Core:   core,
+		Teller: h,
 		Records: record.Config{
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
--- /dev/null
+++ b/internal/process/host/slots.go
@@ -0,0 +1,131 @@
+package host
+
+import (
+	"context"
+
+	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/slots"
+)
+
+// domainPeers returns the other entry hosts of this host's failure domain.
+func (h *Host) domainPeers() []string {
+	var names []string
+	for _, p := range h.settings.Peers {
+		if p.Domain == h.settings.Domain {
+			names = append(names, p.Host)
+		}
+	}
+	return names
+}
+
+// Tell implements dispatch.Teller.
+func (h *Host) Tell(ctx context.Context, to string, m dispatch.PeerMessage) (dispatch.PeerMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.settings.Timing.DialTimeout)
+	defer cancel()
+	question := &peerpb.ExchangeMessage{
+		Host:        h.settings.Host,
+		Domain:      h.settings.Domain,
+		Incarnation: h.hosts.incarnation(),
+		Draining:    h.draining.Load(),
+		SlotsOnly:   true,
+	}
+	putPeerMessage(question, m)
+	answer, err := h.client.Exchange(ctx, to, question)
+	if err != nil {
+		h.log.Debug("A message about slots was lost.", "peer", to, "error", err)
+		return dispatch.PeerMessage{}, err
+	}
+	return peerMessageFrom(answer), nil
+}
+
+// report adds the periodic message about slots to a question.
+func (h *Host) report(ctx context.Context, to string, question *peerpb.ExchangeMessage) {
+	m, err := h.loop.Report(ctx, to)
+	if err != nil {
+		h.log.Debug("No report on slots.", "error", err)
+		return
+	}
+	putPeerMessage(question, m)
+}
+
+// mergeSlots takes in the part of a question that is about slots and adds the
+// reply to the answer.
+func (h *Host) mergeSlots(question, answer *peerpb.ExchangeMessage) {
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Timing.DialTimeout)
+	defer cancel()
+	reply, err := h.loop.Exchange(ctx, question.GetHost(), peerMessageFrom(question))
+	if err != nil {
+		h.log.Debug("A message about slots was not taken in.", "error", err)
+		return
+	}
+	putPeerMessage(answer, reply)
+}
+
+func putPeerMessage(to *peerpb.ExchangeMessage, m dispatch.PeerMessage) {
+	for _, p := range m.Pools {
+		to.Slots = append(to.Slots, slotMessage(p))
+	}
+	to.Report = m.Report
+	for team, tasks := range m.Demand {
+		to.Demand = append(to.Demand, &peerpb.TeamDemand{Team: team, Tasks: uint32(tasks)})
+	}
+}
+
+func peerMessageFrom(from *peerpb.ExchangeMessage) dispatch.PeerMessage {
+	m := dispatch.PeerMessage{Report: from.GetReport(), Demand: make(map[string]int, len(from.GetDemand()))}
+	for _, p := range from.GetSlots() {
+		m.Pools = append(m.Pools, poolMessage(p))
+	}
+	for _, d := range from.GetDemand() {
+		m.Demand[d.GetTeam()] = int(d.GetTasks())
+	}
+	return m
+}
+
+func slotMessage(p dispatch.PoolMessage) *peerpb.SlotMessage {
+	m := p.Message
+	return &peerpb.SlotMessage{
+		Pool:   uint32(p.Pool),
+		Want:   uint32(m.Want),
+		Reply:  m.Reply,
+		Lend:   slotGrants(m.Lend),
+		Queued: uint32(m.Queued),
+		Busy:   uint32(m.Busy),
+		Total:  uint32(m.Total),
+		Full:   m.Full,
+		Holds:  slotGrants(m.Held),
+	}
+}
+
+func poolMessage(m *peerpb.SlotMessage) dispatch.PoolMessage {
+	return dispatch.PoolMessage{
+		Pool: int(m.GetPool()),
+		Message: slots.Message{
+			Want:   int(m.GetWant()),
+			Reply:  m.GetReply(),
+			Lend:   grantsFrom(m.GetLend()),
+			Queued: int(m.GetQueued()),
+			Busy:   int(m.GetBusy()),
+			Total:  int(m.GetTotal()),
+			Full:   m.GetFull(),
+			Held:   grantsFrom(m.GetHolds()),
+		},
+	}
+}
+
+func slotGrants(list []slots.Grant) []*peerpb.SlotGrant {
+	out := make([]*peerpb.SlotGrant, len(list))
+	for i, g := range list {
+		out[i] = &peerpb.SlotGrant{Target: g.Target, Slots: uint32(g.Slots)}
+	}
+	return out
+}
+
+func grantsFrom(list []*peerpb.SlotGrant) []slots.Grant {
+	out := make([]slots.Grant, len(list))
+	for i, g := range list {
+		out[i] = slots.Grant{Target: g.GetTarget(), Slots: int(g.GetSlots())}
+	}
+	return out
+}
