--- a/internal/process/dispatch/peers.go
+++ b/internal/process/dispatch/peers.go
@@ -111,14 +111,15 @@
 // the queue.
 func (c *Core) applyTeams() {
 	own := c.demand()
+	hosts := len(c.peers) + 1
 	policies := make(map[string]queue.TeamPolicy, len(c.config.Teams))
 	for name, t := range c.config.Teams {
 		all := own[name]
 		for _, p := range c.peers {
 			all += p.demand[name]
 		}
-		limit := queue.QuotaShare(t.Quota, len(c.peers)+1, own[name], all, c.heard)
-		policies[name] = queue.TeamPolicy{Weight: t.Weight, Limit: limit}
+		limit := queue.QuotaShare(t.Quota, hosts, own[name], all, c.heard)
+		policies[name] = queue.TeamPolicy{Weight: t.Weight, Limit: limit, Waiting: (t.Queued + hosts - 1) / hosts}
 	}
 	c.queue.SetPolicies(policies)
 }
--- a/internal/request/queue/team.go
+++ b/internal/request/queue/team.go
@@ -7,8 +7,9 @@
 
 // TeamPolicy is what the bundle grants a team.
 type TeamPolicy struct {
-	Weight float64 // share of the slots in relation to the other teams; 0 counts as 1
-	Limit  int     // tasks that may run at once from this host; 0 for no limit
+	Weight  float64 // share of the slots in relation to the other teams; 0 counts as 1
+	Limit   int     // tasks that may run at once from this host; 0 for no limit
+	Waiting int     // tasks that may wait at this host; 0 for the queue's own bounds
 }
 
 // team is a team with tasks that wait or run.
