Name the slot policies that exist in the bundle

Cause: the bundle offered three policies of which the core has one. Ruled out: keeping names for ways that the measurement rejected. Change: shares and shares_probing; the second asks peers for slots every 10 ms, also those that were busy when last heard of.

--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -49,6 +49,9 @@
 // loses its slots.
 const leaseExchanges = 8
 
+// probeRetry is the time between two requests for slots under SharesProbing.
+const probeRetry = 10 * time.Millisecond
+
 // dispatchConfig is what b means for the dispatch core of a host.
 func dispatchConfig(b bundle.Bundle, s settings.Settings) dispatch.Config {
 	c := dispatch.DefaultConfig()
@@ -59,6 +62,10 @@
 	c.AttemptTimeout = b.AttemptTimeout
 	c.DefaultDeadline = b.Deadlines.Default
 	c.RestartIdempotent = b.Retry.RestartIdempotent
+	if b.SlotPolicyOf(s.Domain) == bundle.SharesProbing {
+		c.SlotProbe = true
+		c.SlotRetry = probeRetry
+	}
 	c.Teams = make(map[string]dispatch.Team, len(b.Teams))
 	for _, t := range b.Teams {
 		c.Teams[t.Name] = dispatch.Team{Quota: t.InProgress, Queued: t.Queued}
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -9,7 +9,7 @@
 	BasedOn        uint64        `yaml:"based_on" json:"based_on"` // accepted version that this one was written on top of
 	Limits         Limits        `yaml:"limits" json:"limits"`
 	Teams          []Team        `yaml:"teams" json:"teams"`
-	OtherTeams     Quota         `yaml:"other_teams" json:"other_teams"` // quota of each team that Teams does not name
+	OtherTeams     Quota         `yaml:"other_teams" json:"other_teams"` // quota that all teams share that Teams does not name
 	Retry          Retry         `yaml:"retry" json:"retry"`
 	Routing        Routing       `yaml:"routing" json:"routing"`
 	Deadlines      Deadlines     `yaml:"deadlines" json:"deadlines"`
@@ -25,7 +25,7 @@
 	OutputBytes  int64 `yaml:"output_bytes" json:"output_bytes"`   // of one task
 }
 
-// Quota bounds what one team holds in one failure domain.
+// Quota bounds what one team holds in one failure domain; 0 is no bound.
 type Quota struct {
 	InProgress int `yaml:"in_progress" json:"in_progress"` // task starts in progress
 	Queued     int `yaml:"queued" json:"queued"`           // tasks waiting for a slot
@@ -53,9 +53,8 @@
 
 // The slot policies.
 const (
-	RandomTwo SlotPolicy = "random_two" // the less loaded of two targets drawn from the local view
-	Shares    SlotPolicy = "shares"     // each host holds a share of each target's slots
-	Owner     SlotPolicy = "owner"      // one host owns each target and the others forward to it
+	Shares        SlotPolicy = "shares"         // slots move to where tasks wait, with the fewest messages
+	SharesProbing SlotPolicy = "shares_probing" // the same, but hosts ask each other often, for the least wait
 )
 
 // Routing says where tasks run.
@@ -103,7 +102,7 @@
 		Limits:         Limits{TasksPerJob: 210, PayloadBytes: 256 << 10, OutputBytes: 1 << 20},
 		OtherTeams:     Quota{InProgress: 1_000, Queued: 10_000},
 		Retry:          Retry{Attempts: 4},
-		Routing:        Routing{SlotPolicy: RandomTwo, Spill: Spill{After: 500 * time.Millisecond}},
+		Routing:        Routing{SlotPolicy: Shares, Spill: Spill{After: 500 * time.Millisecond}},
 		Deadlines:      Deadlines{Default: 10 * time.Second, Greatest: time.Minute},
 		AttemptTimeout: 30 * time.Second,
 		Ejection: Ejection{
--- a/internal/version/bundle/check.go
+++ b/internal/version/bundle/check.go
@@ -19,7 +19,7 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
-var slotPolicies = []SlotPolicy{RandomTwo, Shares, Owner}
+var slotPolicies = []SlotPolicy{Shares, SharesProbing}
 
 // checker gathers the faults of a bundle.
 type checker struct{ faults Faults }
