--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -45,18 +45,33 @@
 
 func (p *policy) current() *inForce { return p.inForce.Load() }
 
-// dispatchConfig is what b means for the dispatch core of one of the given
-// number of entry hosts of a domain.
-func dispatchConfig(b bundle.Bundle, limits settings.Limits, hosts int) dispatch.Config {
+// leaseExchanges is the number of exchanges without news after which a peer
+// loses its slots.
+const leaseExchanges = 8
+
+// probeRetry is the time between two requests for slots under SharesProbing.
+const probeRetry = 10 * time.Millisecond
+
+// dispatchConfig is what b means for the dispatch core of a host.
+func dispatchConfig(b bundle.Bundle, s settings.Settings) dispatch.Config {
 	c := dispatch.DefaultConfig()
-	c.QueuedTasks = limits.QueuedTasks
-	c.QueuedBytes = limits.QueuedBytes
+	c.Host = s.Host
+	c.PeerLease = leaseExchanges * s.Timing.Exchange
+	c.QueuedTasks = s.Limits.QueuedTasks
+	c.QueuedBytes = s.Limits.QueuedBytes
 	c.AttemptTimeout = b.AttemptTimeout
 	c.DefaultDeadline = b.Deadlines.Default
 	c.RestartIdempotent = b.Retry.RestartIdempotent
+	if b.SlotPolicyOf(s.Domain) == bundle.SharesProbing {
+		c.SlotProbe = true
+		c.SlotRetry = probeRetry
+	}
 	c.Teams = make(map[string]dispatch.Team, len(b.Teams))
 	for _, t := range b.Teams {
-		c.Teams[t.Name] = dispatch.Team{Weight: 1, Quota: t.Share(hosts).InProgress}
+		c.Teams[t.Name] = dispatch.Team{Quota: t.InProgress, Queued: t.Queued}
+	}
+	if len(b.Teams) > 0 {
+		c.Teams[dispatch.OtherTeams] = dispatch.Team{Quota: b.OtherTeams.InProgress, Queued: b.OtherTeams.Queued}
 	}
 	return c
 }
@@ -79,23 +94,12 @@
 	return nil
 }
 
-// domainHosts counts the entry hosts of this host's domain, itself included.
-func domainHosts(s settings.Settings) int {
-	count := 1
-	for _, p := range s.Peers {
-		if p.Domain == s.Domain {
-			count++
-		}
-	}
-	return count
-}
-
 // setBundle puts b in force at this host if it is newer than the one in force.
 func (h *Host) setBundle(b bundle.Bundle) {
 	if !h.policy.replace(time.Now(), b) {
 		return
 	}
-	config := dispatchConfig(b, h.settings.Limits, domainHosts(h.settings))
+	config := dispatchConfig(b, h.settings)
 	if err := h.loop.SetConfig(config); err != nil {
 		h.log.Error("The bundle is not in force.", "version", b.Version, "error", err)
 		return
--- a/internal/process/slots/demand.go
+++ b/internal/process/slots/demand.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // DemandConfig configures a Demand.
@@ -17,6 +15,7 @@
 	Batch time.Duration // how long slots for a peer are gathered into one message
 	Lease time.Duration // a peer not heard of for this long loses its slots
 	Pause time.Duration // how long a target is left alone after a first refusal
+	Full  time.Duration // between two reports to a peer that name every target
 }
 
 // Demand starts from equal parts and moves slots to where tasks wait. A host
@@ -36,13 +35,14 @@
 	asked   string   // the peer with an open request, or ""
 	askedAt time.Time
 	nextAsk time.Time
-	turn    int            // rotates among peers of equal rank
-	odd     map[string]int // reports in a row in which a target's parts did not add up
+	turn    int             // rotates among peers of equal rank
+	odd     map[string]odds // targets whose parts do not add up
 }
 
 // peer is what is known of another host.
 type peer struct {
 	heard   time.Time
+	told    time.Time // when it was last sent a full report
 	queued  int
 	busy    int
 	total   int
@@ -52,6 +52,7 @@
 	since   time.Time      // when the first of lend was gathered
 	reply   bool           // a reply is due
 	trusted bool           // a full report has arrived since the peer appeared
+	lapsed  bool           // the lease is over and its slots were shared out
 }
 
 // NewDemand returns a Demand that holds nothing.
@@ -61,10 +62,13 @@
 		pool:  newPool(),
 		peers: make(map[string]*peer),
 		hosts: []string{cfg.Self},
-		odd:   make(map[string]int),
+		odd:   make(map[string]odds),
 	}
 }
 
+// SetConfig puts another Retry and Probe in force.
+func (d *Demand) SetConfig(cfg DemandConfig) { d.cfg.Retry, d.cfg.Probe = cfg.Retry, cfg.Probe }
+
 // SetTargets implements Policy. Of a new target the host takes its equal part.
 func (d *Demand) SetTargets(now time.Time, targets []Target) {
 	live := d.live(now)
@@ -186,7 +190,7 @@
 	for i := range d.hosts {
 		name := d.hosts[(i+d.turn)%len(d.hosts)]
 		p := d.peers[name]
-		if p == nil || !d.isLive(now, name) {
+		if p == nil || p.total == 0 || !d.isLive(now, name) {
 			continue
 		}
 		if idle := p.idle(); idle > most {
@@ -196,6 +200,18 @@
 	return best
 }
 
+// Idle returns the held slots that are not used, here and, by their last word,
+// at the live peers.
+func (d *Demand) Idle(now time.Time) int {
+	sum := d.pool.idle()
+	for name, p := range d.peers {
+		if d.isLive(now, name) {
+			sum += p.idle()
+		}
+	}
+	return sum
+}
+
 // idle returns the peer's idle slots by its last word.
 func (p *peer) idle() int {
 	if p.queued > 0 {
@@ -210,10 +226,10 @@
 	if p == nil {
 		return
 	}
-	p.heard = now
+	p.heard, p.lapsed = now, false
 	p.queued, p.busy, p.total = m.Queued, m.Busy, m.Total
 	d.take(p, m.Lend)
-	if m.Held != nil {
+	if m.Full {
 		p.held, p.trusted = counts(m.Held), true
 		d.reconcile(now)
 	}
@@ -273,80 +289,34 @@
 const owedShare = 8
 
 // Report implements Policy.
-func (d *Demand) Report(now time.Time, queued int) Message {
+func (d *Demand) Report(now time.Time, to string, queued int) Message {
 	d.queued = queued
-	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.held, Held: []Grant{}}
-	for _, e := range d.pool.sorted() {
-		if e.held > 0 {
-			m.Held = append(m.Held, Grant{e.name, e.held})
-		}
-	}
-	for name, p := range d.peers {
-		if !d.isLive(now, name) {
-			p.owed = 0
-		}
+	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.held}
+	if p := d.peers[to]; p != nil && now.Sub(p.told) >= d.cfg.Full {
+		p.told = now
+		m.Full, m.Held = true, d.heldSlots()
 	}
+	d.expire(now)
 	d.reconcile(now)
 	return m
 }
 
-// oddLimit is the number of reports in a row after which parts that do not
-// add up are mended; fewer may be slots on their way.
-const oddLimit = 4
-
-// reconcile mends targets whose parts do not add up to their slots: one host,
-// chosen by the target's hash among the live ones, takes what nobody holds;
-// the first in that order that holds any gives up what is held twice.
-func (d *Demand) reconcile(now time.Time) {
-	live := d.live(now)
-	for _, name := range live {
-		if p := d.peers[name]; p != nil && !p.trusted {
-			return
-		}
-	}
+func (d *Demand) heldSlots() []Grant {
+	var held []Grant
 	for _, e := range d.pool.sorted() {
-		d.reconcileTarget(e, live)
-	}
-}
-
-func (d *Demand) reconcileTarget(e *entry, live []string) {
-	sum := e.held
-	for _, name := range live {
-		if p := d.peers[name]; p != nil {
-			sum += p.held[e.name]
+		if e.held > 0 {
+			held = append(held, Grant{e.name, e.held})
 		}
 	}
-	if sum == e.slots {
-		delete(d.odd, e.name)
-		return
-	}
-	d.odd[e.name]++
-	if d.odd[e.name] < oddLimit*len(live) {
-		return
-	}
-	delete(d.odd, e.name)
-	first := int(xxhash.Sum64String(e.name) % uint64(len(live)))
-	if sum < e.slots && live[first] == d.cfg.Self {
-		d.pool.hold(e, e.held+e.slots-sum)
-	}
-	if sum > e.slots && d.firstHolder(e, live, first) == d.cfg.Self {
-		d.pool.hold(e, e.held-(sum-e.slots))
-	}
+	return held
 }
 
-// firstHolder returns the first live host from index first on that holds
-// slots of e.
-func (d *Demand) firstHolder(e *entry, live []string, first int) string {
-	for i := range live {
-		name := live[(first+i)%len(live)]
-		if name == d.cfg.Self && e.held > 0 {
-			return name
-		}
-		if p := d.peers[name]; p != nil && p.held[e.name] > 0 {
-			return name
-		}
-	}
-	return ""
+// Held returns the slots that this host holds, by target.
+func (d *Demand) Held() map[string]int { return counts(d.heldSlots()) }
+
+// Capacity implements Policy.
+func (d *Demand) Capacity(now time.Time) int {
+	return d.pool.held + d.Idle(now) - d.pool.idle()
 }
 
 func counts(list []Grant) map[string]int {
