Add the register: ballots over a value that names its voters

The control state needs one durable, replicated value that any host may change, also after the loss of a disk.

--- /dev/null
+++ b/internal/version/register/ballot.go
@@ -0,0 +1,27 @@
+package register
+
+import "cmp"
+
+// Ballot orders the attempts to change the register. Each attempt has its own.
+type Ballot struct {
+	Round    uint64
+	Proposer uint64 // drawn at random at each start of a proposing process
+}
+
+// Compare returns -1, 0 or 1 as b is below, equal to or above o.
+func (b Ballot) Compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Proposer, o.Proposer))
+}
+
+// Next returns the lowest ballot of the proposer that is above b.
+func (b Ballot) Next(proposer uint64) Ballot {
+	return Ballot{Round: b.Round + 1, Proposer: proposer}
+}
+
+// higher returns the higher of two ballots.
+func higher(a, b Ballot) Ballot {
+	if a.Compare(b) < 0 {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/version/register/register_test.go
@@ -0,0 +1,171 @@
+package register_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/version/register"
+)
+
+var (
+	memberA = register.Member{Host: "a", Identity: 1}
+	memberB = register.Member{Host: "b", Identity: 2}
+	memberC = register.Member{Host: "c", Identity: 3}
+)
+
+// cluster delivers every request at once and counts.
+type cluster struct {
+	states   map[string]register.State
+	requests int
+	persists int
+}
+
+func newCluster(members ...register.Member) *cluster {
+	c := &cluster{states: map[string]register.State{}}
+	for _, m := range members {
+		s := register.State{Host: m.Host, Identity: m.Identity}
+		c.states[m.Host] = s.Handle(register.Learn{Entry: register.Found(members)}).State
+	}
+	return c
+}
+
+func (c *cluster) run(p *register.Proposer, out []register.Send) register.Result {
+	for len(out) > 0 && p.Result() == nil {
+		s := out[0]
+		out = out[1:]
+		effect := c.states[s.Host].Handle(s.Request)
+		c.states[s.Host] = effect.State
+		c.requests++
+		if effect.Persist {
+			c.persists++
+		}
+		out = append(out, p.Handle(effect.Reply)...)
+	}
+	return *p.Result()
+}
+
+func set(content string) register.Change {
+	return func(v register.Value) (register.Value, error) {
+		v.Content = []byte(content)
+		return v, nil
+	}
+}
+
+func TestChangeTakesTwoRoundTripsAndReadOne(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(memberA, memberB, memberC)
+	p := register.NewProposer(7, []string{"a", "b", "c"})
+	p.Learn(register.Found([]register.Member{memberA, memberB, memberC}))
+
+	r := c.run(p, p.Change(set("one")))
+	g.Expect(r.Changed).To(BeTrue())
+	g.Expect(r.Entry.Value.Version).To(Equal(uint64(1)))
+	g.Expect(c.requests).To(BeNumerically("<=", 6), "prepare and accept at three voters")
+	g.Expect(c.persists).To(BeNumerically("<=", 6))
+
+	c.requests, c.persists = 0, 0
+	r = c.run(p, p.Read())
+	g.Expect(string(r.Entry.Value.Content)).To(Equal("one"))
+	g.Expect(c.requests).To(BeNumerically("<=", 3))
+	g.Expect(c.persists).To(BeZero())
+}
+
+func TestLearnerDoesNotVote(t *testing.T) {
+	g := NewWithT(t)
+	s := register.State{Host: "a", Identity: 9}
+	ballot := register.Ballot{Round: 1, Proposer: 1}
+	e := s.Handle(register.Prepare{To: 9, Ballot: ballot})
+	g.Expect(e.Reply.(register.Promise).Verdict).To(Equal(register.NotVoter))
+	entry := register.Entry{Ballot: ballot, Value: register.Value{Members: []register.Member{memberA}}}
+	e = s.Handle(register.Accept{To: 9, Entry: entry})
+	g.Expect(e.Reply.(register.Acceptance).Verdict).To(Equal(register.NotVoter))
+
+	s = s.Handle(register.Learn{Entry: entry}).State
+	e = s.Handle(register.Prepare{To: 9, Ballot: ballot.Next(1)})
+	g.Expect(e.Reply.(register.Promise).Verdict).To(Equal(register.Granted))
+	e = s.Handle(register.Prepare{To: 8, Ballot: ballot.Next(1)})
+	g.Expect(e.Reply.(register.Promise).Verdict).To(Equal(register.NotVoter), "meant for the disk before")
+}
+
+func TestMembersChangeOneAtATime(t *testing.T) {
+	again := register.Member{Host: "c", Identity: 4}
+	for name, test := range map[string]struct {
+		change register.Change
+		err    error
+	}{
+		"replace one": {func(v register.Value) (register.Value, error) { return v.WithMember(again), nil }, nil},
+		"remove one":  {func(v register.Value) (register.Value, error) { return v.WithoutHost("c"), nil }, nil},
+		"remove two": {func(v register.Value) (register.Value, error) {
+			return v.WithoutHost("c").WithoutHost("b"), nil
+		}, register.ErrMembers},
+		"replace two": {func(v register.Value) (register.Value, error) {
+			return v.WithMember(again).WithMember(register.Member{Host: "b", Identity: 5}), nil
+		}, register.ErrMembers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(memberA, memberB, memberC)
+			c.states["c"] = register.State{Host: "c", Identity: 4, Whole: true}
+			p := register.NewProposer(7, []string{"a", "b", "c"})
+			r := c.run(p, p.Change(test.change))
+			g.Expect(errors.Is(r.Err, test.err)).To(BeTrue())
+			g.Expect(r.Changed).To(Equal(test.err == nil))
+		})
+	}
+}
+
+func TestPlanJoin(t *testing.T) {
+	founded := register.Found([]register.Member{memberA, memberB, memberC})
+	later := register.Entry{Ballot: register.Ballot{Round: 3}, Value: register.Value{Version: 3, Members: founded.Value.Members}}
+	empty := func(m register.Member) register.Report { return register.Report{From: m} }
+	holds := func(m register.Member, e register.Entry) register.Report {
+		return register.Report{From: m, Accepted: e}
+	}
+	memory := register.Member{Host: "d"}
+	for name, test := range map[string]struct {
+		self    register.Member
+		reports []register.Report
+		step    register.Step
+		entry   register.Entry
+	}{
+		"all empty, first host":        {memberA, []register.Report{empty(memberB), empty(memberC)}, register.Adopt, founded},
+		"all empty, second host":       {memberB, []register.Report{empty(memberA), empty(memberC)}, register.Wait, register.Entry{}},
+		"one silent":                   {memberA, []register.Report{empty(memberB), empty(memory)}, register.Wait, register.Entry{}},
+		"named by the founding":        {memberB, []register.Report{holds(memberA, founded)}, register.Adopt, founded},
+		"replaced after the founding":  {register.Member{Host: "b", Identity: 9}, []register.Report{holds(memberA, founded)}, register.Join, register.Entry{}},
+		"the others went on":           {memberB, []register.Report{holds(memberA, founded), holds(memberC, later)}, register.Join, register.Entry{}},
+		"only a memory host remembers": {memberA, []register.Report{empty(memberB), empty(memberC), holds(memory, later)}, register.Join, register.Entry{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			step, entry := register.PlanJoin(test.self, []string{"a", "b", "c"}, test.reports)
+			g.Expect(step).To(Equal(test.step))
+			g.Expect(entry).To(Equal(test.entry))
+		})
+	}
+}
+
+func TestBackoffGrowsToItsCeiling(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	for failed := range 100 {
+		g.Expect(register.Backoff(failed, random).Seconds()).To(BeNumerically("<=", 0.641))
+	}
+}
+
+func BenchmarkChange(b *testing.B) {
+	c := newCluster(memberA, memberB, memberC)
+	p := register.NewProposer(7, []string{"a", "b", "c"})
+	content := []byte("....................................")
+	change := func(v register.Value) (register.Value, error) {
+		content[0]++
+		v.Content = append([]byte(nil), content...)
+		return v, nil
+	}
+	for b.Loop() {
+		c.run(p, p.Change(change))
+	}
+}
--- /dev/null
+++ b/internal/version/register/state.go
@@ -0,0 +1,102 @@
+package register
+
+// State is all that a host holds of the register. Its methods return the
+// state after a message; the receiver stays as it is.
+type State struct {
+	Host     string
+	Identity uint64 // 0 on a host without a disk, which never votes
+	Whole    bool   // holds a chosen value and may vote
+	Promised Ballot // accepts nothing below
+	Accepted Entry  // the entry accepted last
+	Learned  Entry  // the newest entry known to be chosen
+}
+
+// Effect is the outcome of a message. The state must be persisted, where
+// Persist is set, before the reply is sent; if that fails, the old state
+// stays and no reply is sent.
+type Effect struct {
+	State   State
+	Persist bool
+	Reply   Reply
+}
+
+// Member returns the host as a voter.
+func (s State) Member() Member { return Member{Host: s.Host, Identity: s.Identity} }
+
+// Handle returns the outcome of a request.
+func (s State) Handle(r Request) Effect {
+	switch r := r.(type) {
+	case Prepare:
+		return s.prepare(r)
+	case Accept:
+		return s.accept(r)
+	case Learn:
+		return s.learn(r)
+	case Inspect:
+		return s.inspect(r)
+	}
+	return Effect{State: s}
+}
+
+func (s State) isVoter(identity uint64) bool {
+	return s.Whole && s.Identity != 0 && s.Identity == identity
+}
+
+func (s State) prepare(m Prepare) Effect {
+	reply := Promise{From: s.Identity, Ballot: m.Ballot, Promised: s.Promised}
+	if !s.isVoter(m.To) {
+		reply.Verdict = NotVoter
+		return Effect{State: s, Reply: reply}
+	}
+	order := m.Ballot.Compare(s.Promised)
+	if order < 0 {
+		reply.Verdict = Outbid
+		return Effect{State: s, Reply: reply}
+	}
+	s.Promised = m.Ballot
+	reply.Promised = m.Ballot
+	reply.Accepted = s.Accepted
+	return Effect{State: s, Persist: order > 0, Reply: reply}
+}
+
+func (s State) accept(m Accept) Effect {
+	ballot := m.Entry.Ballot
+	reply := Acceptance{From: s.Identity, Ballot: ballot, Promised: s.Promised}
+	if !s.isVoter(m.To) {
+		reply.Verdict = NotVoter
+		return Effect{State: s, Reply: reply}
+	}
+	if ballot.Compare(s.Promised) < 0 {
+		reply.Verdict = Outbid
+		return Effect{State: s, Reply: reply}
+	}
+	repeated := s.Accepted.Ballot == ballot
+	s.Promised = ballot
+	s.Accepted = m.Entry
+	reply.Promised = ballot
+	return Effect{State: s, Persist: !repeated, Reply: reply}
+}
+
+// learn takes over a chosen entry. A voter may count it as accepted even
+// below its promise: the entry was chosen without this voter's vote.
+func (s State) learn(m Learn) Effect {
+	news := m.Entry.newerThan(s.Learned)
+	if news {
+		s.Learned = m.Entry
+		s.Whole = s.Identity != 0
+	}
+	if m.Entry.newerThan(s.Accepted) {
+		s.Accepted = m.Entry
+		s.Promised = higher(s.Promised, m.Entry.Ballot)
+	}
+	return Effect{State: s, Persist: news, Reply: Learned{Version: s.Learned.Value.Version}}
+}
+
+func (s State) inspect(m Inspect) Effect {
+	r := Report{From: s.Member(), Ballot: m.Ballot, Whole: s.Whole, Accepted: s.Accepted}
+	if m.Known != (Ballot{}) && s.Accepted.Ballot == m.Known {
+		r.Same = true
+		r.Accepted = Entry{}
+	}
+	return Effect{State: s, Reply: r}
+}
--- /dev/null
+++ b/internal/version/register/value.go
@@ -0,0 +1,133 @@
+package register
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+)
+
+// Member is a voter: a host and the identity of its disk.
+type Member struct {
+	Host     string
+	Identity uint64 // drawn at random when the disk is first used; never 0
+}
+
+// Value is one content of the register.
+type Value struct {
+	Version uint64   // grows by one with each change; 0 is the founding value
+	Members []Member // the voters, ordered by host
+	Former  []Member // the voters before, if this value changes them
+	Content []byte
+}
+
+// Entry is a value with the ballot under which it was accepted. The zero
+// Entry stands for no value.
+type Entry struct {
+	Ballot Ballot
+	Value  Value
+}
+
+// Found returns the entry that every founding voter starts from.
+func Found(members []Member) Entry {
+	sorted := slices.SortedFunc(slices.Values(members), compareHosts)
+	return Entry{Value: Value{Members: sorted}}
+}
+
+// IsZero reports whether the entry holds no value.
+func (e Entry) IsZero() bool { return len(e.Value.Members) == 0 }
+
+// newerThan reports whether e was accepted later than o.
+func (e Entry) newerThan(o Entry) bool {
+	if e.IsZero() || o.IsZero() {
+		return !e.IsZero()
+	}
+	return e.Ballot.Compare(o.Ballot) > 0
+}
+
+// Voters returns the members and former members without duplicates.
+func (v Value) Voters() []Member {
+	all := slices.Concat(v.Members, v.Former)
+	slices.SortFunc(all, compareMembers)
+	return slices.Compact(all)
+}
+
+// Has reports whether m is one of the members.
+func (v Value) Has(m Member) bool { return slices.Contains(v.Members, m) }
+
+// WithMember returns v with m in place of any member on the same host.
+func (v Value) WithMember(m Member) Value {
+	v = v.WithoutHost(m.Host)
+	v.Members = append(v.Members, m)
+	slices.SortFunc(v.Members, compareHosts)
+	return v
+}
+
+// WithoutHost returns v without the members on the host.
+func (v Value) WithoutHost(host string) Value {
+	v.Members = slices.DeleteFunc(slices.Clone(v.Members), func(m Member) bool { return m.Host == host })
+	return v
+}
+
+// hasQuorum reports whether the identities that voted form a quorum: a
+// majority of the members and, if there are any, of the former members.
+func (v Value) hasQuorum(voted func(identity uint64) bool) bool {
+	return majority(v.Members, voted) && (len(v.Former) == 0 || majority(v.Former, voted))
+}
+
+// joiners returns the members that v adds.
+func (v Value) joiners() []Member {
+	if len(v.Former) == 0 {
+		return nil
+	}
+	return missing(v.Members, v.Former)
+}
+
+// equal reports whether both values have the same content and members.
+func (v Value) equal(o Value) bool {
+	return bytes.Equal(v.Content, o.Content) && slices.Equal(v.Members, o.Members)
+}
+
+func majority(members []Member, voted func(identity uint64) bool) bool {
+	count := 0
+	for _, m := range members {
+		if voted(m.Identity) {
+			count++
+		}
+	}
+	return count > len(members)/2
+}
+
+// missing returns the members of a that are not in b.
+func missing(a, b []Member) []Member {
+	var out []Member
+	for _, m := range a {
+		if !slices.Contains(b, m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// isOneStep reports whether the members differ by one host at most.
+func isOneStep(from, to []Member) bool {
+	added, removed := missing(to, from), missing(from, to)
+	if len(to) == 0 || len(added) > 1 || len(removed) > 1 {
+		return false
+	}
+	return len(added) == 0 || len(removed) == 0 || added[0].Host == removed[0].Host
+}
+
+func compareHosts(a, b Member) int { return strings.Compare(a.Host, b.Host) }
+
+func compareMembers(a, b Member) int {
+	if c := compareHosts(a, b); c != 0 {
+		return c
+	}
+	if a.Identity < b.Identity {
+		return -1
+	}
+	if a.Identity > b.Identity {
+		return 1
+	}
+	return 0
+}
