Add the store: whole files and a log under one data folder

State on the few disks must survive a crash at any moment, a full disk and damage. Whole files are replaced by write, sync, rename and a sync of the folder; records of a log are appended and synced. A log cut off at its first bad record was ruled out: a damaged middle would silently drop what follows, so a valid later record makes it an error that names the offset.

--- /dev/null
+++ b/internal/version/store/store_test.go
@@ -0,0 +1,163 @@
+package store_test
+
+import (
+	"errors"
+	"io/fs"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/version/store"
+	"wasabifield.example/wasabifield/internal/version/store/storetest"
+)
+
+const root = "/data"
+
+func open(t *testing.T, f store.FS) *store.Folder {
+	t.Helper()
+	folder, err := store.OpenFolder(f, root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
+func TestFileIsOldOrNewAfterACrash(t *testing.T) {
+	g := NewWithT(t)
+	memory := storetest.NewFS()
+	folder := open(t, memory)
+	_, err := folder.Read("state")
+	g.Expect(errors.Is(err, fs.ErrNotExist)).To(BeTrue())
+	g.Expect(folder.Write("state", []byte("old"))).To(Succeed())
+	g.Expect(memory.Counts().Syncs).To(Equal(1))
+	for torn := range 20 {
+		payload, err := open(t, memory.Crash(torn)).Read("state")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(payload)).To(Equal("old"))
+	}
+	g.Expect(folder.Write("state", []byte("new"))).To(Succeed())
+	payload, err := open(t, memory.Crash(0)).Read("state")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(payload)).To(Equal("new"))
+}
+
+func TestEveryFlippedBitIsDetected(t *testing.T) {
+	g := NewWithT(t)
+	memory := storetest.NewFS()
+	folder := open(t, memory)
+	g.Expect(folder.Write("state", []byte("payload"))).To(Succeed())
+	for i := range memory.Size(folder.Path("state")) {
+		memory.Corrupt(folder.Path("state"), i)
+		_, err := folder.Read("state")
+		g.Expect(errors.Is(err, store.ErrCorrupt)).To(BeTrue(), "byte %d", i)
+		g.Expect(err.Error()).To(ContainSubstring(folder.Path("state")))
+		memory.Corrupt(folder.Path("state"), i)
+	}
+}
+
+func TestFullDiskKeepsTheOldFile(t *testing.T) {
+	g := NewWithT(t)
+	memory := storetest.NewFS()
+	folder := open(t, memory)
+	g.Expect(folder.Write("state", []byte("old"))).To(Succeed())
+	memory.SetFull(true, 5)
+	err := folder.Write("state", []byte("new"))
+	g.Expect(store.IsFull(err)).To(BeTrue())
+	payload, err := folder.Read("state")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(payload)).To(Equal("old"))
+	memory.SetFull(false, 0)
+	g.Expect(folder.Write("state", []byte("new"))).To(Succeed())
+}
+
+func TestOneProcessHoldsTheFolder(t *testing.T) {
+	g := NewWithT(t)
+	path := t.TempDir()
+	folder, err := store.OpenFolder(store.Disk{}, path)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = store.OpenFolder(store.Disk{}, path)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(folder.Write("state", []byte("kept"))).To(Succeed())
+	g.Expect(folder.Close()).To(Succeed())
+	folder, err = store.OpenFolder(store.Disk{}, path)
+	g.Expect(err).NotTo(HaveOccurred())
+	payload, err := folder.Read("state")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(payload)).To(Equal("kept"))
+}
+
+// records opens the log and returns its records.
+func records(folder *store.Folder) (out []string, log *store.Log, cut store.Cut, err error) {
+	log, cut, err = folder.OpenLog("audit", func(r []byte) error {
+		out = append(out, string(r))
+		return nil
+	})
+	return out, log, cut, err
+}
+
+func TestTornLastRecordIsCutOffAndReported(t *testing.T) {
+	g := NewWithT(t)
+	memory := storetest.NewFS()
+	folder := open(t, memory)
+	_, log, _, err := records(folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Append([]byte("one"))).To(Succeed())
+	g.Expect(log.Append([]byte("two"))).To(Succeed())
+	whole := memory.Size(folder.Path("audit"))
+	unsynced, _ := memory.Append(folder.Path("audit"))
+	_, _ = unsynced.Write([]byte("WFS1\x00\x00\x00\x05torn record"))
+	for torn := range 20 {
+		crashed := memory.Crash(torn)
+		got, log, cut, err := records(open(t, crashed))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal([]string{"one", "two"}))
+		g.Expect(cut.Bytes).To(BeNumerically("==", min(torn, 19)))
+		g.Expect(cut.Offset).To(BeNumerically("==", whole))
+		g.Expect(log.Append([]byte("three"))).To(Succeed())
+		got, _, cut, err = records(open(t, crashed.Crash(0)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal([]string{"one", "two", "three"}))
+		g.Expect(cut.Bytes).To(BeZero())
+	}
+}
+
+func TestCorruptMiddleRecordIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	memory := storetest.NewFS()
+	folder := open(t, memory)
+	_, log, _, err := records(folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Append([]byte("one"))).To(Succeed())
+	first := int(log.Size())
+	g.Expect(log.Append([]byte("two"))).To(Succeed())
+	second := int(log.Size())
+	g.Expect(log.Append([]byte("three"))).To(Succeed())
+	size := memory.Size(folder.Path("audit"))
+	for i := first; i < second; i++ {
+		memory.Corrupt(folder.Path("audit"), i)
+		_, _, _, err := records(folder)
+		g.Expect(errors.Is(err, store.ErrCorrupt)).To(BeTrue(), "byte %d", i)
+		var named *store.Error
+		g.Expect(errors.As(err, &named)).To(BeTrue())
+		g.Expect(named.Offset).To(BeNumerically("==", first))
+		g.Expect(memory.Size(folder.Path("audit"))).To(Equal(size))
+		memory.Corrupt(folder.Path("audit"), i)
+	}
+}
+
+func TestFullDiskLeavesTheLogWhole(t *testing.T) {
+	g := NewWithT(t)
+	memory := storetest.NewFS()
+	folder := open(t, memory)
+	_, log, _, err := records(folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Append([]byte("one"))).To(Succeed())
+	memory.SetFull(true, 7)
+	g.Expect(store.IsFull(log.Append([]byte("two")))).To(BeTrue())
+	memory.SetFull(false, 0)
+	g.Expect(log.Append([]byte("three"))).To(Succeed())
+	got, _, cut, err := records(folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal([]string{"one", "three"}))
+	g.Expect(cut.Bytes).To(BeZero())
+}
--- /dev/null
+++ b/internal/version/store/storetest/operations.go
@@ -0,0 +1,142 @@
+package storetest
+
+import (
+	"io"
+	"io/fs"
+	"maps"
+	"syscall"
+
+	"wasabifield.example/wasabifield/internal/version/store"
+)
+
+var _ store.FS = (*FS)(nil)
+
+// MkdirAll implements store.FS.
+func (f *FS) MkdirAll(string) error { return nil }
+
+type lock struct {
+	fs   *FS
+	path string
+}
+
+// Lock implements store.FS.
+func (f *FS) Lock(path string) (io.Closer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.locks[path] {
+		return nil, ErrLocked
+	}
+	f.locks[path] = true
+	return lock{f, path}, nil
+}
+
+// Close releases the lock.
+func (l lock) Close() error {
+	l.fs.mu.Lock()
+	defer l.fs.mu.Unlock()
+	delete(l.fs.locks, l.path)
+	return nil
+}
+
+// ReadFile implements store.FS.
+func (f *FS) ReadFile(path string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Reads++
+	n, ok := f.names[path]
+	if !ok {
+		return nil, &fs.PathError{Op: "open", Path: path, Err: fs.ErrNotExist}
+	}
+	return append([]byte(nil), n.data...), nil
+}
+
+// Create implements store.FS.
+func (f *FS) Create(path string) (store.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &node{}
+	f.names[path] = n
+	return &file{f, n}, nil
+}
+
+// Append implements store.FS.
+func (f *FS) Append(path string) (store.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.names[path]
+	if !ok {
+		n = &node{}
+		f.names[path] = n
+	}
+	return &file{f, n}, nil
+}
+
+// Rename implements store.FS.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.names[from]
+	if !ok {
+		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
+	}
+	f.names[to] = n
+	delete(f.names, from)
+	return nil
+}
+
+// Remove implements store.FS.
+func (f *FS) Remove(path string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.names, path)
+	return nil
+}
+
+// SyncDir implements store.FS.
+func (f *FS) SyncDir(string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.synced = maps.Clone(f.names)
+	return nil
+}
+
+type file struct {
+	fs   *FS
+	node *node
+}
+
+// Write implements store.File. On a full disk it writes what there is room for.
+func (f *file) Write(p []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	n := len(p)
+	if f.fs.full {
+		n = min(n, f.fs.room)
+		f.fs.room -= n
+	}
+	f.node.data = append(f.node.data, p[:n]...)
+	if n < len(p) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+// Sync implements store.File.
+func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	f.fs.counts.Syncs++
+	f.node.synced = append([]byte(nil), f.node.data...)
+	return nil
+}
+
+// Truncate implements store.File.
+func (f *file) Truncate(size int64) error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	f.node.data = append([]byte(nil), f.node.data[:size]...)
+	return nil
+}
+
+// Close implements store.File.
+func (f *file) Close() error { return nil }
