--- /dev/null
+++ b/internal/version/registerpb/convert.go
@@ -0,0 +1,185 @@
+package registerpb
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"wasabifield.example/wasabifield/internal/version/register"
+)
+
+// ErrState refuses a state file that holds no identity.
+var ErrState = errors.New("the state holds no identity")
+
+// NewBallot converts a ballot; the zero ballot becomes nil.
+func NewBallot(b register.Ballot) *Ballot {
+	if b == (register.Ballot{}) {
+		return nil
+	}
+	return &Ballot{Round: b.Round, Proposer: b.Proposer}
+}
+
+// Register converts back. It may be called on nil.
+func (b *Ballot) Register() register.Ballot {
+	return register.Ballot{Round: b.GetRound(), Proposer: b.GetProposer()}
+}
+
+// NewEntry converts an entry; the zero entry becomes nil.
+func NewEntry(e register.Entry) *Entry {
+	if e.IsZero() {
+		return nil
+	}
+	return &Entry{Ballot: NewBallot(e.Ballot), Value: &Value{
+		Version: e.Value.Version,
+		Members: newMembers(e.Value.Members),
+		Former:  newMembers(e.Value.Former),
+		Content: e.Value.Content,
+	}}
+}
+
+// Register converts back. It may be called on nil.
+func (e *Entry) Register() register.Entry {
+	v := e.GetValue()
+	return register.Entry{Ballot: e.GetBallot().Register(), Value: register.Value{
+		Version: v.GetVersion(),
+		Members: members(v.GetMembers()),
+		Former:  members(v.GetFormer()),
+		Content: v.GetContent(),
+	}}
+}
+
+func newMembers(in []register.Member) []*Member {
+	var out []*Member
+	for _, m := range in {
+		out = append(out, &Member{Host: m.Host, Identity: m.Identity})
+	}
+	return out
+}
+
+func members(in []*Member) []register.Member {
+	var out []register.Member
+	for _, m := range in {
+		out = append(out, register.Member{Host: m.GetHost(), Identity: m.GetIdentity()})
+	}
+	return out
+}
+
+var verdicts = map[register.Verdict]Verdict{
+	register.Granted:  Verdict_VERDICT_GRANTED,
+	register.Outbid:   Verdict_VERDICT_OUTBID,
+	register.NotVoter: Verdict_VERDICT_NOT_VOTER,
+}
+
+// Register converts back. An unknown verdict is taken for a refusal.
+func (v Verdict) Register() register.Verdict {
+	for r, own := range verdicts {
+		if own == v {
+			return r
+		}
+	}
+	return register.NotVoter
+}
+
+// NewPrepareReply converts a promise.
+func NewPrepareReply(p register.Promise) *PrepareReply {
+	return &PrepareReply{
+		From:     p.From,
+		Ballot:   NewBallot(p.Ballot),
+		Verdict:  verdicts[p.Verdict],
+		Promised: NewBallot(p.Promised),
+		Accepted: NewEntry(p.Accepted),
+	}
+}
+
+// Register converts back.
+func (p *PrepareReply) Register() register.Promise {
+	return register.Promise{
+		From:     p.GetFrom(),
+		Ballot:   p.GetBallot().Register(),
+		Verdict:  p.GetVerdict().Register(),
+		Promised: p.GetPromised().Register(),
+		Accepted: p.GetAccepted().Register(),
+	}
+}
+
+// NewAcceptReply converts an acceptance.
+func NewAcceptReply(a register.Acceptance) *AcceptReply {
+	return &AcceptReply{
+		From:     a.From,
+		Ballot:   NewBallot(a.Ballot),
+		Verdict:  verdicts[a.Verdict],
+		Promised: NewBallot(a.Promised),
+	}
+}
+
+// Register converts back.
+func (a *AcceptReply) Register() register.Acceptance {
+	return register.Acceptance{
+		From:     a.GetFrom(),
+		Ballot:   a.GetBallot().Register(),
+		Verdict:  a.GetVerdict().Register(),
+		Promised: a.GetPromised().Register(),
+	}
+}
+
+// NewInspectReply converts a report.
+func NewInspectReply(r register.Report) *InspectReply {
+	return &InspectReply{
+		From:     &Member{Host: r.From.Host, Identity: r.From.Identity},
+		Ballot:   NewBallot(r.Ballot),
+		Whole:    r.Whole,
+		Same:     r.Same,
+		Accepted: NewEntry(r.Accepted),
+	}
+}
+
+// Register converts back.
+func (r *InspectReply) Register() register.Report {
+	return register.Report{
+		From:     register.Member{Host: r.GetFrom().GetHost(), Identity: r.GetFrom().GetIdentity()},
+		Ballot:   r.GetBallot().Register(),
+		Whole:    r.GetWhole(),
+		Same:     r.GetSame(),
+		Accepted: r.GetAccepted().Register(),
+	}
+}
+
+// MarshalState returns the state as a file's payload.
+func MarshalState(s register.State) ([]byte, error) {
+	m := &State{
+		Host:     s.Host,
+		Identity: s.Identity,
+		Whole:    s.Whole,
+		Promised: NewBallot(s.Promised),
+		Accepted: NewEntry(s.Accepted),
+	}
+	if s.Learned.IsZero() || s.Learned.Ballot != s.Accepted.Ballot {
+		m.Learned = NewEntry(s.Learned)
+	} else {
+		m.AcceptedIsLearned = true
+	}
+	return proto.Marshal(m)
+}
+
+// UnmarshalState reads a file's payload.
+func UnmarshalState(payload []byte) (register.State, error) {
+	m := &State{}
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return register.State{}, err
+	}
+	if m.GetIdentity() == 0 || m.GetHost() == "" {
+		return register.State{}, ErrState
+	}
+	s := register.State{
+		Host:     m.GetHost(),
+		Identity: m.GetIdentity(),
+		Whole:    m.GetWhole(),
+		Promised: m.GetPromised().Register(),
+		Accepted: m.GetAccepted().Register(),
+		Learned:  m.GetLearned().Register(),
+	}
+	if m.GetAcceptedIsLearned() {
+		s.Learned = s.Accepted
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/version/registerpb/convert_test.go
@@ -0,0 +1,55 @@
+package registerpb_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/version/register"
+	"wasabifield.example/wasabifield/internal/version/registerpb"
+)
+
+func entry(round uint64) register.Entry {
+	return register.Entry{
+		Ballot: register.Ballot{Round: round, Proposer: 1 << 63},
+		Value: register.Value{
+			Version: 7,
+			Members: []register.Member{{Host: "a", Identity: 1}, {Host: "b", Identity: 3}},
+			Former:  []register.Member{{Host: "a", Identity: 1}, {Host: "b", Identity: 2}},
+			Content: []byte("content"),
+		},
+	}
+}
+
+func TestStateComesBackAsWritten(t *testing.T) {
+	founded := register.Found([]register.Member{{Host: "a", Identity: 1}})
+	for name, state := range map[string]register.State{
+		"fresh":                 {Host: "a", Identity: 5},
+		"founded":               {Host: "a", Identity: 5, Whole: true, Accepted: founded, Learned: founded},
+		"accepted, not learned": {Host: "a", Identity: 5, Whole: true, Accepted: entry(4), Learned: entry(2), Promised: entry(9).Ballot},
+		"accepted and learned":  {Host: "a", Identity: 5, Whole: true, Accepted: entry(4), Learned: entry(4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			payload, err := registerpb.MarshalState(state)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(registerpb.UnmarshalState(payload)).To(Equal(state))
+		})
+	}
+	_, err := registerpb.UnmarshalState(nil)
+	NewWithT(t).Expect(err).To(MatchError(registerpb.ErrState))
+}
+
+func TestRepliesComeBackAsSent(t *testing.T) {
+	g := NewWithT(t)
+	ballot := register.Ballot{Round: 3, Proposer: 4}
+	for _, v := range []register.Verdict{register.Granted, register.Outbid, register.NotVoter} {
+		p := register.Promise{From: 1, Ballot: ballot, Verdict: v, Promised: ballot.Next(5), Accepted: entry(2)}
+		g.Expect(registerpb.NewPrepareReply(p).Register()).To(Equal(p))
+		a := register.Acceptance{From: 1, Ballot: ballot, Verdict: v, Promised: ballot.Next(5)}
+		g.Expect(registerpb.NewAcceptReply(a).Register()).To(Equal(a))
+	}
+	r := register.Report{From: register.Member{Host: "a", Identity: 9}, Ballot: ballot, Whole: true, Same: true, Accepted: entry(2)}
+	g.Expect(registerpb.NewInspectReply(r).Register()).To(Equal(r))
+	g.Expect((&registerpb.PrepareReply{}).Register().Verdict).To(Equal(register.NotVoter))
+}
