Let a repaired disk count: former voters are not needed once it is chosen

The controller's scenario of a second disk lost after a repair hung: the value that names the repaired disk asks for a quorum of the former voters too, and with the lost disk and the second one that quorum is gone. Voters now say whether they know their entry to be chosen, and the former voters of such an entry are no longer asked.

The model check had not seen it, for three reasons, each mended: at the end all hosts came back, so it now stops one voter and has a host without memory change the register; its events fell through to others (a retry that did not apply became a crash); and attempts outbid each other so often that hardly any change got through, so syncs and deliveries now outweigh retries.

--- a/internal/version/register/join.go
+++ b/internal/version/register/join.go
@@ -5,13 +5,14 @@
 
 // The steps.
 const (
-	Wait  Step = iota // too little is known; ask again
-	Adopt             // learn the entry: it founds the register and names this host
-	Join              // read the register, learn the value, then add this host to the voters
+	Wait      Step = iota // too little is known; ask again
+	Establish             // learn the entry: it founds the register
+	Adopt                 // learn the entry: it founded the register and names this host
+	Join                  // read the register, learn the value, then add this host to the voters
 )
 
 // PlanJoin returns the next step of a host that may not vote yet, given the
-// reports of other hosts on the same request, and the entry to adopt. The
+// reports of other hosts on the same request, and the entry to learn. The
 // register is founded only if each host in disks has reported and no host at
 // all holds a value; the host that sorts first founds it. A host that lost its
 // disk therefore never founds a second register beside an existing one.
@@ -36,7 +37,7 @@
 	if !sameHosts(founding.Value.Members, disks) || founding.Value.Members[0] != self {
 		return Wait, Entry{}
 	}
-	return Adopt, founding
+	return Establish, founding
 }
 
 // sameHosts reports whether each host has exactly one member.
--- a/internal/version/register/message.go
+++ b/internal/version/register/message.go
@@ -44,6 +44,7 @@
 	Verdict  Verdict
 	Promised Ballot // the highest ballot that the voter has promised
 	Accepted Entry  // the entry that it last accepted, if granted
+	Chosen   bool   // the voter knows that entry to be chosen
 }
 
 // Acceptance answers Accept.
@@ -61,6 +62,7 @@
 	Whole    bool   // whether the host may vote
 	Same     bool   // the entry has the ballot that Inspect named; its value is left out
 	Accepted Entry
+	Chosen   bool // the host knows the entry to be chosen
 }
 
 // Learned answers Learn.
--- a/internal/version/register/model_test.go
+++ b/internal/version/register/model_test.go
@@ -21,11 +21,10 @@
 )
 
 const (
-	stepsPerSchedule = 400
+	stepsPerSchedule = 1600
 	stepsToSettle    = 20_000
 	inFlightLimit    = 60
 	writeBackOdds    = 20
-	calmEvents       = 69 // deliveries, syncs, new operations and few retries
 )
 
 var errNotSettled = errors.New("the hosts did not settle")
@@ -72,6 +71,7 @@
 	newest   uint64                    // newest version answered or read as confirmed
 	answered []uint16                  // changes answered
 	nextID   uint16
+	readOnly bool // hosts start no changes but those of the voters
 	changes  int
 	joins    int // disks that became voters after a loss
 	err      error
@@ -123,20 +123,14 @@
 	h.down = true
 }
 
-// loseDisk empties the disk of a host, if the register can bear it: every
-// disk must belong to a member.
+// loseDisk empties the disk of a host, if the register can bear it: each disk
+// must know that it is a voter. Until a repaired disk knows, it does not count.
 func (m *model) loseDisk(h *host) {
 	if !h.disk {
 		return
 	}
-	var newest register.Value
-	for _, v := range m.chosen {
-		if v.Version >= newest.Version {
-			newest = v
-		}
-	}
 	for _, o := range m.hosts {
-		if o.disk && (!o.durable.Whole || !newest.Has(o.durable.Member())) {
+		if o.disk && !o.durable.Learned.Value.Has(o.durable.Member()) {
 			return
 		}
 	}
@@ -150,9 +144,18 @@
 	h.durable = register.State{Host: h.name, Identity: m.random.Uint64()}
 }
 
+// post puts a message in flight. If there are too many, one of them is lost.
+func (m *model) post(e envelope) {
+	if len(m.flight) < inFlightLimit {
+		m.flight = append(m.flight, e)
+		return
+	}
+	m.flight[m.random.IntN(len(m.flight))] = e
+}
+
 func (m *model) send(h *host, out []register.Send) {
 	for _, s := range out {
-		m.flight = append(m.flight, envelope{from: h.name, to: s.Host, process: h.process, request: s.Request})
+		m.post(envelope{from: h.name, to: s.Host, process: h.process, request: s.Request})
 	}
 }
 
@@ -216,7 +219,7 @@
 		m.observe(h.state.Learned.Value)
 	}
 	if e.from != "" {
-		m.flight = append(m.flight, envelope{from: h.name, to: e.from, process: e.process, reply: effect.Reply})
+		m.post(envelope{from: h.name, to: e.from, process: e.process, reply: effect.Reply})
 	}
 }
 
@@ -261,7 +264,7 @@
 		m.send(h, h.proposer.Change(func(v register.Value) (register.Value, error) {
 			return v.WithMember(h.state.Member()), nil
 		}))
-	case h.disk && !h.state.Whole || m.random.IntN(3) == 0:
+	case h.disk && !h.state.Whole || m.readOnly || m.random.IntN(3) == 0:
 		m.send(h, h.proposer.Read())
 	default:
 		m.nextID++
@@ -304,7 +307,7 @@
 			m.handle(h, envelope{request: learn})
 			continue
 		}
-		m.flight = append(m.flight, envelope{from: h.name, to: o.name, process: h.process, request: learn})
+		m.post(envelope{from: h.name, to: o.name, process: h.process, request: learn})
 	}
 }
 
@@ -323,37 +326,73 @@
 	m.newest = max(m.newest, e.Value.Version)
 }
 
-// step makes one random event. Deliveries are the most frequent.
-func (m *model) step(calm bool) {
-	h := m.hosts[m.random.IntN(len(m.hosts))]
-	event := m.random.IntN(100)
-	if calm {
-		event = m.random.IntN(calmEvents)
+// event is one kind of random event. Its weight is relative to the others'.
+type event struct {
+	weight int
+	happen func(m *model, h *host)
+}
+
+// calm are the events without faults.
+var calm = []event{
+	{120, (*model).deliverAny},
+	{60, (*model).sync},
+	{5, (*model).start},
+	{2, (*model).retry},
+}
+
+// faulty are the events of a schedule.
+var faulty = append([]event{
+	{4, (*model).retry},
+	{4, (*model).dropAny},
+	{4, (*model).repeatAny},
+	{1, func(m *model, h *host) { m.crash(h) }},
+	{16, func(m *model, h *host) {
+		if h.down {
+			m.restart(h)
+		}
+	}},
+	{16, func(m *model, h *host) { h.frozen = !h.frozen && m.random.IntN(16) == 0 }},
+	{16, func(m *model, h *host) { h.cut = !h.cut && m.random.IntN(16) == 0 }},
+	{1, (*model).loseDisk},
+}, calm...)
+
+// step makes one random event at a random host.
+func (m *model) step(events []event) {
+	total := 0
+	for _, e := range events {
+		total += e.weight
+	}
+	draw := m.random.IntN(total)
+	for _, e := range events {
+		if draw -= e.weight; draw < 0 {
+			e.happen(m, m.hosts[m.random.IntN(len(m.hosts))])
+			return
+		}
 	}
-	switch {
-	case event < 50 && len(m.flight) > 0:
+}
+
+func (m *model) deliverAny(*host) {
+	if len(m.flight) > 0 {
 		m.deliver(m.random.IntN(len(m.flight)))
-	case event < 62:
-		m.sync(h)
-	case event < 68:
-		m.start(h)
-	case event < 75 && h.busy && !h.down && !h.frozen && len(m.flight) < inFlightLimit:
-		m.send(h, h.proposer.Retry())
-	case event < 80 && len(m.flight) > 0:
+	}
+}
+
+func (m *model) dropAny(*host) {
+	if len(m.flight) > 0 {
 		i := m.random.IntN(len(m.flight))
 		m.flight = slices.Delete(m.flight, i, i+1)
-	case event < 86 && len(m.flight) > 0 && len(m.flight) < inFlightLimit:
-		m.flight = append(m.flight, m.flight[m.random.IntN(len(m.flight))])
-	case event < 89 && !h.down:
-		m.crash(h)
-	case event < 93 && h.down:
-		m.restart(h)
-	case event < 95:
-		h.frozen = !h.frozen
-	case event < 97:
-		h.cut = !h.cut
-	case event < 99:
-		m.loseDisk(h)
+	}
+}
+
+func (m *model) repeatAny(*host) {
+	if len(m.flight) > 0 {
+		m.post(m.flight[m.random.IntN(len(m.flight))])
+	}
+}
+
+func (m *model) retry(h *host) {
+	if h.busy && !h.down && !h.frozen {
+		m.send(h, h.proposer.Retry())
 	}
 }
 
@@ -361,7 +400,7 @@
 // disk host becomes a voter again and every answered change is there.
 func (m *model) run() error {
 	for range stepsPerSchedule {
-		m.step(false)
+		m.step(faulty)
 		if m.err != nil {
 			return m.err
 		}
@@ -372,29 +411,49 @@
 			m.restart(h)
 		}
 	}
+	m.readOnly = true
 	for range stepsToSettle {
-		m.step(true)
-		if m.err != nil || m.isSettled() {
+		m.step(calm)
+		if m.err != nil {
 			return m.err
 		}
+		if m.isSettled() {
+			return m.runWithoutOne()
+		}
 	}
 	return errNotSettled
 }
 
-func (m *model) isSettled() bool {
-	h := m.hosts[m.random.IntN(len(m.hosts))]
-	v := h.state.Learned.Value
-	for _, o := range m.hosts {
-		if o.disk && !v.Has(o.state.Member()) {
-			return false
+// runWithoutOne stops one of the voters, all of which are whole, and checks
+// that a host without any memory can still change the register.
+func (m *model) runWithoutOne() error {
+	m.host([]string{"a", "b", "c"}[m.random.IntN(3)]).down = true
+	d := m.host("d")
+	m.readOnly = false
+	m.restart(d)
+	floor := m.newest
+	for range stepsToSettle {
+		m.step(calm)
+		if m.err != nil || d.state.Learned.Value.Version > floor {
+			return m.err
 		}
 	}
-	for _, id := range m.answered {
-		if !contains(v.Content, id) {
+	return errNotSettled
+}
+
+func (m *model) isSettled() bool {
+	for _, h := range m.hosts {
+		v := h.state.Learned.Value
+		if h.disk && (!v.Has(h.state.Member()) || v.Version < m.newest) {
 			return false
 		}
+		for _, id := range m.answered {
+			if h.disk && !contains(v.Content, id) {
+				return false
+			}
+		}
 	}
-	return v.Version >= m.newest
+	return true
 }
 
 // check runs schedules and returns the first seed that fails. Under a planted
--- a/internal/version/register/proposer.go
+++ b/internal/version/register/proposer.go
@@ -25,6 +25,7 @@
 type Result struct {
 	Entry   Entry // a chosen entry that was current after the start
 	Changed bool  // whether the change made it
+	Chosen  bool  // whether this operation got it chosen, also for another proposer
 	Err     error // the refusal by the change itself
 }
 
@@ -57,6 +58,7 @@
 	accepted map[uint64]bool // voters that accepted the proposal
 	own      bool            // the proposal is the change's result
 	sent     bool            // such a proposal has been sent
+	chosen   Ballot          // of the last entry that this operation got chosen
 	outbid   bool            // a voter has promised a higher ballot
 	replaced bool            // a voter has another identity by now
 	result   *Result
@@ -132,6 +134,7 @@
 	p.change = c
 	p.result = nil
 	p.sent = false
+	p.chosen = Ballot{}
 }
 
 // attempt starts a phase under a new ballot.
@@ -188,7 +191,7 @@
 		r.Accepted = p.base
 	}
 	p.highest = higher(p.highest, r.Accepted.Ballot)
-	p.votes[r.From.Identity] = r.Accepted
+	p.vote(r.From.Identity, r.Accepted, r.Chosen)
 	best, more := p.best()
 	if best.IsZero() {
 		return more
@@ -208,7 +211,7 @@
 	if !p.granted(r.Verdict, r.Promised) {
 		return nil
 	}
-	p.votes[r.From] = r.Accepted
+	p.vote(r.From, r.Accepted, r.Chosen)
 	best, more := p.best()
 	if best.IsZero() {
 		return more
@@ -220,6 +223,14 @@
 	return p.derive(best)
 }
 
+// vote notes what a voter holds.
+func (p *Proposer) vote(identity uint64, e Entry, chosen bool) {
+	p.votes[identity] = e
+	if chosen {
+		p.Learn(e)
+	}
+}
+
 // granted notes a higher ballot and reports whether the voter agreed.
 func (p *Proposer) granted(v Verdict, promised Ballot) bool {
 	p.highest = higher(p.highest, promised)
@@ -230,7 +241,8 @@
 
 // best returns the newest entry among the votes once a quorum of its own
 // voters has voted. Until then it returns the requests that are still to be
-// sent.
+// sent. The former voters of an entry that is known to be chosen are not
+// needed: they may be lost by then.
 func (p *Proposer) best() (Entry, []Send) {
 	best := p.known
 	for _, e := range p.votes {
@@ -239,16 +251,24 @@
 		}
 	}
 	voted := func(id uint64) bool { _, ok := p.votes[id]; return ok }
-	if best.IsZero() || !best.Value.hasQuorum(voted) {
+	voters := best.Value
+	if p.isKnown(best) {
+		voters.Former = nil
+	}
+	if best.IsZero() || !voters.hasQuorum(voted) {
 		return Entry{}, p.ask(best.Value.Voters())
 	}
 	return best, nil
 }
 
+func (p *Proposer) isKnown(e Entry) bool {
+	return !p.known.IsZero() && e.Ballot == p.known.Ballot
+}
+
 // isChosen reports whether the votes or an earlier operation prove that the
 // entry is chosen.
 func (p *Proposer) isChosen(e Entry) bool {
-	if !p.known.IsZero() && e.Ballot == p.known.Ballot {
+	if p.isKnown(e) {
 		return true
 	}
 	return e.Value.hasQuorum(func(id uint64) bool {
@@ -317,6 +337,7 @@
 		return nil
 	}
 	p.Learn(p.proposal)
+	p.chosen = p.ballot
 	if !p.own && p.change != nil {
 		return p.prepare()
 	}
@@ -326,6 +347,7 @@
 
 func (p *Proposer) finish(r Result) {
 	p.Learn(r.Entry)
+	r.Chosen = p.chosen != (Ballot{}) && p.chosen == r.Entry.Ballot
 	p.phase = idle
 	p.result = &r
 }
--- a/internal/version/register/register_test.go
+++ b/internal/version/register/register_test.go
@@ -131,7 +131,7 @@
 		step    register.Step
 		entry   register.Entry
 	}{
-		"all empty, first host":        {memberA, []register.Report{empty(memberB), empty(memberC)}, register.Adopt, founded},
+		"all empty, first host":        {memberA, []register.Report{empty(memberB), empty(memberC)}, register.Establish, founded},
 		"all empty, second host":       {memberB, []register.Report{empty(memberA), empty(memberC)}, register.Wait, register.Entry{}},
 		"one silent":                   {memberA, []register.Report{empty(memberB), empty(memory)}, register.Wait, register.Entry{}},
 		"named by the founding":        {memberB, []register.Report{holds(memberA, founded)}, register.Adopt, founded},
@@ -222,3 +222,31 @@
 	p.Handle(register.Acceptance{From: 2, Ballot: ballot})
 	g.Expect(p.Result()).NotTo(BeNil())
 }
+
+// TestFormerVotersMayBeLostOnceTheirSuccessorIsChosen replaces the disk of c,
+// then loses b. A proposer without memory must get through with a and c.
+func TestFormerVotersMayBeLostOnceTheirSuccessorIsChosen(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(memberA, memberB, memberC)
+	again := register.Member{Host: "c", Identity: 4}
+	c.states["c"] = register.State{Host: "c", Identity: 4, Whole: true}
+	p := register.NewProposer(7, []string{"a", "b", "c"})
+	r := c.run(p, p.Change(func(v register.Value) (register.Value, error) { return v.WithMember(again), nil }))
+	for host, s := range c.states {
+		c.states[host] = s.Handle(register.Learn{Entry: r.Entry}).State
+	}
+	c.states["b"] = register.State{Host: "b", Identity: 5}
+	fresh := register.NewProposer(8, []string{"a", "b", "c"})
+	sends := fresh.Change(set("with two"))
+	for range 10 {
+		var next []register.Send
+		for _, s := range sends {
+			effect := c.states[s.Host].Handle(s.Request)
+			c.states[s.Host] = effect.State
+			next = append(next, fresh.Handle(effect.Reply)...)
+		}
+		sends = next
+	}
+	g.Expect(fresh.Result()).NotTo(BeNil())
+	g.Expect(fresh.Result().Changed).To(BeTrue())
+}
--- a/internal/version/register/state.go
+++ b/internal/version/register/state.go
@@ -42,6 +42,10 @@
 	return s.Whole && s.Identity != 0 && s.Identity == identity
 }
 
+func (s State) acceptedIsChosen() bool {
+	return !s.Learned.IsZero() && s.Learned.Ballot == s.Accepted.Ballot
+}
+
 func (s State) prepare(m Prepare) Effect {
 	reply := Promise{From: s.Identity, Ballot: m.Ballot, Promised: s.Promised}
 	if !s.isVoter(m.To) {
@@ -56,6 +60,7 @@
 	s.Promised = m.Ballot
 	reply.Promised = m.Ballot
 	reply.Accepted = s.Accepted
+	reply.Chosen = s.acceptedIsChosen()
 	return Effect{State: s, Persist: order > 0, Reply: reply}
 }
 
@@ -93,7 +98,13 @@
 }
 
 func (s State) inspect(m Inspect) Effect {
-	r := Report{From: s.Member(), Ballot: m.Ballot, Whole: s.Whole, Accepted: s.Accepted}
+	r := Report{
+		From:     s.Member(),
+		Ballot:   m.Ballot,
+		Whole:    s.Whole,
+		Accepted: s.Accepted,
+		Chosen:   s.acceptedIsChosen(),
+	}
 	if m.Known != (Ballot{}) && s.Accepted.Ballot == m.Known {
 		r.Same = true
 		r.Accepted = Entry{}
--- a/internal/version/registerpb/convert.go
+++ b/internal/version/registerpb/convert.go
@@ -88,6 +88,7 @@
 		Verdict:  verdicts[p.Verdict],
 		Promised: NewBallot(p.Promised),
 		Accepted: NewEntry(p.Accepted),
+		Chosen:   p.Chosen,
 	}
 }
 
@@ -99,6 +100,7 @@
 		Verdict:  p.GetVerdict().Register(),
 		Promised: p.GetPromised().Register(),
 		Accepted: p.GetAccepted().Register(),
+		Chosen:   p.GetChosen(),
 	}
 }
 
@@ -130,6 +132,7 @@
 		Whole:    r.Whole,
 		Same:     r.Same,
 		Accepted: NewEntry(r.Accepted),
+		Chosen:   r.Chosen,
 	}
 }
 
@@ -141,6 +144,7 @@
 		Whole:    r.GetWhole(),
 		Same:     r.GetSame(),
 		Accepted: r.GetAccepted().Register(),
+		Chosen:   r.GetChosen(),
 	}
 }
 
--- a/internal/version/registerpb/convert_test.go
+++ b/internal/version/registerpb/convert_test.go
@@ -44,12 +44,12 @@
 	g := NewWithT(t)
 	ballot := register.Ballot{Round: 3, Proposer: 4}
 	for _, v := range []register.Verdict{register.Granted, register.Outbid, register.NotVoter} {
-		p := register.Promise{From: 1, Ballot: ballot, Verdict: v, Promised: ballot.Next(5), Accepted: entry(2)}
+		p := register.Promise{From: 1, Ballot: ballot, Verdict: v, Promised: ballot.Next(5), Accepted: entry(2), Chosen: true}
 		g.Expect(registerpb.NewPrepareReply(p).Register()).To(Equal(p))
 		a := register.Acceptance{From: 1, Ballot: ballot, Verdict: v, Promised: ballot.Next(5)}
 		g.Expect(registerpb.NewAcceptReply(a).Register()).To(Equal(a))
 	}
-	r := register.Report{From: register.Member{Host: "a", Identity: 9}, Ballot: ballot, Whole: true, Same: true, Accepted: entry(2)}
+	r := register.Report{From: register.Member{Host: "a", Identity: 9}, Ballot: ballot, Whole: true, Same: true, Accepted: entry(2), Chosen: true}
 	g.Expect(registerpb.NewInspectReply(r).Register()).To(Equal(r))
 	g.Expect((&registerpb.PrepareReply{}).Register().Verdict).To(Equal(register.NotVoter))
 }
