Join the control path to the entry host

Cause: the register, the control state and the operators' API stood apart. Ruled out: serving with the bundle on the own disk at once after a restart (the domain may have served a newer one meanwhile), and with the built-in bundle on a host without a disk. Change: one duty follows the register, writes the audit trail and puts the accepted bundle in force in the domain's turn; a host takes new work only once a quorum, an informed neighbour, or the whole domain's word shows that it is not behind. Versions are compared on the exchange messages. Result: a bundle rolled at one host comes into force at all six of three domains; two hosts that were down during the next roll come back with it.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -177,6 +177,17 @@
 	return reply.GetAdopted(), nil
 }
 
+// AuditEntries asks a host with a disk for audit entries from an index on, as
+// JSON.
+func (c *Client) AuditEntries(ctx context.Context, host string, from uint64) ([][]byte, error) {
+	var reply *peerpb.AuditReply
+	err := c.call(ctx, host, func(ctx context.Context, p peerpb.PeerClient) (err error) {
+		reply, err = p.AuditEntries(ctx, &peerpb.AuditRequest{From: from})
+		return err
+	})
+	return reply.GetEntries(), err
+}
+
 // Exchange sends what this host knows and returns what the other knows.
 func (c *Client) Exchange(ctx context.Context, host string, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	l := c.links[host]
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -25,6 +25,8 @@
 	CancelLocal(ctx context.Context, ticket string) error
 	// Adopt takes over the records of a drained host and reports whether it did.
 	Adopt(ctx context.Context, r *peerpb.HandOnRequest) bool
+	// AuditEntries returns audit entries from an index on, as JSON.
+	AuditEntries(ctx context.Context, from uint64) ([][]byte, error)
 	// Merge takes in what another host knows and returns what this one knows.
 	Merge(m *peerpb.ExchangeMessage) *peerpb.ExchangeMessage
 }
@@ -85,6 +87,15 @@
 	return &peerpb.HandOnReply{Adopted: s.backend.Adopt(ctx, r)}, nil
 }
 
+// AuditEntries implements peerpb.PeerServer.
+func (s *Server) AuditEntries(ctx context.Context, r *peerpb.AuditRequest) (*peerpb.AuditReply, error) {
+	entries, err := s.backend.AuditEntries(ctx, r.GetFrom())
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &peerpb.AuditReply{Entries: entries}, nil
+}
+
 // Exchange implements peerpb.PeerServer.
 func (s *Server) Exchange(_ context.Context, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	return s.backend.Merge(m), nil
--- /dev/null
+++ b/internal/process/controlplane/plane.go
@@ -0,0 +1,224 @@
+package controlplane
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"wasabifield.example/wasabifield/internal/connection/operatorapi"
+	"wasabifield.example/wasabifield/internal/process/controller"
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/version/bundle"
+	"wasabifield.example/wasabifield/internal/version/control"
+	"wasabifield.example/wasabifield/internal/version/trail"
+)
+
+// Config configures a Plane.
+type Config struct {
+	Domain     string
+	Neighbours []string // the other entry hosts of the domain
+	Disks      []string // the other hosts with a disk
+	AnyDisk    bool     // whether any host has a disk; without one nothing can be changed
+	Rules      control.Rules
+	Controller *controller.Controller
+	Trail      *trail.Trail // nil on a host without a disk
+	Clock      func() time.Time
+	Log        *slog.Logger
+
+	// Force puts a bundle in force at this host.
+	Force func(b bundle.Bundle, digest bundle.Digest)
+	// Fetch asks another disk host for audit entries from an index on.
+	Fetch func(ctx context.Context, host string, from uint64) ([]control.Entry, error)
+}
+
+// Plane is one host's control path.
+type Plane struct {
+	config   Config
+	informed *informed
+}
+
+// NewPlane returns a Plane.
+func NewPlane(config Config) *Plane {
+	return &Plane{config: config, informed: newInformed(config.Neighbours)}
+}
+
+// Register adds the services for other hosts to a gRPC server.
+func (p *Plane) Register(r grpc.ServiceRegistrar) { p.config.Controller.Register(r) }
+
+// Run works until ctx is cancelled.
+func (p *Plane) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.config.Controller.Run(ctx) })
+	group.Go(func() error { return p.follow(ctx) })
+	return group.Wait()
+}
+
+// Change implements operatorapi.Changer.
+func (p *Plane) Change(ctx context.Context, c control.Command) (control.Answer, error) {
+	if !p.config.AnyDisk {
+		return control.Answer{}, failure.New(failure.NotReady, "no host with a disk is in the settings")
+	}
+	var answer control.Answer
+	_, err := p.config.Controller.Change(ctx, func(current []byte) ([]byte, error) {
+		state, err := control.Decode(current)
+		if err != nil {
+			return nil, failure.Wrap(failure.Internal, "controlplane", err)
+		}
+		var next control.State
+		next, answer = p.config.Rules.Apply(state, c, p.config.Clock())
+		if next.Sequence == state.Sequence {
+			return current, nil
+		}
+		return control.Encode(next)
+	})
+	return answer, err
+}
+
+// State implements operatorapi.Changer.
+func (p *Plane) State(ctx context.Context) (operatorapi.StateView, error) {
+	if !p.config.AnyDisk {
+		return operatorapi.StateView{}, nil
+	}
+	content, confirmed, age, err := p.config.Controller.Read(ctx)
+	if err != nil {
+		return operatorapi.StateView{}, err
+	}
+	state, err := control.Decode(content)
+	if err != nil {
+		return operatorapi.StateView{}, failure.Wrap(failure.Internal, "controlplane", err)
+	}
+	return operatorapi.StateView{State: state, Confirmed: confirmed, Age: age}, nil
+}
+
+const pageEntries = 256 // audit entries in one message between hosts
+
+// Entries implements operatorapi.Trail.
+func (p *Plane) Entries(ctx context.Context, from uint64, limit int) ([]control.Entry, error) {
+	if p.config.Trail != nil {
+		return p.config.Trail.Entries(from, min(limit, pageEntries)), nil
+	}
+	for _, host := range p.config.Disks {
+		if entries, err := p.config.Fetch(ctx, host, from); err == nil {
+			return entries, nil
+		}
+	}
+	return nil, failure.New(failure.NoQuorum, "no host with a disk answers")
+}
+
+// Version returns the version of the control state that this host holds.
+func (p *Plane) Version() uint64 { return p.config.Controller.Version() }
+
+// Hear takes in what a neighbour said of its control state.
+func (p *Plane) Hear(host string, r Report) { p.informed.hear(host, r) }
+
+// Catch fetches the control state from a host that holds a newer version.
+func (p *Plane) Catch(ctx context.Context, host string, version uint64) {
+	if version <= p.Version() {
+		return
+	}
+	if err := p.config.Controller.Catch(ctx, host, version); err != nil {
+		p.config.Log.Debug("Could not catch up.", "from", host, "error", err)
+	}
+}
+
+// Informed reports whether this host may serve with the bundle that it holds.
+func (p *Plane) Informed() bool {
+	if !p.config.AnyDisk {
+		return true
+	}
+	s := p.config.Controller.Status()
+	return p.informed.check(s.Version, s.Age >= 0)
+}
+
+// follow takes in each new control state.
+func (p *Plane) follow(ctx context.Context) error {
+	due := time.NewTimer(0)
+	defer due.Stop()
+	var next accepted
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case content := <-p.config.Controller.Updates():
+			state, err := control.Decode(content)
+			if err != nil {
+				p.config.Log.Error("The control state cannot be read.", "error", err)
+				continue
+			}
+			p.record(ctx, state)
+			if newer, ok := p.accepted(state); ok {
+				next = newer
+				due.Reset(next.wait)
+			}
+		case <-due.C:
+			if next.bundle.Version > 0 {
+				p.config.Force(next.bundle, next.digest)
+			}
+		}
+	}
+}
+
+// accepted is a bundle that comes into force after a wait.
+type accepted struct {
+	bundle bundle.Bundle
+	digest bundle.Digest
+	wait   time.Duration
+}
+
+// accepted returns the bundle that state puts in force. The wait is the
+// domain's place in the roll order, less the time since the acceptance; clocks
+// that differ can only shorten it.
+func (p *Plane) accepted(state control.State) (accepted, bool) {
+	v, ok := state.InForce()
+	if !ok {
+		return accepted{}, false
+	}
+	b, err := bundle.Parse([]byte(v.Document))
+	if err != nil {
+		p.config.Log.Error("The accepted bundle cannot be read.", "version", v.Number, "error", err)
+		return accepted{}, false
+	}
+	delay := b.RollDelay(p.config.Domain)
+	passed := p.config.Clock().Sub(v.EndedAt)
+	return accepted{bundle: b, digest: v.Digest, wait: min(delay, max(0, delay-passed))}, true
+}
+
+// record appends what the trail lacks. Entries that the state no longer holds
+// are asked of other disk hosts.
+func (p *Plane) record(ctx context.Context, state control.State) {
+	if p.config.Trail == nil {
+		return
+	}
+	entries, whole := state.After(p.config.Trail.Head())
+	if !whole {
+		p.fill(ctx, state)
+		entries, whole = state.After(p.config.Trail.Head())
+	}
+	if !whole {
+		p.config.Log.Error("The audit trail has a gap.", "head", p.config.Trail.Head().Index, "want", state.Head.Index)
+		return
+	}
+	if err := p.config.Trail.Append(entries); err != nil {
+		p.config.Log.Error("The audit trail was not written.", "error", err)
+	}
+}
+
+// fill asks the other disk hosts for the entries before those in the state.
+func (p *Plane) fill(ctx context.Context, state control.State) {
+	for _, host := range p.config.Disks {
+		for p.config.Trail.Head().Index < state.Head.Index {
+			head := p.config.Trail.Head()
+			entries, err := p.config.Fetch(ctx, host, head.Index+1)
+			if err != nil || len(entries) == 0 {
+				break
+			}
+			if err := p.config.Trail.Append(entries); err != nil {
+				p.config.Log.Error("Audit entries of another host do not fit.", "host", host, "error", err)
+				break
+			}
+		}
+	}
+}
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -74,6 +74,8 @@
 // pending is a job in progress and who waits for its answer.
 type pending struct {
 	key     record.CopyKey
+	spec    *job.Spec
+	since   time.Time // when it was admitted
 	digest  uint64
 	book    *record.Book
 	waiters []chan *job.Answer
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -119,6 +119,8 @@
 	l.last++
 	p := &pending{
 		key:     s.key(),
+		spec:    s.spec,
+		since:   now,
 		digest:  s.digest,
 		book:    i.book,
 		waiters: []chan *job.Answer{s.reply},
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/wire"
@@ -15,6 +16,7 @@
 func (h *Host) Submit(ctx context.Context, spec *job.Spec, body []byte) *job.Answer {
 	answer := h.submit(ctx, spec, body)
 	h.observer.answered(answer)
+	h.recorder.Answered(time.Now(), answer)
 	return answer
 }
 
@@ -170,16 +172,54 @@
 		Region:      h.settings.Region,
 		Incarnation: h.hosts.incarnation(),
 		State:       "self",
+		Control:     h.plane.Version(),
 	}
 	return append([]wire.HostStatus{self}, h.hosts.list(time.Now())...), nil
 }
 
+// Jobs implements operatorapi.JobLister.
+func (h *Host) Jobs(ctx context.Context) ([]wire.JobStatus, error) {
+	list, err := h.loop.JobList(ctx)
+	if err != nil {
+		return nil, err
+	}
+	jobs := make([]wire.JobStatus, len(list))
+	for i, j := range list {
+		jobs[i] = wire.JobStatus{
+			Ticket:     j.Host + "/" + strconv.FormatUint(j.Seq, 10),
+			Team:       j.Team,
+			Tasks:      j.Tasks,
+			Started:    j.Started,
+			Done:       j.Done,
+			AgeMS:      j.Age.Milliseconds(),
+			DeadlineMS: j.Left.Milliseconds(),
+		}
+	}
+	return jobs, nil
+}
+
 // Ready implements callerapi.Backend.
 func (h *Host) Ready() error {
 	if h.draining.Load() {
 		return failure.New(failure.Draining, "the host is stopping")
 	}
-	return nil
+	return h.checkInformed()
+}
+
+// checkInformed refuses new work while a newer bundle may have been in force.
+func (h *Host) checkInformed() error {
+	if h.plane.Informed() {
+		return nil
+	}
+	return failure.New(failure.NotReady, "the host does not know yet which bundle is in force")
+}
+
+// allow refuses a new job that this host must not start.
+func (h *Host) allow(spec *job.Spec) error {
+	if err := h.checkInformed(); err != nil {
+		return err
+	}
+	return h.policy.current().checkLimits(spec)
 }
 
 // Bundle implements callerapi.Backend.
--- /dev/null
+++ b/internal/process/host/control_test.go
@@ -0,0 +1,87 @@
+package host_test
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/version/bundle"
+	"wasabifield.example/wasabifield/internal/version/control"
+)
+
+var operatorKey = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+
+// withDisks gives the named hosts a disk and all hosts one operator.
+func withDisks(t *testing.T, disks ...string) func(name string, s *settings.Settings) {
+	folders := map[string]string{}
+	for _, name := range disks {
+		folders[name] = t.TempDir()
+	}
+	public := operatorKey.Public().(ed25519.PublicKey)
+	return func(name string, s *settings.Settings) {
+		s.DataFolder = folders[name]
+		s.Operators = []settings.Operator{{Name: "linh", PublicKey: base64.StdEncoding.EncodeToString(public)}}
+		for i, p := range s.Peers {
+			s.Peers[i].Disk = folders[p.Host] != ""
+		}
+	}
+}
+
+// command sends a signed command and returns the answer.
+func (f *fleet) command(name string, c control.Command) control.Answer {
+	body, _ := json.Marshal(c.Sign(operatorKey))
+	address := "http://" + f.hosts[name].HTTP + wire.PathControl + string(c.Action)
+	response, err := http.Post(address, "application/json", bytes.NewReader(body))
+	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	var answer control.Answer
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	return answer
+}
+
+// roll brings a version through propose, approve and roll at one host.
+func (f *fleet) roll(name string, version, basedOn uint64) {
+	document := fmt.Appendf(nil, "version: %d\nbased_on: %d\n", version, basedOn)
+	digest := bundle.DigestOf(document)
+	c := control.Command{Operator: "linh", Version: version, Digest: digest}
+	propose, approve, roll := c, c, c
+	propose.Action, propose.Document = control.Propose, document
+	approve.Action = control.Approve
+	approve.Approvals = []control.Approval{control.NewApproval("linh", operatorKey, version, digest)}
+	roll.Action = control.Roll
+	for _, step := range []control.Command{propose, approve, roll} {
+		step.Request = fmt.Sprintf("%s-%d", step.Action, version)
+		g := NewWithT(f.t)
+		g.Eventually(func() string { return string(f.command(name, step).Kind) }, limit, poll).Should(BeEmpty(), string(step.Action))
+	}
+}
+
+// inForce returns the version that a host's answers state.
+func (f *fleet) inForce(name string) uint64 {
+	return f.submit(name, f.ticket(name)).Bundle
+}
+
+func TestAcceptedBundleIsInForceAtEveryHost(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleetWith(t, withDisks(t, "a1", "b1", "c1"), "a1", "a2", "b1", "b2", "c1", "c2")
+	f.roll("b2", 1, 0)
+	for name := range f.hosts {
+		g.Eventually(func() uint64 { return f.inForce(name) }, limit, poll).Should(BeEquivalentTo(1), name)
+	}
+	f.stops["a2"]()
+	f.stops["c1"]()
+	f.roll("a1", 2, 1)
+	f.start(f.hosts["a2"])
+	f.start(f.hosts["c1"])
+	for name := range f.hosts {
+		g.Eventually(func() uint64 { return f.inForce(name) }, limit, poll).Should(BeEquivalentTo(2), name)
+	}
+}
--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -59,6 +59,7 @@
 		return
 	}
 	h.hosts.answered(asked, answer)
+	h.heed(h.running, answer)
 	if answer.GetDelta() != nil {
 		h.setTargets(h.targets.merge(name, asked, answer.GetDelta()))
 	}
@@ -75,6 +76,8 @@
 		Domain:           h.settings.Domain,
 		Incarnation:      h.hosts.incarnation(),
 		Draining:         h.draining.Load(),
+		ControlVersion:   h.plane.Version(),
+		Informed:         h.plane.Informed(),
 		FreeSlots:        uint32(load.Free),
 		FreeAccelerators: uint32(load.Accelerators),
 		QueuedTasks:      uint32(load.Queued),
@@ -90,6 +93,7 @@
 	}
 	now := time.Now()
 	held := h.hosts.asked(now, m)
+	h.heed(h.running, m)
 	for _, c := range m.GetCopies() {
 		h.putCopy(c)
 	}
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -20,14 +20,17 @@
 	"wasabifield.example/wasabifield/internal/connection/peertls"
 	"wasabifield.example/wasabifield/internal/connection/targetlink"
 	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/controlplane"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
 	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/process/membership"
 	"wasabifield.example/wasabifield/internal/process/profiles"
 	"wasabifield.example/wasabifield/internal/process/settings"
-	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/record"
+	"wasabifield.example/wasabifield/internal/request/report"
 	"wasabifield.example/wasabifield/internal/request/ticket"
+	"wasabifield.example/wasabifield/internal/version/store"
+	"wasabifield.example/wasabifield/internal/version/trail"
 )
 
 const (
@@ -40,6 +43,7 @@
 // Host is one entry host.
 type Host struct {
 	settings    settings.Settings
+	root        *slog.Logger
 	log         *slog.Logger
 	incarnation uint64
 	minter      *ticket.Minter
@@ -48,6 +52,13 @@
 	hosts       *hostTable
 	outbox      *outbox
 	policy      *policy
+	recorder    *report.Recorder
+	folder      *store.Folder // nil on a host without a disk
+	trail       *trail.Trail  // nil on a host without a disk
+	plane       *controlplane.Plane
+	catching    atomic.Bool     // whether the control state is being fetched
+	running     context.Context // ends when the host stops
+	stop        context.CancelFunc
 	client      *peer.Client
 	security    peertls.Credentials
 	observer    *observer
@@ -58,7 +69,9 @@
 func New(s settings.Settings, log *slog.Logger) (*Host, error) {
 	h := &Host{
 		settings:    s,
+		root:        log,
 		log:         logging.For(log, "host"),
+		recorder:    report.NewRecorder(s.Host, time.Now()),
 		incarnation: newIncarnation(time.Now()),
 		observer:    newObserver(s.Host, s.Domain),
 		policy:      newPolicy(time.Now()),
@@ -90,6 +103,13 @@
 	if err != nil {
 		return nil, err
 	}
+	h.running, h.stop = context.WithCancel(context.Background())
+	if err := h.openDisk(); err != nil {
+		return nil, err
+	}
+	if h.plane, err = h.newPlane(); err != nil {
+		return nil, err
+	}
 	h.loop = h.newLoop()
 	return h, nil
 }
@@ -113,7 +133,7 @@
 			AnswerBytes: h.settings.Limits.RecordBytes,
 		},
 		Copier:  h.outbox,
-		Allow:   func(spec *job.Spec) error { return h.policy.current().checkLimits(spec) },
+		Allow:   h.allow,
 		Spiller: &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		Minter:  h.minter,
 		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
@@ -143,14 +163,16 @@
 	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
 	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
 	peer.Register(grpcServer, h)
+	h.plane.Register(grpcServer)
 
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	group, duties := errgroup.WithContext(running)
+	defer h.closeDisk()
+	defer h.stop()
+	group, duties := errgroup.WithContext(h.running)
 	group.Go(func() error { return h.loop.Run(duties) })
 	group.Go(func() error { return h.observer.sample(duties, h.loop) })
 	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
 	group.Go(func() error { return grpcServer.Serve(link) })
+	group.Go(func() error { return h.plane.Run(duties) })
 	group.Go(func() error { return h.exchange(duties) })
 	group.Go(func() error {
 		select {
@@ -158,7 +180,7 @@
 		case <-duties.Done():
 		}
 		err := h.drain(cut, httpServer, grpcServer)
-		stop()
+		h.stop()
 		return err
 	})
 	h.log.Info("Serving.", "host", h.settings.Host, "domain", h.settings.Domain, "http", h.settings.HTTP)
@@ -185,6 +207,7 @@
 		Clock:     time.Now,
 		Log:       h.log,
 	}).Register(mux)
+	h.operatorAPI().Register(mux)
 	mux.Handle("GET "+wire.PathMetrics, h.observer.metrics.Handler())
 	if h.settings.Profiles {
 		profiles.Register(mux)
--- a/internal/process/host/host_test.go
+++ b/internal/process/host/host_test.go
@@ -36,6 +36,12 @@
 
 // startFleet starts the named hosts; the first letter of a name is its domain.
 func startFleet(t *testing.T, names ...string) *fleet {
+	t.Helper()
+	return startFleetWith(t, func(string, *settings.Settings) {}, names...)
+}
+
+// startFleetWith starts hosts whose settings are changed first.
+func startFleetWith(t *testing.T, change func(name string, s *settings.Settings), names ...string) *fleet {
 	t.Helper()
 	g := NewWithT(t)
 	f := &fleet{t: t, hosts: map[string]settings.Settings{}, stops: map[string]func(){}}
@@ -58,6 +64,10 @@
 				s.Peers = append(s.Peers, settings.Peer{Host: other, Domain: o.Domain, Region: "r", Peer: o.Peer})
 			}
 		}
+		change(name, &s)
+		f.hosts[name] = s
+	}
+	for _, s := range f.hosts {
 		f.start(s)
 	}
 	for name := range f.hosts {
--- a/internal/process/host/hosts.go
+++ b/internal/process/host/hosts.go
@@ -23,11 +23,11 @@
 	mu      sync.Mutex
 	table   *membership.Hosts
 	regions map[string]string
-	last    map[string]report
+	last    map[string]statement
 }
 
-// report is what a host said of itself in its last message.
-type report struct {
+// statement is what a host said of itself in its last message.
+type statement struct {
 	draining     bool
 	control      uint64
 	free         int
@@ -54,7 +54,7 @@
 	return &hostTable{
 		table:   membership.NewHosts(config, random),
 		regions: regions,
-		last:    make(map[string]report),
+		last:    make(map[string]statement),
 	}
 }
 
@@ -84,7 +84,7 @@
 }
 
 func (t *hostTable) note(now time.Time, m *peerpb.ExchangeMessage) {
-	t.last[m.GetHost()] = report{
+	t.last[m.GetHost()] = statement{
 		draining:     m.GetDraining(),
 		control:      m.GetControlVersion(),
 		free:         int(m.GetFreeSlots()),
--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -95,7 +95,7 @@
 }
 
 // setBundle puts b in force at this host if it is newer than the one in force.
-func (h *Host) setBundle(b bundle.Bundle) {
+func (h *Host) setBundle(b bundle.Bundle, digest bundle.Digest) {
 	if !h.policy.replace(time.Now(), b) {
 		return
 	}
@@ -104,5 +104,6 @@
 		h.log.Error("The bundle is not in force.", "version", b.Version, "error", err)
 		return
 	}
+	h.recorder.InForce(time.Now(), b.Version, digest)
 	h.log.Info("A bundle is in force.", "version", b.Version)
 }
--- a/internal/process/host/policy_test.go
+++ b/internal/process/host/policy_test.go
@@ -28,7 +28,7 @@
 	h, err := New(s, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, c := range []struct{ offered, inForce uint64 }{{3, 3}, {2, 3}, {3, 3}, {7, 7}, {0, 7}} {
-		h.setBundle(versioned(c.offered))
+		h.setBundle(versioned(c.offered), "")
 		g.Expect(h.Bundle()).To(Equal(c.inForce))
 	}
 }
