Let a job that did not run and may come back run when it does

Cause: the answer of a job whose deadline passed in the queue says when to come back, but the answer was kept under its ticket: the resubmission that it asks for got the same answer for the life of the ticket. Ruled out: leaving out the time to come back, which would lose the job for callers that keep their ticket; copying such an answer to a neighbour, where it would be false once the job has run. Change: the record of a job that did not run and may come back is dropped. Race tests of dispatch, host and request pass.

--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -225,11 +225,17 @@
 	}
 }
 
+// finish gives the answer to a job and records it. The record of a job that did
+// not run and may come back is dropped, so that it runs when it does.
 func (l *Loop) finish(f Finish) {
 	p := l.jobs[f.Job]
 	l.drop(f.Job)
-	p.book.Finish(p.key.Seq, f.Answer)
-	l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	if f.Answer.MayComeBack() {
+		p.book.Forget(p.key.Seq)
+	} else {
+		p.book.Finish(p.key.Seq, f.Answer)
+		l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	}
 	p.reply(f.Answer)
 }
 
--- a/internal/request/job/answer.go
+++ b/internal/request/job/answer.go
@@ -38,3 +38,9 @@
 	}
 	return a
 }
+
+// MayComeBack reports whether the job did not run and the answer states when
+// to submit it again.
+func (a *Answer) MayComeBack() bool {
+	return a.Outcome == NotRun && a.Error != nil && a.Error.RetryAfterMS != nil
+}
