Keep load off targets that fail, and give up stragglers by their kind

Cause: a target that fails at once is always the least loaded, so it drew and spoiled the most tasks; a start without answer was waited for 30 s. Ruled out: ejection alone, which leaves the pull of fast failures until the judgement, and the pull of those beyond the third that may be ejected. Change: the judge of targets decides which targets are used; an ejected target's slots are neither used nor lent; the slot of a failed task stays taken for the usual run time; an attempt is given up after five times the learned 99th percentile, at least 2 s. A broken kind of task ejects nobody; with failures judged by team alone it does.

--- a/internal/connection/health/tracker.go
+++ b/internal/connection/health/tracker.go
@@ -7,6 +7,7 @@
 
 // Config configures a Tracker.
 type Config struct {
+	Failures   int           // in a row, of tasks that rarely fail elsewhere, that eject a target
 	MaxEjected float64       // greatest part of the targets out of use at once, 0 to 1
 	FirstPause time.Duration // out of use at first; doubled each time, up to LongPause
 	LongPause  time.Duration
@@ -17,6 +18,7 @@
 // DefaultConfig returns the Config in force unless a bundle states another.
 func DefaultConfig() Config {
 	return Config{
+		Failures:   3,
 		MaxEjected: 1.0 / 3,
 		FirstPause: 5 * time.Second,
 		LongPause:  5 * time.Minute,
@@ -40,7 +42,6 @@
 
 const (
 	badRate  = 0.5 // failure rate of a bad target
-	evidence = 6.9 // ln(1000): the sum that ejects
 	memory   = 16  // outcomes remembered of a target
 	calmTime = 10  // after this many pauses in use the pause starts anew
 )
@@ -74,6 +75,12 @@
 	return &Tracker{config: config, targets: make(map[string]*record), groups: make(map[string]*group)}
 }
 
+// SetConfig puts another Config in force, except for Groups.
+func (t *Tracker) SetConfig(config Config) {
+	config.Groups = t.config.Groups
+	t.config = config
+}
+
 // SetTargets names the live targets. Of others only those out of use are kept,
 // until their pause is over, so that a restart does not clear a target's name.
 func (t *Tracker) SetTargets(now time.Time, names []string) {
@@ -178,8 +185,14 @@
 	return sum
 }
 
+// evidence returns the sum that ejects a target.
+func (t *Tracker) evidence() float64 {
+	failures := float64(min(t.config.Failures, memory/2))
+	return (failures - 0.5) * math.Log(badRate/lowestRate)
+}
+
 func (t *Tracker) judge(now time.Time, target string, r *record) {
-	if t.guilt(target, r) >= evidence && t.outOfUse() < t.mayEject() {
+	if t.guilt(target, r) >= t.evidence() && t.outOfUse() < t.mayEject() {
 		t.eject(now, r)
 	}
 }
@@ -216,7 +229,7 @@
 		if r.state != Ejected || r.pause != t.config.FirstPause || !r.failedIn(group) {
 			continue
 		}
-		if t.guilt(name, r) < evidence/2 {
+		if t.guilt(name, r) < t.evidence()/2 {
 			r.state, r.returned, r.pause, r.until = Healthy, now, 0, time.Time{}
 		}
 	}
@@ -242,9 +255,9 @@
 }
 
 // mayEject returns how many targets may be out of use: none of a single one,
-// else at least one.
+// else at least one unless the part is 0.
 func (t *Tracker) mayEject() int {
-	if t.live < 2 {
+	if t.live < 2 || t.config.MaxEjected <= 0 {
 		return 0
 	}
 	return max(1, int(t.config.MaxEjected*float64(t.live)))
--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -9,6 +9,7 @@
 // assign starts waiting tasks while a target has a free slot for them. Tasks
 // that need an accelerator go first: no other target will do for them.
 func (c *Core) assign(now time.Time) {
+	c.releaseHeld(now)
 	for c.assignOne(now, true) {
 	}
 	for c.assignOne(now, false) {
@@ -35,10 +36,11 @@
 	j := c.jobs[JobID(r.Job.ID)]
 	task := &j.spec.Tasks[r.Task.Index]
 	c.last++
-	c.starts[c.last] = started{ref: r, job: j, target: t, pool: pool, at: now}
+	s := started{ref: r, job: j, target: t, pool: pool, at: now}
+	c.starts[c.last] = s
 	t.busy++
 	j.running++
-	deadline := now.Add(c.config.AttemptTimeout)
+	deadline := now.Add(c.attemptLimit(now, s))
 	if j.deadline.Before(deadline) {
 		deadline = j.deadline
 	}
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/connection/health"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/queue"
@@ -23,7 +24,8 @@
 	Host              string        // this host's name
 	PeerLease         time.Duration // a peer not heard of for this long loses its slots
 	SlotRetry         time.Duration // between two requests for a peer's idle slots
-	SlotProbe         bool          // request slots also of peers that were busy when last heard of
+	Health            health.Config
+	SlotProbe         bool // request slots also of peers that were busy when last heard of
 }
 
 // DefaultConfig returns the policy in force until a bundle states another.
@@ -37,6 +39,7 @@
 		Host:            "self",
 		PeerLease:       2 * time.Second,
 		SlotRetry:       50 * time.Millisecond,
+		Health:          health.DefaultConfig(),
 	}
 }
 
@@ -53,6 +56,8 @@
 	queue    *queue.Queue
 	runtimes *runtimes.Table
 	pools    *pools
+	health   *health.Tracker
+	held     []heldSlot
 	peers    map[string]*peerDemand
 	heard    bool // every peer has reported within the lease
 	out      Effects
@@ -76,6 +81,7 @@
 		queue:    queue.New(queue.Config{Tasks: config.QueuedTasks, Bytes: config.QueuedBytes}),
 		runtimes: runtimes.NewTable(runtimeKeys),
 		pools:    newPools(config),
+		health:   health.NewTracker(config.Health),
 	}
 	c.applyTeams()
 	return c
@@ -92,6 +98,7 @@
 	for _, pool := range c.pools.demand {
 		pool.SetConfig(config.sharing())
 	}
+	c.health.SetConfig(config.Health)
 	c.applyTeams()
 }
 
@@ -196,6 +203,7 @@
 	}
 	c.dropTargets(now)
 	c.refreshTargets(now)
+	c.shutEjected(now)
 	c.queue.Sweep()
 	c.heard = c.heardAll(now)
 	c.applyTeams()
--- a/internal/process/dispatch/pools.go
+++ b/internal/process/dispatch/pools.go
@@ -61,18 +61,23 @@
 			live[poolOf(t)] = append(live[poolOf(t)], sharing.Target{Name: t.Target, Slots: t.Slots})
 		}
 	}
+	changed := false
 	for i, list := range live {
 		if !slices.Equal(list, c.pools.targets[i]) {
 			c.pools.targets[i] = list
 			c.pools.demand[i].SetTargets(now, list)
+			changed = true
 		}
 	}
+	if changed {
+		c.setHealthTargets(now, live)
+	}
 }
 
 // acquire reserves a slot for a task and returns its target and pool, or nil.
 // A task without need for an accelerator takes one's place last.
 func (c *Core) acquire(now time.Time, accelerator bool) (*Target, int) {
-	usable := func(name string) bool { return c.targets[name].alive(now) }
+	usable := func(name string) bool { return c.usable(now, c.targets[name]) }
 	for i := range poolCount {
 		if accelerator && i != acceleratorPool {
 			continue
@@ -87,11 +92,14 @@
 // free returns the slot of an attempt that has ended.
 func (c *Core) free(now time.Time, s started, outcome Outcome) {
 	pool := c.pools.demand[s.pool]
-	if outcome == NotStarted {
+	switch outcome {
+	case NotStarted:
 		pool.Refused(now, s.target.Target)
-		return
+	case TaskError:
+		c.hold(now, s)
+	default:
+		pool.Release(s.target.Target)
 	}
-	pool.Release(s.target.Target)
 }
 
 // waiting returns the tasks that want a slot of each pool.
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -41,6 +41,9 @@
 		c.queue.Return(s.ref)
 	}
 	c.free(now, s, outcome)
+	if outcome != NotStarted {
+		c.observe(now, s, outcome)
+	}
 	if outcome == Done {
 		c.runtimes.Observe(now, s.key(), ran)
 	}
--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -62,6 +62,10 @@
 	c.AttemptTimeout = b.AttemptTimeout
 	c.DefaultDeadline = b.Deadlines.Default
 	c.RestartIdempotent = b.Retry.RestartIdempotent
+	c.Health.Failures = b.Ejection.Failures
+	c.Health.FirstPause = b.Ejection.Pause
+	c.Health.LongPause = b.Ejection.GreatestPause
+	c.Health.MaxEjected = float64(b.Ejection.GreatestPercent) / 100
 	if b.SlotPolicyOf(s.Domain) == bundle.SharesProbing {
 		c.SlotProbe = true
 		c.SlotRetry = probeRetry
--- a/internal/process/slots/demand.go
+++ b/internal/process/slots/demand.go
@@ -102,6 +102,9 @@
 	return now.Sub(d.peers[name].heard) < d.cfg.Lease
 }
 
+// Shut takes a target out of use or puts it back. Its slots are not lent.
+func (d *Demand) Shut(target string, shut bool) { d.pool.shut(target, shut) }
+
 // Acquire implements Policy.
 func (d *Demand) Acquire(now time.Time, rng *rand.Rand, usable func(string) bool) (string, bool) {
 	return d.pool.acquire(now, rng, usable)
@@ -153,7 +156,7 @@
 }
 
 func (d *Demand) message(p *peer, ask bool) Message {
-	m := Message{Reply: p.reply, Lend: grants(p.lend), Queued: d.queued, Busy: d.pool.busy, Total: d.pool.held}
+	m := Message{Reply: p.reply, Lend: grants(p.lend), Queued: d.queued, Busy: d.pool.busy, Total: d.pool.usable()}
 	if ask {
 		m.Want = d.queued
 	}
@@ -291,7 +294,7 @@
 // Report implements Policy.
 func (d *Demand) Report(now time.Time, to string, queued int) Message {
 	d.queued = queued
-	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.held}
+	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.usable()}
 	if p := d.peers[to]; p != nil && now.Sub(p.told) >= d.cfg.Full {
 		p.told = now
 		m.Full, m.Held = true, d.heldSlots()
--- a/internal/process/slots/policy.go
+++ b/internal/process/slots/policy.go
@@ -25,7 +25,7 @@
 	Reply  bool    // whether this answers a Want
 	Queued int     // the sender's tasks that wait for a slot
 	Busy   int     // the sender's tasks that run
-	Total  int     // the slots that the sender holds
+	Total  int     // the slots that the sender holds and can use
 	Full   bool    // whether Held is present
 	Held   []Grant // the sender's slots by target
 }
--- a/internal/process/slots/pool.go
+++ b/internal/process/slots/pool.go
@@ -16,6 +16,7 @@
 	full  time.Time     // no start before this: the target refused one
 	wait  time.Duration // the pause after the next refusal
 	free  int           // index in pool.free, or -1
+	shut  bool          // no start and no loan for now
 	gone  bool          // the target left; the entry stays until busy is 0
 }
 
@@ -127,9 +128,17 @@
 	p.index(e)
 }
 
+// shut takes a target out of use or puts it back.
+func (p *pool) shut(name string, shut bool) {
+	if e := p.byName[name]; e != nil && e.shut != shut {
+		e.shut = shut
+		p.index(e)
+	}
+}
+
 // index puts e into or takes it out of the free list.
 func (p *pool) index(e *entry) {
-	want := !e.gone && e.busy < e.held
+	want := !e.gone && !e.shut && e.busy < e.held
 	if want == (e.free >= 0) {
 		return
 	}
@@ -185,6 +194,9 @@
 	return n
 }
 
+// usable returns the number of held slots that are used or could be.
+func (p *pool) usable() int { return p.busy + p.idle() }
+
 // sorted returns the live entries by name.
 func (p *pool) sorted() []*entry {
 	all := make([]*entry, 0, len(p.byName))
--- a/internal/request/runtimes/table.go
+++ b/internal/request/runtimes/table.go
@@ -16,7 +16,8 @@
 	Mean    time.Duration
 	P50     time.Duration
 	P99     time.Duration
-	Learned bool // from tasks that ran; else from the declared time
+	Learned bool    // from tasks that ran; else from the declared time
+	Samples float64 // run times behind the estimate, after decay
 }
 
 // Table holds the histograms of a bounded number of keys. It is not safe for
@@ -78,7 +79,7 @@
 		h := &e.Value.(*row).hist
 		h.decay(now)
 		if h.total >= enough {
-			return Estimate{Mean: h.mean(), P50: h.quantile(0.5), P99: h.quantile(0.99), Learned: true}
+			return Estimate{Mean: h.mean(), P50: h.quantile(0.5), P99: h.quantile(0.99), Learned: true, Samples: float64(h.total)}
 		}
 	}
 	guess := unknownMean
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -84,7 +84,7 @@
 
 // Ejection says when a target that fails its tasks gets no work for a time.
 type Ejection struct {
-	Failures        int           `yaml:"failures" json:"failures"`                 // consecutive failures that eject a target
+	Failures        int           `yaml:"failures" json:"failures"`                 // in a row, of tasks that rarely fail elsewhere, that eject a target
 	Pause           time.Duration `yaml:"pause" json:"pause"`                       // first time without work; doubles with each ejection in a row
 	GreatestPause   time.Duration `yaml:"greatest_pause" json:"greatest_pause"`     // bound of the doubling
 	GreatestPercent int           `yaml:"greatest_percent" json:"greatest_percent"` // of a domain's targets that may be ejected at once
@@ -106,10 +106,10 @@
 		Deadlines:      Deadlines{Default: 10 * time.Second, Greatest: time.Minute},
 		AttemptTimeout: 30 * time.Second,
 		Ejection: Ejection{
-			Failures:        5,
-			Pause:           2 * time.Second,
-			GreatestPause:   time.Minute,
-			GreatestPercent: 50,
+			Failures:        3,
+			Pause:           5 * time.Second,
+			GreatestPause:   5 * time.Minute,
+			GreatestPercent: 33,
 		},
 	}
 }
