--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -4,10 +4,14 @@
 	"context"
 	"encoding/json"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
@@ -31,6 +35,12 @@
 	backend Backend
 }
 
+// Register makes link answer other entry hosts, their health probes included.
+func Register(link *grpc.Server, backend Backend) {
+	peerpb.RegisterPeerServer(link, NewServer(backend))
+	healthpb.RegisterHealthServer(link, health.NewServer())
+}
+
 // NewServer returns a Server.
 func NewServer(backend Backend) *Server { return &Server{backend: backend} }
 
@@ -62,10 +72,12 @@
 
 // Cancel implements peerpb.PeerServer.
 func (s *Server) Cancel(ctx context.Context, r *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	reply := &peerpb.CancelReply{}
 	if err := s.backend.CancelLocal(ctx, r.GetTicket()); err != nil {
-		return nil, status.Error(codes.FailedPrecondition, err.Error())
+		reply.Refusal = string(failure.KindOf(err))
+		reply.Message = err.Error()
 	}
-	return &peerpb.CancelReply{}, nil
+	return reply, nil
 }
 
 // HandOn implements peerpb.PeerServer.
--- a/internal/connection/targetlink/link.go
+++ b/internal/connection/targetlink/link.go
@@ -166,20 +166,28 @@
 	return request, nil
 }
 
+// gotConn is called before the request is written. A connection that came too
+// late, as after a freeze of this host, is closed, so that nothing is sent to a
+// target whose lease is over.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*countingConn); ok {
-		a.conn = c
-		a.before = c.written.Load()
+	c, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	a.conn = c
+	a.before = c.written.Load()
+	if !time.Now().Before(a.start.LeaseEnd) {
+		_ = c.Close()
 	}
 }
 
 func (a *attempt) read(response *http.Response) (dispatch.Outcome, json.RawMessage, string) {
+	if response.Header.Get(wire.TaskHeader) != a.name {
+		return dispatch.Lost, nil, "the answer, " + response.Status + ", does not name the task"
+	}
 	if response.StatusCode != http.StatusOK {
 		return refusal(response)
 	}
-	if response.Header.Get(wire.TaskHeader) != a.name {
-		return dispatch.Lost, nil, "the answer belongs to another task"
-	}
 	output, err := io.ReadAll(io.LimitReader(response.Body, maxOutputBytes+1))
 	if err != nil {
 		return dispatch.Lost, nil, "the answer was cut short: " + err.Error()
--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -52,5 +52,6 @@
 		Conns:    t.Connections,
 		Task:     task,
 		Deadline: deadline,
+		LeaseEnd: t.LeaseEnd,
 	})
 }
