Give a lost worker's or rack's targets no work, and keep uncertain slots

Cause: after the loss of a rack each of its targets was found out by attempts of its own; a task whose answer was lost early may still run, but its slot was used again. Ruled out: waiting for the leases alone (4 s). Change: attempts say whether the target answered; two and half of a rack's workers without answer take the others out of use until each gives a sign of life; a target that cannot be reached is left alone for 100 ms at first, not 5 ms; the slot of a lost answer is kept until the attempt's deadline, where the task's lease ends. With the slot released at once the second task starts beside the first.

--- a/internal/connection/targetlink/link.go
+++ b/internal/connection/targetlink/link.go
@@ -57,7 +57,7 @@
 	if outcome == dispatch.Lost {
 		l.retire(s.Address)
 	}
-	return dispatch.Result{ID: s.ID, Outcome: outcome, Output: output, Message: message}
+	return dispatch.Result{ID: s.ID, Outcome: outcome, Output: output, Message: message, Silent: !a.answered}
 }
 
 // taskName names an attempt uniquely among all hosts and incarnations.
@@ -122,6 +122,8 @@
 	name   string
 	conn   *countingConn // nil until a connection was got
 	before int64         // bytes written on conn before this request
+
+	answered bool // the target answered, whatever it said
 }
 
 // written reports whether a byte of the request may have reached the network.
@@ -142,6 +144,7 @@
 		return dispatch.Lost, nil, err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
+	a.answered = true
 	return a.read(response)
 }
 
--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -37,13 +37,13 @@
 	task := &j.spec.Tasks[r.Task.Index]
 	c.last++
 	s := started{ref: r, job: j, target: t, pool: pool, at: now}
+	s.deadline = now.Add(c.attemptLimit(now, s))
+	if j.deadline.Before(s.deadline) {
+		s.deadline = j.deadline
+	}
 	c.starts[c.last] = s
 	t.busy++
 	j.running++
-	deadline := now.Add(c.attemptLimit(now, s))
-	if j.deadline.Before(deadline) {
-		deadline = j.deadline
-	}
 	c.out.Starts = append(c.out.Starts, Start{
 		ID:       c.last,
 		Job:      j.id,
@@ -51,7 +51,7 @@
 		Address:  t.Address,
 		Conns:    t.Connections,
 		Task:     task,
-		Deadline: deadline,
+		Deadline: s.deadline,
 		LeaseEnd: t.LeaseEnd,
 	})
 }
--- a/internal/process/dispatch/bench_test.go
+++ b/internal/process/dispatch/bench_test.go
@@ -24,6 +24,7 @@
 	ends    map[time.Time][]dispatch.Result
 	open    map[dispatch.StartID]dispatch.JobID
 	tells   []dispatch.Tell
+	silent  map[string]bool // targets whose attempts end Silent
 
 	// serve says how a start ends and how long it takes; the default is Done
 	// after 100 ms.
@@ -47,11 +48,18 @@
 	return b
 }
 
+const perRack = 6 // workers in a rack, each with one target
+
 // announce adds targets with a long lease.
 func (b *bench) announce(targets, slots int) {
 	var list []dispatch.Target
 	for i := range targets {
-		a := wire.Announcement{Target: fmt.Sprintf("t%d", i), Slots: slots}
+		a := wire.Announcement{
+			Target: fmt.Sprintf("t%d", i),
+			Worker: fmt.Sprintf("w%d", i),
+			Rack:   fmt.Sprintf("r%d", i/perRack),
+			Slots:  slots,
+		}
 		list = append(list, dispatch.Target{Announcement: a, LeaseEnd: b.now.Add(time.Hour)})
 	}
 	b.core.SetTargets(b.now, list)
@@ -79,7 +87,7 @@
 		b.most[team] = max(b.most[team], b.running[team])
 		outcome, d := b.serve(s)
 		at := b.now.Add(max(d, time.Millisecond))
-		r := dispatch.Result{ID: s.ID, Outcome: outcome, Output: json.RawMessage("1")}
+		r := dispatch.Result{ID: s.ID, Outcome: outcome, Output: json.RawMessage("1"), Silent: b.silent[s.Target]}
 		b.ends[at] = append(b.ends[at], r)
 		b.open[s.ID] = s.Job
 	}
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/health"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/queue"
@@ -58,6 +59,7 @@
 	pools    *pools
 	health   *health.Tracker
 	held     []heldSlot
+	workers  *workers.Table
 	peers    map[string]*peerDemand
 	heard    bool // every peer has reported within the lease
 	out      Effects
@@ -82,6 +84,7 @@
 		runtimes: runtimes.NewTable(runtimeKeys),
 		pools:    newPools(config),
 		health:   health.NewTracker(config.Health),
+		workers:  workers.NewTable(),
 	}
 	c.applyTeams()
 	return c
@@ -177,19 +180,22 @@
 // incarnation of a target count until they end.
 func (c *Core) SetTargets(now time.Time, list []Target) {
 	for _, t := range list {
-		c.setTarget(t)
+		c.setTarget(now, t)
 	}
 	c.refreshTargets(now)
 	c.assign(now)
 }
 
-func (c *Core) setTarget(t Target) {
+func (c *Core) setTarget(now time.Time, t Target) {
 	known, ok := c.targets[t.Target]
 	if !ok {
 		known = &Target{}
 		c.targets[t.Target] = known
 		c.order = append(c.order, known)
 	}
+	if t.LeaseEnd.After(known.LeaseEnd) {
+		c.workers.Alive(now, t.Target)
+	}
 	known.Announcement = t.Announcement
 	known.LeaseEnd = t.LeaseEnd
 }
--- a/internal/process/dispatch/effect.go
+++ b/internal/process/dispatch/effect.go
@@ -39,6 +39,7 @@
 	Outcome Outcome
 	Output  json.RawMessage // only when Done
 	Message string          // the cause, unless Done
+	Silent  bool            // the target did not answer at all
 }
 
 // Finish gives the answer to a job.
--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -6,24 +6,39 @@
 
 	"wasabifield.example/wasabifield/internal/connection/health"
 	sharing "wasabifield.example/wasabifield/internal/process/slots"
+	"wasabifield.example/wasabifield/internal/process/workers"
 )
 
 // usable reports whether a target may get another task now.
 func (c *Core) usable(now time.Time, t *Target) bool {
-	return t.alive(now) && c.health.Usable(now, t.Target, t.busy)
+	return t.alive(now) && c.health.Usable(now, t.Target, t.busy) && !c.workers.Lost(now, t.Target)
 }
 
 // State returns whether a target is healthy, ejected or on trial.
 func (c *Core) State(now time.Time, target string) health.State { return c.health.State(now, target) }
 
+// hear notes whether a target gave a sign of life.
+func (c *Core) hear(now time.Time, target string, silent bool) {
+	if silent {
+		c.workers.Failed(now, target)
+		return
+	}
+	c.workers.Alive(now, target)
+}
+
+// setHealthTargets hands the live targets to their judges.
 func (c *Core) setHealthTargets(now time.Time, live [poolCount][]sharing.Target) {
 	var names []string
+	var places []workers.Place
 	for _, list := range live {
 		for _, t := range list {
 			names = append(names, t.Name)
+			a := c.targets[t.Name].Announcement
+			places = append(places, workers.Place{Target: t.Name, Worker: a.Worker, Rack: a.Rack})
 		}
 	}
 	c.health.SetTargets(now, names)
+	c.workers.SetPlaces(places)
 	c.shutEjected(now)
 }
 
@@ -43,17 +58,17 @@
 	}
 }
 
-// heldSlot is the slot of a task that failed sooner than such tasks end.
+// heldSlot is the slot of an ended attempt that stays taken for a while.
 type heldSlot struct {
 	until  time.Time
 	pool   int
 	target string
 }
 
-// hold keeps the slot of a failed task for the rest of the usual run time, so
-// that a target which fails fast gets no more tasks than one that works.
-func (c *Core) hold(now time.Time, s started) {
-	until := s.at.Add(c.runtimes.Estimate(now, s.key(), 0).Mean)
+// hold keeps the slot of an ended attempt. That of a failed task is kept for
+// the usual run time, so that a target which fails fast gets no more tasks than
+// one that works.
+func (c *Core) hold(now time.Time, s started, until time.Time) {
 	if !now.Before(until) {
 		c.pools.demand[s.pool].Release(s.target.Target)
 		return
--- a/internal/process/dispatch/health_test.go
+++ b/internal/process/dispatch/health_test.go
@@ -101,3 +101,46 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(limit).To(Equal(2 * time.Second))
 }
+
+// TestLossOfARackCostsFewAttempts loses one rack of four. Attempts at it end
+// after 500 ms, nothing started. Once three of its workers are silent, the
+// others get no work.
+func TestLossOfARackCostsFewAttempts(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(dispatch.DefaultConfig(), 4*perRack, 8)
+	b.steady(time.Second, "quote")
+	b.silent = map[string]bool{}
+	for i := range perRack {
+		b.silent[b.core.Targets()[i].Target] = true
+	}
+	clear(b.started)
+	b.serve = func(s dispatch.Start) (dispatch.Outcome, time.Duration) {
+		if b.silent[s.Target] {
+			return dispatch.NotStarted, 500 * time.Millisecond
+		}
+		return dispatch.Done, 100 * time.Millisecond
+	}
+	g.Expect(b.steady(4*time.Second, "quote")).To(BeZero())
+	wasted := 0
+	for target := range b.silent {
+		wasted += b.started[target]
+	}
+	g.Expect(wasted).To(BeNumerically("<", 40))
+}
+
+// TestATaskThatMayStillRunKeepsItsSlot loses an answer early: the slot is
+// taken until the attempt's deadline, which ends the task's lease.
+func TestATaskThatMayStillRunKeepsItsSlot(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(dispatch.DefaultConfig(), 1, 1)
+	b.serve = func(dispatch.Start) (dispatch.Outcome, time.Duration) { return dispatch.Lost, 10 * time.Millisecond }
+	_, err := b.submit("a", "", 1, 3*time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	b.pass(100 * time.Millisecond)
+	_, err = b.submit("a", "", 1, 10*time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	b.pass(2500 * time.Millisecond)
+	g.Expect(b.totalStarts()).To(Equal(1))
+	b.pass(500 * time.Millisecond)
+	g.Expect(b.totalStarts()).To(Equal(2))
+}
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -32,6 +32,8 @@
 	target *Target
 	pool   int // that the target's slot was taken from
 	at     time.Time
+
+	deadline time.Time // the attempt is given up and the task's lease ends
 }
 
 func (s started) task() *job.Task { return &s.job.spec.Tasks[s.ref.Task.Index] }
--- a/internal/process/dispatch/pools.go
+++ b/internal/process/dispatch/pools.go
@@ -89,16 +89,21 @@
 	return nil, 0
 }
 
-// free returns the slot of an attempt that has ended.
-func (c *Core) free(now time.Time, s started, outcome Outcome) {
-	pool := c.pools.demand[s.pool]
-	switch outcome {
-	case NotStarted:
-		pool.Refused(now, s.target.Target)
-	case TaskError:
-		c.hold(now, s)
+// free returns the slot of an attempt that has ended. After a lost answer the
+// task may run until its lease ends, and keeps the slot.
+func (c *Core) free(now time.Time, s started, r Result) {
+	pool, target := c.pools.demand[s.pool], s.target.Target
+	switch {
+	case r.Outcome == NotStarted && r.Silent:
+		pool.Unreachable(now, target)
+	case r.Outcome == NotStarted:
+		pool.Refused(now, target)
+	case r.Outcome == TaskError:
+		c.hold(now, s, s.at.Add(c.runtimes.Estimate(now, s.key(), 0).Mean))
+	case r.Outcome == Lost:
+		c.hold(now, s, s.deadline)
 	default:
-		pool.Release(s.target.Target)
+		pool.Release(target)
 	}
 }
 
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -20,7 +20,7 @@
 	delete(c.starts, r.ID)
 	s.target.busy--
 	s.job.running--
-	c.account(now, s, r.Outcome)
+	c.account(now, s, r)
 	if !s.job.done {
 		c.settle(s, r)
 	}
@@ -29,8 +29,8 @@
 
 // account tells the queue and the learned run times how an attempt ended. A
 // task that goes back to the queue is settled there.
-func (c *Core) account(now time.Time, s started, outcome Outcome) {
-	ran := now.Sub(s.at)
+func (c *Core) account(now time.Time, s started, r Result) {
+	ran, outcome := now.Sub(s.at), r.Outcome
 	switch {
 	case outcome != NotStarted:
 		s.job.ran = true
@@ -40,7 +40,8 @@
 	default:
 		c.queue.Return(s.ref)
 	}
-	c.free(now, s, outcome)
+	c.hear(now, s.target.Target, r.Silent)
+	c.free(now, s, r)
 	if outcome != NotStarted {
 		c.observe(now, s, outcome)
 	}
--- a/internal/process/slots/demand.go
+++ b/internal/process/slots/demand.go
@@ -128,6 +128,15 @@
 // Refused implements Policy.
 func (d *Demand) Refused(now time.Time, target string) { d.pool.refuse(now, target, d.cfg.Pause) }
 
+// unreachablePause is the first pause after a start that did not reach its
+// target, in units of the pause after a refusal.
+const unreachablePause = 20
+
+// Unreachable returns the slot of a start that did not reach its target.
+func (d *Demand) Unreachable(now time.Time, target string) {
+	d.pool.refuse(now, target, unreachablePause*d.cfg.Pause)
+}
+
 // pass moves n slots of e to what p will be sent.
 func (d *Demand) pass(e *entry, p *peer, n int) {
 	d.pool.hold(e, e.held-n)
--- a/internal/process/slots/pool.go
+++ b/internal/process/slots/pool.go
@@ -106,9 +106,9 @@
 	if e == nil {
 		return
 	}
-	e.wait = max(pause, e.wait)
+	e.wait = max(pause, min(e.wait, longestPause*pause))
 	e.full = now.Add(e.wait)
-	e.wait = min(2*e.wait, longestPause*pause)
+	e.wait *= 2
 }
 
 // finish returns the slot of a task that ran, which ends the target's pause.
