Stop the tasks of an answered job and those whose answer was lost

Cause: a withdrawn or overdue job's tasks went on to hold their slots, and a task that never ends held one for good. Ruled out: closing the connection of the start, which proves nothing about the task. Change: the core lists the tasks to stop; the target link asks with DELETE until the target confirms or the lease ends. The stand-in for targets stops tasks and refuses one that it was told to stop before it arrived. Before, without a stopper: after eight tasks that never end the next job fails (go test -run CancelledTasks ./internal/process/host); after: it completes.

--- a/internal/connection/targetlink/link.go
+++ b/internal/connection/targetlink/link.go
@@ -22,6 +22,7 @@
 	probeIdle      = 5 * time.Second  // keep-alive probes start after this silence
 	probeInterval  = 2 * time.Second
 	probeCount     = 3
+	stopConns      = 2 // connections to one target for stops
 )
 
 // Config configures Links.
@@ -35,6 +36,7 @@
 	config Config
 	mu     sync.Mutex
 	links  map[string]*link // by address
+	stops  *http.Transport  // requests to stop tasks, apart from the starts
 }
 
 // link holds the connections to one target.
@@ -45,7 +47,9 @@
 
 // NewLinks returns Links without connections.
 func NewLinks(config Config) *Links {
-	return &Links{config: config, links: make(map[string]*link)}
+	l := &Links{config: config, links: make(map[string]*link)}
+	l.stops = l.transport(stopConns)
+	return l
 }
 
 // Send implements dispatch.Sender.
@@ -62,8 +66,7 @@
 
 // taskName names an attempt uniquely among all hosts and incarnations.
 func (l *Links) taskName(s dispatch.Start) string {
-	return l.config.Origin + "." + strconv.FormatUint(uint64(s.Job), 10) + "." +
-		strconv.FormatUint(uint64(s.ID), 10) + "/" + s.Task.ID
+	return l.config.Origin + "." + s.Name()
 }
 
 // link returns the link to address, made anew if its width changed.
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -11,7 +11,8 @@
 	PathMetrics = "/metrics"    // GET: counters in the text exposition format
 )
 
-// PathTasks is served by a target: POST starts one task.
+// PathTasks is served by a target: POST starts one task; DELETE stops the one
+// that TaskHeader names and answers 204 when it neither runs nor will be started.
 const PathTasks = "/v1/tasks"
 
 // Headers of a task start and its answer.
--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -36,15 +36,12 @@
 	j := c.jobs[JobID(r.Job.ID)]
 	task := &j.spec.Tasks[r.Task.Index]
 	c.last++
-	s := started{ref: r, job: j, target: t, pool: pool, at: now}
+	s := started{id: c.last, ref: r, job: j, target: t, pool: pool, at: now}
 	s.deadline = now.Add(c.attemptLimit(now, s))
 	if j.deadline.Before(s.deadline) {
 		s.deadline = j.deadline
 	}
-	c.starts[c.last] = s
-	t.busy++
-	j.running++
-	c.out.Starts = append(c.out.Starts, Start{
+	start := Start{
 		ID:       c.last,
 		Job:      j.id,
 		Target:   t.Target,
@@ -53,5 +50,10 @@
 		Task:     task,
 		Deadline: s.deadline,
 		LeaseEnd: t.LeaseEnd,
-	})
+	}
+	s.name = start.Name()
+	c.starts[c.last] = s
+	t.busy++
+	j.open[c.last] = true
+	c.out.Starts = append(c.out.Starts, start)
 }
--- a/internal/process/dispatch/bench_test.go
+++ b/internal/process/dispatch/bench_test.go
@@ -8,6 +8,7 @@
 
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
@@ -24,6 +25,7 @@
 	ends    map[time.Time][]dispatch.Result
 	open    map[dispatch.StartID]dispatch.JobID
 	tells   []dispatch.Tell
+	stops   []workers.Task
 	silent  map[string]bool // targets whose attempts end Silent
 
 	// serve says how a start ends and how long it takes; the default is Done
@@ -92,6 +94,7 @@
 		b.open[s.ID] = s.Job
 	}
 	b.tells = append(b.tells, out.Tells...)
+	b.stops = append(b.stops, out.Stops...)
 	for _, f := range out.Finishes {
 		b.answers[f.Job] = f.Answer
 	}
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -60,6 +60,7 @@
 	health   *health.Tracker
 	held     []heldSlot
 	workers  *workers.Table
+	stops    *workers.Stops
 	peers    map[string]*peerDemand
 	heard    bool // every peer has reported within the lease
 	out      Effects
@@ -70,6 +71,7 @@
 	Starts   []Start
 	Finishes []Finish
 	Tells    []Tell
+	Stops    []workers.Task // tasks to be stopped
 }
 
 // NewCore returns a Core without targets. The random source breaks ties.
@@ -85,6 +87,7 @@
 		pools:    newPools(config),
 		health:   health.NewTracker(config.Health),
 		workers:  workers.NewTable(),
+		stops:    workers.NewStops(stopLimit),
 	}
 	c.applyTeams()
 	return c
@@ -93,6 +96,9 @@
 // runtimeKeys bounds the teams and kinds whose run times are learned.
 const runtimeKeys = 4096
 
+// stopLimit bounds the tasks that are being stopped.
+const stopLimit = 20_000
+
 // SetConfig puts another policy in force. The host's name stays.
 func (c *Core) SetConfig(config Config) {
 	config.Host = c.config.Host
@@ -141,6 +147,7 @@
 		deadline: now.Add(deadline),
 		outputs:  newOutputs(spec),
 		left:     len(spec.Tasks),
+		open:     make(map[StartID]bool),
 	}
 }
 
@@ -172,7 +179,7 @@
 	if !ok {
 		return
 	}
-	c.giveUp(j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
+	c.giveUp(now, j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
 	c.assign(now)
 }
 
@@ -204,12 +211,13 @@
 func (c *Core) Tick(now time.Time) {
 	for _, j := range c.jobs {
 		if !now.Before(j.deadline) {
-			c.giveUp(j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
+			c.giveUp(now, j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
 		}
 	}
 	c.dropTargets(now)
 	c.refreshTargets(now)
 	c.shutEjected(now)
+	c.askStops(now)
 	c.queue.Sweep()
 	c.heard = c.heardAll(now)
 	c.applyTeams()
--- a/internal/process/dispatch/effect.go
+++ b/internal/process/dispatch/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/job"
@@ -22,6 +23,11 @@
 	LeaseEnd time.Time // nothing is sent to the target from this time on
 }
 
+// Name names the attempt uniquely among those of this process.
+func (s Start) Name() string {
+	return strconv.FormatUint(uint64(s.Job), 10) + "." + strconv.FormatUint(uint64(s.ID), 10) + "/" + s.Task.ID
+}
+
 // Outcome says how an attempt ended.
 type Outcome int
 
--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -60,6 +60,7 @@
 
 // heldSlot is the slot of an ended attempt that stays taken for a while.
 type heldSlot struct {
+	id     StartID
 	until  time.Time
 	pool   int
 	target string
@@ -73,7 +74,7 @@
 		c.pools.demand[s.pool].Release(s.target.Target)
 		return
 	}
-	c.held = append(c.held, heldSlot{until, s.pool, s.target.Target})
+	c.held = append(c.held, heldSlot{s.id, until, s.pool, s.target.Target})
 }
 
 // releaseHeld frees the slots whose time is over.
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -19,14 +19,16 @@
 	team     string
 	deadline time.Time
 	outputs  []json.RawMessage
-	left     int  // tasks without an output
-	running  int  // starts in progress
-	ran      bool // a start ended otherwise than not started
-	done     bool // the answer was given
+	left     int              // tasks without an output
+	open     map[StartID]bool // starts in progress
+	ran      bool             // a start ended otherwise than not started
+	done     bool             // the answer was given
 }
 
 // started is an attempt in progress.
 type started struct {
+	id     StartID
+	name   string
 	ref    queue.Ref
 	job    *jobState
 	target *Target
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -28,7 +28,8 @@
 	Core    *Core
 	Records record.Config
 	Minter  *ticket.Minter
-	Teller  Teller // nil without other hosts in the domain
+	Stopper Stopper // nil if tasks cannot be stopped
+	Teller  Teller  // nil without other hosts in the domain
 	Sender  Sender
 	Copier  Copier
 	Spiller Spiller                    // nil if no job is passed to another domain
@@ -223,6 +224,7 @@
 		l.finish(f)
 	}
 	l.tell(ctx, out.Tells)
+	l.stopTasks(ctx, out.Stops)
 }
 
 func (l *Loop) send(ctx context.Context, s Start) {
--- a/internal/process/dispatch/pools.go
+++ b/internal/process/dispatch/pools.go
@@ -98,10 +98,11 @@
 		pool.Unreachable(now, target)
 	case r.Outcome == NotStarted:
 		pool.Refused(now, target)
-	case r.Outcome == TaskError:
+	case r.Outcome == TaskError && !s.job.done:
 		c.hold(now, s, s.at.Add(c.runtimes.Estimate(now, s.key(), 0).Mean))
 	case r.Outcome == Lost:
 		c.hold(now, s, s.deadline)
+		c.stopTask(now, s)
 	default:
 		pool.Release(target)
 	}
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -19,10 +19,11 @@
 	}
 	delete(c.starts, r.ID)
 	s.target.busy--
-	s.job.running--
+	delete(s.job.open, r.ID)
+	c.stops.Confirm(uint64(r.ID))
 	c.account(now, s, r)
 	if !s.job.done {
-		c.settle(s, r)
+		c.settle(now, s, r)
 	}
 	c.assign(now)
 }
@@ -42,7 +43,7 @@
 	}
 	c.hear(now, s.target.Target, r.Silent)
 	c.free(now, s, r)
-	if outcome != NotStarted {
+	if outcome == Done || outcome != NotStarted && !s.job.done {
 		c.observe(now, s, outcome)
 	}
 	if outcome == Done {
@@ -51,18 +52,18 @@
 }
 
 // settle decides what the end of an attempt means for an unanswered job.
-func (c *Core) settle(s started, r Result) {
+func (c *Core) settle(now time.Time, s started, r Result) {
 	switch r.Outcome {
 	case Done:
-		c.complete(s, r.Output)
+		c.complete(now, s, r.Output)
 	case TaskError:
-		c.fail(s.job, failure.TaskFailed, taskMessage(s, r))
+		c.fail(now, s.job, failure.TaskFailed, taskMessage(s, r))
 	case Lost:
 		if s.job.spec.Idempotent && c.config.RestartIdempotent {
 			c.queue.Push(s.job.queueJob(), []queue.Task{s.ref.Task})
 			return
 		}
-		c.fail(s.job, failure.OutcomeUnknown, taskMessage(s, r))
+		c.fail(now, s.job, failure.OutcomeUnknown, taskMessage(s, r))
 	}
 }
 
@@ -70,7 +71,7 @@
 	return fmt.Sprintf("task %s: %s", s.task().ID, r.Message)
 }
 
-func (c *Core) complete(s started, output json.RawMessage) {
+func (c *Core) complete(now time.Time, s started, output json.RawMessage) {
 	j := s.job
 	j.outputs[s.ref.Task.Index] = output
 	j.left--
@@ -81,27 +82,28 @@
 	for i, o := range j.outputs {
 		answer.Outputs[i] = job.Output{ID: j.spec.Tasks[i].ID, Output: o}
 	}
-	c.finish(j, answer)
+	c.finish(now, j, answer)
 }
 
 // giveUp answers a job with kind notRun if none of its tasks may have been
 // started, else with kind mayHaveRun.
-func (c *Core) giveUp(j *jobState, notRun, mayHaveRun failure.Kind, message string) {
-	if j.ran || j.running > 0 {
-		c.fail(j, mayHaveRun, message)
+func (c *Core) giveUp(now time.Time, j *jobState, notRun, mayHaveRun failure.Kind, message string) {
+	if j.ran || len(j.open) > 0 {
+		c.fail(now, j, mayHaveRun, message)
 		return
 	}
-	c.fail(j, notRun, message)
+	c.fail(now, j, notRun, message)
 }
 
-func (c *Core) fail(j *jobState, kind failure.Kind, message string) {
-	c.finish(j, job.Refuse(failure.New(kind, message)))
+func (c *Core) fail(now time.Time, j *jobState, kind failure.Kind, message string) {
+	c.finish(now, j, job.Refuse(failure.New(kind, message)))
 }
 
-func (c *Core) finish(j *jobState, answer *job.Answer) {
+func (c *Core) finish(now time.Time, j *jobState, answer *job.Answer) {
 	j.done = true
 	delete(c.jobs, j.id)
 	c.queue.Remove(uint64(j.id))
+	c.stopTasks(now, j)
 	c.out.Finishes = append(c.out.Finishes, Finish{Job: j.id, Answer: answer})
 }
 
--- /dev/null
+++ b/internal/process/dispatch/stopper.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/workers"
+)
+
+// Stopper is the part of workers.Platform that a Loop needs.
+type Stopper interface {
+	Stop(ctx context.Context, t workers.Task) error
+}
+
+// stopTasks asks for tasks to be stopped, each on a goroutine of its own; their
+// number is bounded by the tasks that run.
+func (l *Loop) stopTasks(ctx context.Context, list []workers.Task) {
+	for _, t := range list {
+		if l.config.Stopper == nil {
+			l.config.Core.CannotStop(StartID(t.ID))
+			continue
+		}
+		go l.stopTask(ctx, t)
+	}
+}
+
+func (l *Loop) stopTask(ctx context.Context, t workers.Task) {
+	err := l.config.Stopper.Stop(ctx, t)
+	id := StartID(t.ID)
+	switch {
+	case err == nil:
+		_ = l.post(func(now time.Time) { l.config.Core.Stopped(now, id) })
+	case errors.Is(err, workers.ErrUnsupported):
+		_ = l.post(func(time.Time) { l.config.Core.CannotStop(id) })
+	}
+}
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -105,9 +105,14 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	core := dispatch.NewCore(config, random)
 	core.SetPeers(time.Now(), h.domainPeers())
+	links := targetlink.NewLinks(targetlink.Config{
+		Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
+		DialTimeout: h.settings.Timing.DialTimeout,
+	})
 	return dispatch.NewLoop(dispatch.LoopConfig{
-		Core:   core,
-		Teller: h,
+		Core:    core,
+		Stopper: links,
+		Teller:  h,
 		Records: record.Config{
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
@@ -116,13 +121,10 @@
 		Allow:   func(spec *job.Spec) error { return h.policy.current().checkLimits(spec) },
 		Spiller: &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		Minter:  h.minter,
-		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
-			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
-			DialTimeout: h.settings.Timing.DialTimeout,
-		})),
-		Ring:  h.settings.Limits.Ring,
-		Clock: time.Now,
-		Tick:  tick,
+		Sender:  h.observer.sender(links),
+		Ring:    h.settings.Limits.Ring,
+		Clock:   time.Now,
+		Tick:    tick,
 	})
 }
 
--- a/internal/process/host/host_test.go
+++ b/internal/process/host/host_test.go
@@ -139,7 +139,11 @@
 }
 
 func (f *fleet) submit(name, ticket string) job.Answer {
-	body, _ := json.Marshal(job.Spec{Ticket: ticket, Team: "team", Tasks: []job.Task{{ID: "t1"}}})
+	return f.submitTasks(name, ticket, job.Task{ID: "t1"})
+}
+
+func (f *fleet) submitTasks(name, ticket string, tasks ...job.Task) job.Answer {
+	body, _ := json.Marshal(job.Spec{Ticket: ticket, Team: "team", Tasks: tasks})
 	response, err := http.Post("http://"+f.hosts[name].HTTP+wire.PathJobs, "application/json", bytes.NewReader(body))
 	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = response.Body.Close() }()
@@ -201,3 +205,25 @@
 	g.Expect(f.cancel("b1", ticket)).To(Equal(http.StatusNoContent))
 	g.Expect(kind(f.submit("b1", ticket))).To(Equal(failure.Cancelled))
 }
+
+// TestCancelledTasksFreeTheirSlots fills a target with tasks that never end.
+func TestCancelledTasksFreeTheirSlots(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, "a1")
+	f.target("a", "a1")
+	var hanging []job.Task
+	for _, id := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+		hanging = append(hanging, job.Task{ID: id, Payload: json.RawMessage(`{"hang":true}`)})
+	}
+	ticket := f.ticket("a1")
+	answers := make(chan job.Answer, 1)
+	go func() { answers <- f.submitTasks("a1", ticket, hanging...) }()
+	g.Eventually(func() int {
+		var list []wire.TargetStatus
+		f.get("a1", wire.PathTargets, &list)
+		return list[0].Busy
+	}, limit, poll).Should(Equal(8))
+	g.Expect(f.cancel("a1", ticket)).To(Equal(http.StatusNoContent))
+	g.Expect(kind(<-answers)).To(Equal(failure.CancelledRunning))
+	g.Expect(f.submit("a1", f.ticket("a1")).Outcome).To(Equal(job.Complete))
+}
--- a/internal/process/workers/stops.go
+++ b/internal/process/workers/stops.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -11,7 +12,7 @@
 // the platform confirms or its lease ends; until then its slot is taken.
 type Stops struct {
 	limit int
-	tasks map[string]*stop // by name
+	tasks map[uint64]*stop
 }
 
 type stop struct {
@@ -21,31 +22,31 @@
 
 // NewStops returns Stops for at most limit tasks.
 func NewStops(limit int) *Stops {
-	return &Stops{limit: limit, tasks: make(map[string]*stop)}
+	return &Stops{limit: limit, tasks: make(map[uint64]*stop)}
 }
 
 // Add asks for a task to be stopped. It returns false if the list is full; the
 // task then ends with its lease.
 func (s *Stops) Add(now time.Time, t Task) bool {
-	if _, ok := s.tasks[t.Name]; ok || !now.Before(t.LeaseEnd) {
+	if _, ok := s.tasks[t.ID]; ok || !now.Before(t.LeaseEnd) {
 		return true
 	}
 	if len(s.tasks) >= s.limit {
 		return false
 	}
-	s.tasks[t.Name] = &stop{task: t, next: now}
+	s.tasks[t.ID] = &stop{task: t, next: now}
 	return true
 }
 
 // Confirm takes out a task that the platform has stopped, or that has ended.
-func (s *Stops) Confirm(name string) { delete(s.tasks, name) }
+func (s *Stops) Confirm(id uint64) { delete(s.tasks, id) }
 
-// Due returns the tasks that the platform is to be asked to stop now, by name.
+// Due returns the tasks that the platform is to be asked to stop now, by ID.
 func (s *Stops) Due(now time.Time) []Task {
 	var due []Task
-	for name, st := range s.tasks {
+	for id, st := range s.tasks {
 		if !now.Before(st.task.LeaseEnd) {
-			delete(s.tasks, name)
+			delete(s.tasks, id)
 			continue
 		}
 		if !now.Before(st.next) {
@@ -53,17 +54,12 @@
 			due = append(due, st.task)
 		}
 	}
-	slices.SortFunc(due, func(a, b Task) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(due, func(a, b Task) int { return cmp.Compare(a.ID, b.ID) })
 	return due
 }
 
 // Running reports whether a task may still run.
-func (s *Stops) Running(now time.Time, name string) bool {
-	st, ok := s.tasks[name]
+func (s *Stops) Running(now time.Time, id uint64) bool {
+	st, ok := s.tasks[id]
 	return ok && now.Before(st.task.LeaseEnd)
 }
--- a/internal/process/workers/workers_test.go
+++ b/internal/process/workers/workers_test.go
@@ -75,17 +75,17 @@
 	g := NewWithT(t)
 	s := workers.NewStops(2)
 	end := start.Add(3 * time.Second)
-	for _, name := range []string{"a", "b"} {
-		g.Expect(s.Add(start, workers.Task{Name: name, LeaseEnd: end})).To(BeTrue())
+	for _, id := range []uint64{1, 2} {
+		g.Expect(s.Add(start, workers.Task{ID: id, LeaseEnd: end})).To(BeTrue())
 	}
-	g.Expect(s.Add(start, workers.Task{Name: "c", LeaseEnd: end})).To(BeFalse())
+	g.Expect(s.Add(start, workers.Task{ID: 3, LeaseEnd: end})).To(BeFalse())
 	g.Expect(s.Due(start)).To(HaveLen(2))
 	g.Expect(s.Due(start.Add(100 * time.Millisecond))).To(BeEmpty())
 	g.Expect(s.Due(start.Add(500 * time.Millisecond))).To(HaveLen(2))
-	s.Confirm("a")
-	g.Expect(s.Running(start, "a")).To(BeFalse())
-	g.Expect(s.Running(start, "b")).To(BeTrue())
-	g.Expect(s.Running(end, "b")).To(BeFalse())
+	s.Confirm(1)
+	g.Expect(s.Running(start, 1)).To(BeFalse())
+	g.Expect(s.Running(start, 2)).To(BeTrue())
+	g.Expect(s.Running(end, 2)).To(BeFalse())
 	g.Expect(s.Due(end)).To(BeEmpty())
-	g.Expect(s.Add(end, workers.Task{Name: "d", LeaseEnd: end.Add(time.Second)})).To(BeTrue())
+	g.Expect(s.Add(end, workers.Task{ID: 4, LeaseEnd: end.Add(time.Second)})).To(BeTrue())
 }
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -26,9 +26,10 @@
 	var payload history.Payload
 	_ = json.Unmarshal(raw, &payload)
 	event := history.Event{Job: payload.Job, Task: taskID(header), Header: header}
-	refusal := t.reserve()
+	task, refusal := t.reserve(header)
 	if refusal == "" && (payload.Refuse || t.config.Service.Chance(t.config.RefuseRate)) {
 		t.release()
+		t.end(header, task)
 		refusal = "scripted"
 	}
 	if refusal != "" {
@@ -40,26 +41,38 @@
 	}
 	event.What = history.Start
 	t.record(event)
-	t.run(w, payload)
+	t.run(w, payload, task.stop)
 	event.What = history.End
 	t.record(event)
 	t.release()
+	if t.end(header, task) {
+		w.Header().Set(wire.TaskHeader, header)
+		w.Header().Set(wire.RanHeader, "yes")
+		http.Error(w, "the task was stopped", http.StatusInternalServerError)
+		return
+	}
 	t.answer(w, header, payload, raw)
 }
 
-// run waits for the task's run time.
-func (t *Target) run(w http.ResponseWriter, payload history.Payload) {
+// run waits for the task's run time or until it is stopped.
+func (t *Target) run(w http.ResponseWriter, payload history.Payload, stop <-chan struct{}) {
 	if payload.DropAfterStart {
 		drop(w)
 	}
 	if payload.Hang {
-		<-t.left
+		select {
+		case <-t.left:
+		case <-stop:
+		}
 	}
 	wait := t.config.Service.Draw()
 	if payload.RunMS != nil {
 		wait = time.Duration(*payload.RunMS) * time.Millisecond
 	}
-	time.Sleep(wait)
+	select {
+	case <-time.After(wait):
+	case <-stop:
+	}
 }
 
 func (t *Target) answer(w http.ResponseWriter, header string, payload history.Payload, raw []byte) {
--- /dev/null
+++ b/internal/standin/target/stop.go
@@ -0,0 +1,43 @@
+package target
+
+import (
+	"net/http"
+	"sync"
+
+	"wasabifield.example/wasabifield/internal/connection/wire"
+)
+
+// runningTask lets a request stop a task and wait for its end.
+type runningTask struct {
+	once  sync.Once
+	stop  chan struct{} // closed to stop the task
+	ended chan struct{} // closed when it no longer runs
+}
+
+// end takes a task off the list and reports whether it was stopped.
+func (t *Target) end(header string, r *runningTask) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.tasks, header)
+	close(r.ended)
+	select {
+	case <-r.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// serveStop answers DELETE wire.PathTasks.
+func (t *Target) serveStop(w http.ResponseWriter, r *http.Request) {
+	header := r.Header.Get(wire.TaskHeader)
+	t.mu.Lock()
+	t.stopped[header] = true
+	task := t.tasks[header]
+	t.mu.Unlock()
+	if task != nil {
+		task.once.Do(func() { close(task.stop) })
+		<-task.ended
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -45,6 +45,8 @@
 	lapsed  bool
 	leaseTo time.Time
 	idle    chan struct{} // closed when a leaving target runs nothing
+	tasks   map[string]*runningTask
+	stopped map[string]bool // tasks that must not start any more
 }
 
 // NewTarget returns a Target that listens but does not serve yet.
@@ -61,9 +63,12 @@
 		listener: newLimitListener(inner, config.Connections),
 		left:     make(chan struct{}),
 		idle:     make(chan struct{}),
+		tasks:    make(map[string]*runningTask),
+		stopped:  make(map[string]bool),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathTasks, t.serveTask)
+	mux.HandleFunc("DELETE "+wire.PathTasks, t.serveStop)
 	t.server = &http.Server{Handler: mux}
 	return t, nil
 }
@@ -123,18 +128,24 @@
 	time.Sleep(t.config.Linger)
 }
 
-// reserve takes a slot. It returns the reason of a refusal.
-func (t *Target) reserve() (refusal string) {
+// reserve takes a slot and lists the task as running. It returns the reason of
+// a refusal.
+func (t *Target) reserve(header string) (task *runningTask, refusal string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.leaving {
-		return "leaving"
+		return nil, "leaving"
+	}
+	if t.stopped[header] {
+		return nil, "stopped"
 	}
 	if t.running >= t.config.Slots {
-		return "full"
+		return nil, "full"
 	}
 	t.running++
-	return ""
+	task = &runningTask{stop: make(chan struct{}), ended: make(chan struct{})}
+	t.tasks[header] = task
+	return task, ""
 }
 
 func (t *Target) release() {
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -49,11 +49,29 @@
 	entry *fakeEntry
 	leave context.CancelFunc
 	ended chan error
-	log   *bytes.Buffer
+	log   *logBuffer
+}
+
+// logBuffer is a buffer that is written and read by several goroutines.
+type logBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.Write(p)
+}
+
+func (l *logBuffer) copy() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Clone(l.buffer.Bytes())
 }
 
 func run(t *testing.T, slots int) *running {
-	r := &running{entry: &fakeEntry{}, ended: make(chan error, 1), log: &bytes.Buffer{}}
+	r := &running{entry: &fakeEntry{}, ended: make(chan error, 1), log: &logBuffer{}}
 	server := httptest.NewServer(r.entry)
 	t.Cleanup(server.Close)
 	service, err := target.ParseService("scripted", 1)
@@ -88,7 +106,7 @@
 }
 
 func (r *running) count(what history.What) int {
-	events, _ := history.Read(bytes.NewReader(r.log.Bytes()))
+	events, _ := history.Read(bytes.NewReader(r.log.copy()))
 	n := 0
 	for _, e := range events {
 		if e.What == what {
@@ -168,3 +186,31 @@
 	g.Eventually(answered, limit).Should(Receive(ContainSubstring(`"job":"j"`)))
 	g.Eventually(r.ended, limit).Should(Receive(BeNil()))
 }
+
+// stop asks for the one task to be stopped and returns the status.
+func (r *running) stop() (int, error) {
+	request, _ := http.NewRequest(http.MethodDelete, "http://"+r.Address()+wire.PathTasks, nil)
+	request.Header.Set(wire.TaskHeader, "a1.7.1/t1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+func TestAStoppedTaskEndsAndDoesNotStartLater(t *testing.T) {
+	g := NewWithT(t)
+	r := run(t, 1)
+	answered := make(chan *http.Response, 1)
+	go func() {
+		response, _, _ := r.start(`{"hang":true}`)
+		answered <- response
+	}()
+	g.Eventually(func() int { return r.count(history.Start) }, limit).Should(Equal(1))
+	g.Expect(r.stop()).To(Equal(http.StatusNoContent))
+	g.Expect(r.count(history.End)).To(Equal(1))
+	g.Expect((<-answered).Header.Get(wire.RanHeader)).To(Equal("yes"))
+	response, _, err := r.start(`{}`)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Header.Get(wire.RanHeader)).To(Equal("no"))
+}
