--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/connection/health"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/queue"
@@ -23,7 +25,8 @@
 	Host              string        // this host's name
 	PeerLease         time.Duration // a peer not heard of for this long loses its slots
 	SlotRetry         time.Duration // between two requests for a peer's idle slots
-	SlotProbe         bool          // request slots also of peers that were busy when last heard of
+	Health            health.Config
+	SlotProbe         bool // request slots also of peers that were busy when last heard of
 }
 
 // DefaultConfig returns the policy in force until a bundle states another.
@@ -37,6 +40,7 @@
 		Host:            "self",
 		PeerLease:       2 * time.Second,
 		SlotRetry:       50 * time.Millisecond,
+		Health:          health.DefaultConfig(),
 	}
 }
 
@@ -53,6 +57,10 @@
 	queue    *queue.Queue
 	runtimes *runtimes.Table
 	pools    *pools
+	health   *health.Tracker
+	held     []heldSlot
+	workers  *workers.Table
+	stops    *workers.Stops
 	peers    map[string]*peerDemand
 	heard    bool // every peer has reported within the lease
 	out      Effects
@@ -63,6 +71,7 @@
 	Starts   []Start
 	Finishes []Finish
 	Tells    []Tell
+	Stops    []workers.Task // tasks to be stopped
 }
 
 // NewCore returns a Core without targets. The random source breaks ties.
@@ -76,6 +85,9 @@
 		queue:    queue.New(queue.Config{Tasks: config.QueuedTasks, Bytes: config.QueuedBytes}),
 		runtimes: runtimes.NewTable(runtimeKeys),
 		pools:    newPools(config),
+		health:   health.NewTracker(config.Health),
+		workers:  workers.NewTable(),
+		stops:    workers.NewStops(stopLimit),
 	}
 	c.applyTeams()
 	return c
@@ -84,6 +96,9 @@
 // runtimeKeys bounds the teams and kinds whose run times are learned.
 const runtimeKeys = 4096
 
+// stopLimit bounds the tasks that are being stopped.
+const stopLimit = 20_000
+
 // SetConfig puts another policy in force. The host's name stays.
 func (c *Core) SetConfig(config Config) {
 	config.Host = c.config.Host
@@ -92,6 +107,7 @@
 	for _, pool := range c.pools.demand {
 		pool.SetConfig(config.sharing())
 	}
+	c.health.SetConfig(config.Health)
 	c.applyTeams()
 }
 
@@ -131,6 +147,7 @@
 		deadline: now.Add(deadline),
 		outputs:  newOutputs(spec),
 		left:     len(spec.Tasks),
+		open:     make(map[StartID]bool),
 	}
 }
 
@@ -162,7 +179,7 @@
 	if !ok {
 		return
 	}
-	c.giveUp(j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
+	c.giveUp(now, j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
 	c.assign(now)
 }
 
@@ -170,19 +187,22 @@
 // incarnation of a target count until they end.
 func (c *Core) SetTargets(now time.Time, list []Target) {
 	for _, t := range list {
-		c.setTarget(t)
+		c.setTarget(now, t)
 	}
 	c.refreshTargets(now)
 	c.assign(now)
 }
 
-func (c *Core) setTarget(t Target) {
+func (c *Core) setTarget(now time.Time, t Target) {
 	known, ok := c.targets[t.Target]
 	if !ok {
 		known = &Target{}
 		c.targets[t.Target] = known
 		c.order = append(c.order, known)
 	}
+	if t.LeaseEnd.After(known.LeaseEnd) {
+		c.workers.Alive(now, t.Target)
+	}
 	known.Announcement = t.Announcement
 	known.LeaseEnd = t.LeaseEnd
 }
@@ -191,11 +211,13 @@
 func (c *Core) Tick(now time.Time) {
 	for _, j := range c.jobs {
 		if !now.Before(j.deadline) {
-			c.giveUp(j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
+			c.giveUp(now, j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
 		}
 	}
 	c.dropTargets(now)
 	c.refreshTargets(now)
+	c.shutEjected(now)
+	c.askStops(now)
 	c.queue.Sweep()
 	c.heard = c.heardAll(now)
 	c.applyTeams()
