--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -4,10 +4,14 @@
 	"context"
 	"encoding/json"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
+	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
@@ -21,6 +25,8 @@
 	CancelLocal(ctx context.Context, ticket string) error
 	// Adopt takes over the records of a drained host and reports whether it did.
 	Adopt(ctx context.Context, r *peerpb.HandOnRequest) bool
+	// AuditEntries returns audit entries from an index on, as JSON.
+	AuditEntries(ctx context.Context, from uint64) ([][]byte, error)
 	// Merge takes in what another host knows and returns what this one knows.
 	Merge(m *peerpb.ExchangeMessage) *peerpb.ExchangeMessage
 }
@@ -31,6 +37,12 @@
 	backend Backend
 }
 
+// Register makes link answer other entry hosts, their health probes included.
+func Register(link *grpc.Server, backend Backend) {
+	peerpb.RegisterPeerServer(link, NewServer(backend))
+	healthpb.RegisterHealthServer(link, health.NewServer())
+}
+
 // NewServer returns a Server.
 func NewServer(backend Backend) *Server { return &Server{backend: backend} }
 
@@ -62,10 +74,12 @@
 
 // Cancel implements peerpb.PeerServer.
 func (s *Server) Cancel(ctx context.Context, r *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	reply := &peerpb.CancelReply{}
 	if err := s.backend.CancelLocal(ctx, r.GetTicket()); err != nil {
-		return nil, status.Error(codes.FailedPrecondition, err.Error())
+		reply.Refusal = string(failure.KindOf(err))
+		reply.Message = err.Error()
 	}
-	return &peerpb.CancelReply{}, nil
+	return reply, nil
 }
 
 // HandOn implements peerpb.PeerServer.
@@ -73,6 +87,15 @@
 	return &peerpb.HandOnReply{Adopted: s.backend.Adopt(ctx, r)}, nil
 }
 
+// AuditEntries implements peerpb.PeerServer.
+func (s *Server) AuditEntries(ctx context.Context, r *peerpb.AuditRequest) (*peerpb.AuditReply, error) {
+	entries, err := s.backend.AuditEntries(ctx, r.GetFrom())
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &peerpb.AuditReply{Entries: entries}, nil
+}
+
 // Exchange implements peerpb.PeerServer.
 func (s *Server) Exchange(_ context.Context, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	return s.backend.Merge(m), nil
--- a/internal/connection/targetlink/link_test.go
+++ b/internal/connection/targetlink/link_test.go
@@ -33,6 +33,7 @@
 		Conns:    4,
 		Task:     &job.Task{ID: "t1", Payload: []byte(`{"a":1}`)},
 		Deadline: time.Now().Add(timeout),
+		LeaseEnd: time.Now().Add(limit),
 	}
 }
 
@@ -85,11 +86,22 @@
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write([]byte(`{}`))
 		}, dispatch.Lost},
-		"refused as not run": {func(w http.ResponseWriter, _ *http.Request) {
+		"refused as not run": {func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(wire.TaskHeader, r.Header.Get(wire.TaskHeader))
 			w.Header().Set(wire.RanHeader, "no")
 			w.WriteHeader(http.StatusTooManyRequests)
 		}, dispatch.NotStarted},
-		"failed": {func(w http.ResponseWriter, _ *http.Request) {
+		"refusal of another task": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.TaskHeader, "a1.1.3.8/t1")
+			w.Header().Set(wire.RanHeader, "no")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, dispatch.Lost},
+		"refusal without a name": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.RanHeader, "no")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, dispatch.Lost},
+		"failed": {func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(wire.TaskHeader, r.Header.Get(wire.TaskHeader))
 			w.Header().Set(wire.RanHeader, "yes")
 			w.WriteHeader(http.StatusInternalServerError)
 		}, dispatch.TaskError},
@@ -116,6 +128,17 @@
 	g.Expect(links().Send(context.Background(), start(address, limit)).Outcome).To(Equal(dispatch.NotStarted))
 }
 
+func TestNothingIsSentAfterTheLease(t *testing.T) {
+	g := NewWithT(t)
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+	defer server.Close()
+	s := start(server.Listener.Addr().String(), limit)
+	s.LeaseEnd = time.Now()
+	g.Expect(links().Send(context.Background(), s).Outcome).To(Equal(dispatch.NotStarted))
+	g.Expect(requests.Load()).To(BeZero())
+}
+
 // TestRequestIsSentOnce closes the connection after the request on a reused
 // connection, where HTTP clients are tempted to send again.
 func TestRequestIsSentOnce(t *testing.T) {
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -11,13 +11,14 @@
 	PathMetrics = "/metrics"    // GET: counters in the text exposition format
 )
 
-// PathTasks is served by a target: POST starts one task.
+// PathTasks is served by a target: POST starts one task; DELETE stops the one
+// that TaskHeader names and answers 204 when it neither runs nor will be started.
 const PathTasks = "/v1/tasks"
 
 // Headers of a task start and its answer.
 const (
 	// TaskHeader names the start: "<host>.<incarnation>.<seq>/<task id>". The target
-	// returns it unchanged, so that a crossed answer is detected.
+	// returns it unchanged, refusals included, so that a crossed answer is detected.
 	TaskHeader = "Wasabifield-Task"
 	// BudgetHeader is the time left to the job's deadline, ms.
 	BudgetHeader = "Wasabifield-Budget-Ms"
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/connection/health"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/queue"
@@ -17,9 +19,14 @@
 	QueuedBytes       int64         // payload bytes of those tasks at most
 	AttemptTimeout    time.Duration // an attempt is given up after this
 	DefaultDeadline   time.Duration // for a job that states none
-	RefusalPause      time.Duration // a target that refused a start is avoided for this
+	RefusalPause      time.Duration // a target that refused a start is avoided for this at first
 	RestartIdempotent bool          // start a task of an idempotent job again after an unknown outcome
 	Teams             map[string]Team
+	Host              string        // this host's name
+	PeerLease         time.Duration // a peer not heard of for this long loses its slots
+	SlotRetry         time.Duration // between two requests for a peer's idle slots
+	Health            health.Config
+	SlotProbe         bool // request slots also of peers that were busy when last heard of
 }
 
 // DefaultConfig returns the policy in force until a bundle states another.
@@ -29,7 +36,11 @@
 		QueuedBytes:     64 << 20,
 		AttemptTimeout:  30 * time.Second,
 		DefaultDeadline: 30 * time.Second,
-		RefusalPause:    20 * time.Millisecond,
+		RefusalPause:    5 * time.Millisecond,
+		Host:            "self",
+		PeerLease:       2 * time.Second,
+		SlotRetry:       50 * time.Millisecond,
+		Health:          health.DefaultConfig(),
 	}
 }
 
@@ -45,6 +56,13 @@
 	last     StartID
 	queue    *queue.Queue
 	runtimes *runtimes.Table
+	pools    *pools
+	health   *health.Tracker
+	held     []heldSlot
+	workers  *workers.Table
+	stops    *workers.Stops
+	peers    map[string]*peerDemand
+	heard    bool // every peer has reported within the lease
 	out      Effects
 }
 
@@ -52,6 +70,8 @@
 type Effects struct {
 	Starts   []Start
 	Finishes []Finish
+	Tells    []Tell
+	Stops    []workers.Task // tasks to be stopped
 }
 
 // NewCore returns a Core without targets. The random source breaks ties.
@@ -64,6 +84,10 @@
 		starts:   make(map[StartID]started),
 		queue:    queue.New(queue.Config{Tasks: config.QueuedTasks, Bytes: config.QueuedBytes}),
 		runtimes: runtimes.NewTable(runtimeKeys),
+		pools:    newPools(config),
+		health:   health.NewTracker(config.Health),
+		workers:  workers.NewTable(),
+		stops:    workers.NewStops(stopLimit),
 	}
 	c.applyTeams()
 	return c
@@ -72,10 +96,18 @@
 // runtimeKeys bounds the teams and kinds whose run times are learned.
 const runtimeKeys = 4096
 
-// SetConfig puts another policy in force.
+// stopLimit bounds the tasks that are being stopped.
+const stopLimit = 20_000
+
+// SetConfig puts another policy in force. The host's name stays.
 func (c *Core) SetConfig(config Config) {
+	config.Host = c.config.Host
 	c.config = config
 	c.queue.SetBounds(config.QueuedTasks, config.QueuedBytes)
+	for _, pool := range c.pools.demand {
+		pool.SetConfig(config.sharing())
+	}
+	c.health.SetConfig(config.Health)
 	c.applyTeams()
 }
 
@@ -94,7 +126,7 @@
 	}
 	j := c.newJob(now, id, spec)
 	tasks := c.queueTasks(now, j)
-	if err := c.queue.Admit(now, j.queueJob(), tasks, c.slots(now)); err != nil {
+	if err := c.queue.Admit(now, j.queueJob(), tasks, c.capacity(now)); err != nil {
 		return err
 	}
 	c.jobs[id] = j
@@ -115,20 +147,10 @@
 		deadline: now.Add(deadline),
 		outputs:  newOutputs(spec),
 		left:     len(spec.Tasks),
+		open:     make(map[StartID]bool),
 	}
 }
 
-// slots returns the slots that this host can count on.
-func (c *Core) slots(now time.Time) int {
-	sum := 0
-	for _, t := range c.order {
-		if t.alive(now) {
-			sum += t.Slots
-		}
-	}
-	return sum
-}
-
 // checkRunnable refuses a job that no known target could run.
 func (c *Core) checkRunnable(now time.Time, spec *job.Spec) error {
 	alive, accelerators := 0, 0
@@ -157,7 +179,7 @@
 	if !ok {
 		return
 	}
-	c.giveUp(j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
+	c.giveUp(now, j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
 	c.assign(now)
 }
 
@@ -165,18 +187,22 @@
 // incarnation of a target count until they end.
 func (c *Core) SetTargets(now time.Time, list []Target) {
 	for _, t := range list {
-		c.setTarget(t)
+		c.setTarget(now, t)
 	}
+	c.refreshTargets(now)
 	c.assign(now)
 }
 
-func (c *Core) setTarget(t Target) {
+func (c *Core) setTarget(now time.Time, t Target) {
 	known, ok := c.targets[t.Target]
 	if !ok {
 		known = &Target{}
 		c.targets[t.Target] = known
 		c.order = append(c.order, known)
 	}
+	if t.LeaseEnd.After(known.LeaseEnd) {
+		c.workers.Alive(now, t.Target)
+	}
 	known.Announcement = t.Announcement
 	known.LeaseEnd = t.LeaseEnd
 }
@@ -185,11 +211,16 @@
 func (c *Core) Tick(now time.Time) {
 	for _, j := range c.jobs {
 		if !now.Before(j.deadline) {
-			c.giveUp(j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
+			c.giveUp(now, j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
 		}
 	}
 	c.dropTargets(now)
+	c.refreshTargets(now)
+	c.shutEjected(now)
+	c.askStops(now)
 	c.queue.Sweep()
+	c.heard = c.heardAll(now)
+	c.applyTeams()
 	c.assign(now)
 }
 
@@ -219,18 +250,12 @@
 
 // Load returns the free capacity at now.
 func (c *Core) Load(now time.Time) Load {
-	load := Load{Queued: c.Queued()}
-	for _, t := range c.order {
-		if !t.free(now) {
-			continue
-		}
-		free := t.Slots - t.busy
-		load.Free += free
-		if t.Accelerators > 0 {
-			load.Accelerators += free
-		}
+	accelerators := c.pools.demand[acceleratorPool].Idle(now)
+	return Load{
+		Free:         c.pools.demand[plainPool].Idle(now) + accelerators,
+		Accelerators: accelerators,
+		Queued:       c.Queued(),
 	}
-	return load
 }
 
 // Targets returns the known targets in the order of their announcement.
--- a/internal/process/dispatch/effect.go
+++ b/internal/process/dispatch/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/job"
@@ -19,6 +20,12 @@
 	Conns    int    // connections that the target accepts
 	Task     *job.Task
 	Deadline time.Time // the attempt is given up at this time
+	LeaseEnd time.Time // nothing is sent to the target from this time on
+}
+
+// Name names the attempt uniquely among those of this process.
+func (s Start) Name() string {
+	return strconv.FormatUint(uint64(s.Job), 10) + "." + strconv.FormatUint(uint64(s.ID), 10) + "/" + s.Task.ID
 }
 
 // Outcome says how an attempt ended.
@@ -38,6 +45,7 @@
 	Outcome Outcome
 	Output  json.RawMessage // only when Done
 	Message string          // the cause, unless Done
+	Silent  bool            // the target did not answer at all
 }
 
 // Finish gives the answer to a job.
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -19,18 +19,23 @@
 	team     string
 	deadline time.Time
 	outputs  []json.RawMessage
-	left     int  // tasks without an output
-	running  int  // starts in progress
-	ran      bool // a start ended otherwise than not started
-	done     bool // the answer was given
+	left     int              // tasks without an output
+	open     map[StartID]bool // starts in progress
+	ran      bool             // a start ended otherwise than not started
+	done     bool             // the answer was given
 }
 
 // started is an attempt in progress.
 type started struct {
+	id     StartID
+	name   string
 	ref    queue.Ref
 	job    *jobState
 	target *Target
+	pool   int // that the target's slot was taken from
 	at     time.Time
+
+	deadline time.Time // the attempt is given up and the task's lease ends
 }
 
 func (s started) task() *job.Task { return &s.job.spec.Tasks[s.ref.Task.Index] }
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -28,12 +28,15 @@
 	Core    *Core
 	Records record.Config
 	Minter  *ticket.Minter
+	Stopper Stopper // nil if tasks cannot be stopped
+	Teller  Teller  // nil without other hosts in the domain
 	Sender  Sender
 	Copier  Copier
-	Spiller Spiller          // nil if no job is passed to another domain
-	Ring    int              // messages waiting at most
-	Clock   func() time.Time // the host's clock
-	Tick    time.Duration    // between two ticks of the Core
+	Spiller Spiller                    // nil if no job is passed to another domain
+	Allow   func(spec *job.Spec) error // refuses a new job that the bundle forbids; nil allows all
+	Ring    int                        // messages waiting at most
+	Clock   func() time.Time           // the host's clock
+	Tick    time.Duration              // between two ticks of the Core
 }
 
 // Copier takes the answers that this host gave, to be copied to another host.
@@ -72,6 +75,8 @@
 // pending is a job in progress and who waits for its answer.
 type pending struct {
 	key     record.CopyKey
+	spec    *job.Spec
+	since   time.Time // when it was admitted
 	digest  uint64
 	book    *record.Book
 	waiters []chan *job.Answer
@@ -178,6 +183,11 @@
 	return l.post(func(now time.Time) { l.config.Core.SetTargets(now, list) })
 }
 
+// SetConfig puts another policy in force.
+func (l *Loop) SetConfig(config Config) error {
+	return l.post(func(time.Time) { l.config.Core.SetConfig(config) })
+}
+
 // Drain makes the Loop refuse jobs that it does not know yet.
 func (l *Loop) Drain() error {
 	return l.post(func(time.Time) { l.drain = true })
@@ -215,6 +225,8 @@
 	for _, f := range out.Finishes {
 		l.finish(f)
 	}
+	l.tell(ctx, out.Tells)
+	l.stopTasks(ctx, out.Stops)
 }
 
 func (l *Loop) send(ctx context.Context, s Start) {
@@ -225,11 +237,17 @@
 	}
 }
 
+// finish gives the answer to a job and records it. The record of a job that did
+// not run and may come back is dropped, so that it runs when it does.
 func (l *Loop) finish(f Finish) {
 	p := l.jobs[f.Job]
 	l.drop(f.Job)
-	p.book.Finish(p.key.Seq, f.Answer)
-	l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	if f.Answer.MayComeBack() {
+		p.book.Forget(p.key.Seq)
+	} else {
+		p.book.Finish(p.key.Seq, f.Answer)
+		l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	}
 	p.reply(f.Answer)
 }
 
--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -47,10 +47,11 @@
 	defer cancel()
 	asked := time.Now()
 	domain := h.hosts.domainOf(asked, name)
-	m := h.message(asked, domain)
+	m := h.message()
 	if domain == h.settings.Domain {
 		m.Cursor = h.targets.cursor(name)
 		m.Copies = h.outbox.take(name)
+		h.report(ctx, name, m)
 	}
 	answer, err := h.client.Exchange(ctx, name, m)
 	if err != nil {
@@ -58,20 +59,25 @@
 		return
 	}
 	h.hosts.answered(asked, answer)
+	h.heed(h.running, answer)
 	if answer.GetDelta() != nil {
 		h.setTargets(h.targets.merge(name, asked, answer.GetDelta()))
 	}
+	if len(answer.GetSlots()) > 0 {
+		_ = h.loop.Receive(name, peerMessageFrom(answer))
+	}
 }
 
-// message states what this host knows to a host of domain.
-func (h *Host) message(now time.Time, domain string) *peerpb.ExchangeMessage {
+// message states what this host says of itself.
+func (h *Host) message() *peerpb.ExchangeMessage {
 	load := h.loop.Load()
 	return &peerpb.ExchangeMessage{
 		Host:             h.settings.Host,
 		Domain:           h.settings.Domain,
 		Incarnation:      h.hosts.incarnation(),
 		Draining:         h.draining.Load(),
-		Rumours:          h.hosts.rumours(now, domain),
+		ControlVersion:   h.plane.Version(),
+		Informed:         h.plane.Informed(),
 		FreeSlots:        uint32(load.Free),
 		FreeAccelerators: uint32(load.Accelerators),
 		QueuedTasks:      uint32(load.Queued),
@@ -80,15 +86,23 @@
 
 // Merge implements peer.Backend.
 func (h *Host) Merge(m *peerpb.ExchangeMessage) *peerpb.ExchangeMessage {
+	if m.GetSlotsOnly() {
+		answer := &peerpb.ExchangeMessage{}
+		h.mergeSlots(m, answer)
+		return answer
+	}
 	now := time.Now()
 	held := h.hosts.asked(now, m)
+	h.heed(h.running, m)
 	for _, c := range m.GetCopies() {
 		h.putCopy(c)
 	}
-	answer := h.message(now, m.GetDomain())
+	answer := h.message()
 	answer.Held = held
+	answer.Rumours = h.hosts.rumours(now, m.GetDomain())
 	if m.GetDomain() == h.settings.Domain {
 		answer.Delta = h.targets.delta(now, m.GetCursor())
+		h.mergeSlots(m, answer)
 	}
 	return answer
 }
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -17,17 +17,20 @@
 
 	"wasabifield.example/wasabifield/internal/connection/callerapi"
 	"wasabifield.example/wasabifield/internal/connection/peer"
-	"wasabifield.example/wasabifield/internal/connection/peerpb"
 	"wasabifield.example/wasabifield/internal/connection/peertls"
 	"wasabifield.example/wasabifield/internal/connection/targetlink"
 	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/process/controlplane"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
 	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/process/membership"
 	"wasabifield.example/wasabifield/internal/process/profiles"
 	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/request/record"
+	"wasabifield.example/wasabifield/internal/request/report"
 	"wasabifield.example/wasabifield/internal/request/ticket"
+	"wasabifield.example/wasabifield/internal/version/store"
+	"wasabifield.example/wasabifield/internal/version/trail"
 )
 
 const (
@@ -40,6 +43,7 @@
 // Host is one entry host.
 type Host struct {
 	settings    settings.Settings
+	root        *slog.Logger
 	log         *slog.Logger
 	incarnation uint64
 	minter      *ticket.Minter
@@ -47,6 +51,14 @@
 	targets     *targetTable
 	hosts       *hostTable
 	outbox      *outbox
+	policy      *policy
+	recorder    *report.Recorder
+	folder      *store.Folder // nil on a host without a disk
+	trail       *trail.Trail  // nil on a host without a disk
+	plane       *controlplane.Plane
+	catching    atomic.Bool     // whether the control state is being fetched
+	running     context.Context // ends when the host stops
+	stop        context.CancelFunc
 	client      *peer.Client
 	security    peertls.Credentials
 	observer    *observer
@@ -57,9 +69,12 @@
 func New(s settings.Settings, log *slog.Logger) (*Host, error) {
 	h := &Host{
 		settings:    s,
+		root:        log,
 		log:         logging.For(log, "host"),
+		recorder:    report.NewRecorder(s.Host, time.Now()),
 		incarnation: newIncarnation(time.Now()),
 		observer:    newObserver(s.Host, s.Domain),
+		policy:      newPolicy(time.Now()),
 	}
 	h.hosts = newHostTable(s, h.incarnation)
 	h.outbox = &outbox{limit: s.Limits.Ring, heir: h.heir}
@@ -88,6 +103,13 @@
 	if err != nil {
 		return nil, err
 	}
+	h.running, h.stop = context.WithCancel(context.Background())
+	if err := h.openDisk(); err != nil {
+		return nil, err
+	}
+	if h.plane, err = h.newPlane(); err != nil {
+		return nil, err
+	}
 	h.loop = h.newLoop()
 	return h, nil
 }
@@ -99,26 +121,30 @@
 }
 
 func (h *Host) newLoop() *dispatch.Loop {
-	policy := dispatch.DefaultConfig()
-	policy.QueuedTasks = h.settings.Limits.QueuedTasks
-	policy.QueuedBytes = h.settings.Limits.QueuedBytes
+	config := dispatchConfig(h.policy.current().Bundle, h.settings)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	core := dispatch.NewCore(config, random)
+	core.SetPeers(time.Now(), h.domainPeers())
+	links := targetlink.NewLinks(targetlink.Config{
+		Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
+		DialTimeout: h.settings.Timing.DialTimeout,
+	})
 	return dispatch.NewLoop(dispatch.LoopConfig{
-		Core: dispatch.NewCore(policy, random),
+		Core:    core,
+		Stopper: links,
+		Teller:  h,
 		Records: record.Config{
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
 		},
 		Copier:  h.outbox,
+		Allow:   h.allow,
 		Spiller: &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
 		Minter:  h.minter,
-		Sender: h.observer.sender(targetlink.NewLinks(targetlink.Config{
-			Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
-			DialTimeout: h.settings.Timing.DialTimeout,
-		})),
-		Ring:  h.settings.Limits.Ring,
-		Clock: time.Now,
-		Tick:  tick,
+		Sender:  h.observer.sender(links),
+		Ring:    h.settings.Limits.Ring,
+		Clock:   time.Now,
+		Tick:    tick,
 	})
 }
 
@@ -138,15 +164,17 @@
 	link = h.observer.meter(peerLinks).Listen(link)
 	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
 	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
-	peerpb.RegisterPeerServer(grpcServer, peer.NewServer(h))
+	peer.Register(grpcServer, h)
+	h.plane.Register(grpcServer)
 
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	group, duties := errgroup.WithContext(running)
+	defer h.closeDisk()
+	defer h.stop()
+	group, duties := errgroup.WithContext(h.running)
 	group.Go(func() error { return h.loop.Run(duties) })
 	group.Go(func() error { return h.observer.sample(duties, h.loop) })
 	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
 	group.Go(func() error { return grpcServer.Serve(link) })
+	group.Go(func() error { return h.plane.Run(duties) })
 	group.Go(func() error { return h.exchange(duties) })
 	group.Go(func() error {
 		select {
@@ -154,7 +182,7 @@
 		case <-duties.Done():
 		}
 		err := h.drain(cut, httpServer, grpcServer)
-		stop()
+		h.stop()
 		return err
 	})
 	h.log.Info("Serving.", "host", h.settings.Host, "domain", h.settings.Domain, "http", h.settings.HTTP)
@@ -162,7 +190,7 @@
 }
 
 // defaultDeadline is for a job that states none.
-func (h *Host) defaultDeadline() time.Duration { return dispatch.DefaultConfig().DefaultDeadline }
+func (h *Host) defaultDeadline() time.Duration { return h.policy.current().Deadlines.Default }
 
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
@@ -181,6 +209,7 @@
 		Clock:     time.Now,
 		Log:       h.log,
 	}).Register(mux)
+	h.operatorAPI().Register(mux)
 	mux.Handle("GET "+wire.PathMetrics, h.observer.metrics.Handler())
 	if h.settings.Profiles {
 		profiles.Register(mux)
--- a/internal/process/host/hosts.go
+++ b/internal/process/host/hosts.go
@@ -16,7 +16,6 @@
 const (
 	suspectExchanges = 6                // a host of the domain is suspect after as many intervals
 	silentAfter      = 30 * time.Second // a host that nobody hears is silent after this
-	maxRumours       = 8                // in one message
 )
 
 // hostTable shares a membership.Hosts among the exchanges.
@@ -24,11 +23,11 @@
 	mu      sync.Mutex
 	table   *membership.Hosts
 	regions map[string]string
-	last    map[string]report
+	last    map[string]statement
 }
 
-// report is what a host said of itself in its last message.
-type report struct {
+// statement is what a host said of itself in its last message.
+type statement struct {
 	draining     bool
 	control      uint64
 	free         int
@@ -55,7 +54,7 @@
 	return &hostTable{
 		table:   membership.NewHosts(config, random),
 		regions: regions,
-		last:    make(map[string]report),
+		last:    make(map[string]statement),
 	}
 }
 
@@ -85,7 +84,7 @@
 }
 
 func (t *hostTable) note(now time.Time, m *peerpb.ExchangeMessage) {
-	t.last[m.GetHost()] = report{
+	t.last[m.GetHost()] = statement{
 		draining:     m.GetDraining(),
 		control:      m.GetControlVersion(),
 		free:         int(m.GetFreeSlots()),
@@ -127,7 +126,7 @@
 func (t *hostTable) rumours(now time.Time, domain string) []*membershippb.HostRumour {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.Rumours(now, domain, maxRumours)
+	return t.table.Rumours(now, domain)
 }
 
 // heirs returns the hosts of domain that answer this host and are not
--- a/internal/process/host/spill.go
+++ b/internal/process/host/spill.go
@@ -35,7 +35,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit+forwardMargin)
 	defer cancel()
-	go s.host.watch(ctx, cancel, target)
 	answer, err := s.host.client.Spill(ctx, target, body)
 	switch {
 	case failure.KindOf(err) == failure.HolderUnreachable:
--- a/internal/request/queue/queue_test.go
+++ b/internal/request/queue/queue_test.go
@@ -145,6 +145,9 @@
 		{"a limit", func(q *queue.Queue) {
 			q.SetPolicies(map[string]queue.TeamPolicy{"a": {Limit: 1}})
 		}, tasks(20), "a", time.Second, failure.OverQuota},
+		{"a bound on waiting tasks", func(q *queue.Queue) {
+			q.SetPolicies(map[string]queue.TeamPolicy{"a": {Waiting: 19}})
+		}, tasks(20), "a", time.Hour, failure.OverQuota},
 		{"too many tasks", func(*queue.Queue) {}, tasks(1001), "a", time.Hour, failure.Overloaded},
 	}
 	for _, c := range cases {
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -136,7 +136,10 @@
 	defer func() { _ = file.Close() }()
 	config := caller.LoadConfig{
 		Caller: caller.CallerConfig{
-			Team: "demo", Deadline: jobDeadline, GiveUpAfter: giveUpAfter, History: writer,
+			Team:        "demo",
+			History:     writer,
+			Deadline:    jobDeadline,
+			GiveUpAfter: giveUpAfter,
 		},
 		Jobs: d.config.Jobs, Parallel: d.config.Parallel,
 		TasksLow: 1, TasksHigh: 210,
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -16,18 +16,20 @@
 
 // serveTask answers POST wire.PathTasks.
 func (t *Target) serveTask(w http.ResponseWriter, r *http.Request) {
+	header := r.Header.Get(wire.TaskHeader)
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayload))
 	if err != nil {
+		w.Header().Set(wire.TaskHeader, header)
 		refuse(w, http.StatusBadRequest, "the payload was cut short")
 		return
 	}
-	header := r.Header.Get(wire.TaskHeader)
 	var payload history.Payload
 	_ = json.Unmarshal(raw, &payload)
 	event := history.Event{Job: payload.Job, Task: taskID(header), Header: header}
-	refusal := t.reserve()
-	if refusal == "" && payload.Refuse {
+	task, refusal := t.reserve(header)
+	if refusal == "" && (payload.Refuse || t.config.Service.Chance(t.config.RefuseRate)) {
 		t.release()
+		t.end(header, task)
 		refusal = "scripted"
 	}
 	if refusal != "" {
@@ -39,26 +41,38 @@
 	}
 	event.What = history.Start
 	t.record(event)
-	t.run(w, payload)
+	t.run(w, payload, task.stop)
 	event.What = history.End
 	t.record(event)
 	t.release()
+	if t.end(header, task) {
+		w.Header().Set(wire.TaskHeader, header)
+		w.Header().Set(wire.RanHeader, "yes")
+		http.Error(w, "the task was stopped", http.StatusInternalServerError)
+		return
+	}
 	t.answer(w, header, payload, raw)
 }
 
-// run waits for the task's run time.
-func (t *Target) run(w http.ResponseWriter, payload history.Payload) {
+// run waits for the task's run time or until it is stopped.
+func (t *Target) run(w http.ResponseWriter, payload history.Payload, stop <-chan struct{}) {
 	if payload.DropAfterStart {
 		drop(w)
 	}
 	if payload.Hang {
-		<-t.left
+		select {
+		case <-t.left:
+		case <-stop:
+		}
 	}
 	wait := t.config.Service.Draw()
 	if payload.RunMS != nil {
 		wait = time.Duration(*payload.RunMS) * time.Millisecond
 	}
-	time.Sleep(wait)
+	select {
+	case <-time.After(wait):
+	case <-stop:
+	}
 }
 
 func (t *Target) answer(w http.ResponseWriter, header string, payload history.Payload, raw []byte) {
@@ -66,10 +80,14 @@
 		return
 	}
 	returned := header
-	if payload.WrongID {
+	if payload.WrongID || payload.WrongRefusal {
 		returned = header + "-other"
 	}
 	w.Header().Set(wire.TaskHeader, returned)
+	if payload.WrongRefusal {
+		refuse(w, http.StatusTooManyRequests, "scripted")
+		return
+	}
 	if payload.Fail || t.config.Service.Chance(t.config.FailRate) {
 		w.Header().Set(wire.RanHeader, "yes")
 		http.Error(w, "the task failed", http.StatusInternalServerError)
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -9,7 +9,7 @@
 	BasedOn        uint64        `yaml:"based_on" json:"based_on"` // accepted version that this one was written on top of
 	Limits         Limits        `yaml:"limits" json:"limits"`
 	Teams          []Team        `yaml:"teams" json:"teams"`
-	OtherTeams     Quota         `yaml:"other_teams" json:"other_teams"` // quota of each team that Teams does not name
+	OtherTeams     Quota         `yaml:"other_teams" json:"other_teams"` // quota that all teams share that Teams does not name
 	Retry          Retry         `yaml:"retry" json:"retry"`
 	Routing        Routing       `yaml:"routing" json:"routing"`
 	Deadlines      Deadlines     `yaml:"deadlines" json:"deadlines"`
@@ -25,7 +25,7 @@
 	OutputBytes  int64 `yaml:"output_bytes" json:"output_bytes"`   // of one task
 }
 
-// Quota bounds what one team holds in one failure domain.
+// Quota bounds what one team holds in one failure domain; 0 is no bound.
 type Quota struct {
 	InProgress int `yaml:"in_progress" json:"in_progress"` // task starts in progress
 	Queued     int `yaml:"queued" json:"queued"`           // tasks waiting for a slot
@@ -53,9 +53,8 @@
 
 // The slot policies.
 const (
-	RandomTwo SlotPolicy = "random_two" // the less loaded of two targets drawn from the local view
-	Shares    SlotPolicy = "shares"     // each host holds a share of each target's slots
-	Owner     SlotPolicy = "owner"      // one host owns each target and the others forward to it
+	Shares        SlotPolicy = "shares"         // slots move to where tasks wait, with the fewest messages
+	SharesProbing SlotPolicy = "shares_probing" // the same, but hosts ask each other often, for the least wait
 )
 
 // Routing says where tasks run.
@@ -85,7 +84,7 @@
 
 // Ejection says when a target that fails its tasks gets no work for a time.
 type Ejection struct {
-	Failures        int           `yaml:"failures" json:"failures"`                 // consecutive failures that eject a target
+	Failures        int           `yaml:"failures" json:"failures"`                 // in a row, of tasks that rarely fail elsewhere, that eject a target
 	Pause           time.Duration `yaml:"pause" json:"pause"`                       // first time without work; doubles with each ejection in a row
 	GreatestPause   time.Duration `yaml:"greatest_pause" json:"greatest_pause"`     // bound of the doubling
 	GreatestPercent int           `yaml:"greatest_percent" json:"greatest_percent"` // of a domain's targets that may be ejected at once
@@ -103,14 +102,14 @@
 		Limits:         Limits{TasksPerJob: 210, PayloadBytes: 256 << 10, OutputBytes: 1 << 20},
 		OtherTeams:     Quota{InProgress: 1_000, Queued: 10_000},
 		Retry:          Retry{Attempts: 4},
-		Routing:        Routing{SlotPolicy: RandomTwo, Spill: Spill{After: 500 * time.Millisecond}},
+		Routing:        Routing{SlotPolicy: Shares, Spill: Spill{After: 500 * time.Millisecond}},
 		Deadlines:      Deadlines{Default: 10 * time.Second, Greatest: time.Minute},
 		AttemptTimeout: 30 * time.Second,
 		Ejection: Ejection{
-			Failures:        5,
-			Pause:           2 * time.Second,
-			GreatestPause:   time.Minute,
-			GreatestPercent: 50,
+			Failures:        3,
+			Pause:           5 * time.Second,
+			GreatestPause:   5 * time.Minute,
+			GreatestPercent: 33,
 		},
 	}
 }
