--- a/internal/version/control/encode_test.go
+++ b/internal/version/control/encode_test.go
@@ -10,11 +10,11 @@
 )
 
 // sitedState returns the state after the given number of changes of a bundle
-// with 51 teams and 13 failure domains.
-func sitedState(tb testing.TB, changes int) control.State {
+// with 13 failure domains.
+func sitedState(tb testing.TB, teams, changes int) control.State {
 	tb.Helper()
 	b := bundle.Default()
-	for i := range 51 {
+	for i := range teams {
 		b.Teams = append(b.Teams, bundle.Team{Name: fmt.Sprint("team-", i), Quota: b.OtherTeams})
 	}
 	for i := range 13 {
@@ -25,8 +25,8 @@
 	s := newSession(2)
 	for i := range changes {
 		b.Version, b.BasedOn = uint64(i+1), uint64(i)
-		b.Teams[i%51].Queued++
-		b.Teams[i*7%51].InProgress += i
+		b.Teams[i%teams].Queued++
+		b.Teams[i*7%teams].InProgress += i
 		text, err := bundle.Encode(b)
 		if err != nil {
 			tb.Fatal(err)
@@ -38,21 +38,29 @@
 	return s.state
 }
 
+// BenchmarkEncode shows how the encoded state grows with the teams of a bundle
+// and with the changes made.
 func BenchmarkEncode(b *testing.B) {
-	s := sitedState(b, 1000)
-	var size int
-	for b.Loop() {
-		text, err := control.Encode(s)
-		if err != nil {
-			b.Fatal(err)
-		}
-		size = len(text)
+	for _, size := range []struct{ teams, changes int }{
+		{13, 1000}, {26, 1000}, {51, 1000}, {102, 1000}, {51, 1}, {51, 16}, {51, 64}, {51, 128},
+	} {
+		b.Run(fmt.Sprintf("teams=%d/changes=%d", size.teams, size.changes), func(b *testing.B) {
+			s := sitedState(b, size.teams, size.changes)
+			var length int
+			for b.Loop() {
+				text, err := control.Encode(s)
+				if err != nil {
+					b.Fatal(err)
+				}
+				length = len(text)
+			}
+			b.ReportMetric(float64(length), "B/state")
+		})
 	}
-	b.ReportMetric(float64(size), "B/state")
 }
 
 func BenchmarkDecode(b *testing.B) {
-	text, err := control.Encode(sitedState(b, 1000))
+	text, err := control.Encode(sitedState(b, 51, 1000))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -64,7 +72,7 @@
 }
 
 func BenchmarkApply(b *testing.B) {
-	s := sitedState(b, 1000)
+	s := sitedState(b, 51, 1000)
 	rules := rulesFor(2, names...)
 	c := propose("new", "linh", document(1001, 1000, 0), 1001)
 	for b.Loop() {
