--- a/internal/process/dispatch/joblist.go
+++ b/internal/process/dispatch/joblist.go
@@ -37,7 +37,7 @@
 		Age:   now.Sub(p.since),
 	}
 	if j, ok := l.config.Core.jobs[id]; ok {
-		s.Started = j.running
+		s.Started = len(j.open)
 		s.Done = len(p.spec.Tasks) - j.left
 		s.Left = j.deadline.Sub(now)
 	}
