--- a/internal/process/membership/targets_test.go
+++ b/internal/process/membership/targets_test.go
@@ -191,3 +191,25 @@
 	}
 	g.Expect(relayed).To(BeNumerically("<=", renewals*hosts*(hosts-1)))
 }
+
+// What a restarted host is told of the 154 targets of a domain, and what a
+// renewal of all of them costs on one link.
+func TestBytesOfAWholeTable(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newTable(1), newTable(2)
+	const targets = 154
+	announce := func(now time.Time) {
+		for i := range targets {
+			one := announcement(fmt.Sprintf("target-%03d", i), 1796353429772314521, false)
+			one.Address, one.Rack, one.Worker = "10.12.34.56:17000", "rack-12", "worker-123"
+			g.Expect(a.Announce(now, one)).To(Succeed())
+		}
+	}
+	announce(at(0))
+	whole := proto.Size(ask(b, a, "a", at(0.1), at(0.1)))
+	announce(at(1.3))
+	renewals := proto.Size(ask(b, a, "a", at(1.5), at(1.5)))
+	t.Logf("%d bytes in full, %d bytes of renewals", whole, renewals)
+	g.Expect(whole).To(BeNumerically("<=", 100*targets))
+	g.Expect(renewals).To(BeNumerically("<=", 5*targets))
+}
