--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -101,10 +101,13 @@
 }
 
 func (h *Host) newLoop() *dispatch.Loop {
-	config := dispatchConfig(h.policy.current().Bundle, h.settings.Limits, domainHosts(h.settings))
+	config := dispatchConfig(h.policy.current().Bundle, h.settings)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	core := dispatch.NewCore(config, random)
+	core.SetPeers(time.Now(), h.domainPeers())
 	return dispatch.NewLoop(dispatch.LoopConfig{
-		Core: dispatch.NewCore(config, random),
+		Core:   core,
+		Teller: h,
 		Records: record.Config{
 			Answers:     h.settings.Limits.Records,
 			AnswerBytes: h.settings.Limits.RecordBytes,
--- a/internal/request/queue/admit.go
+++ b/internal/request/queue/admit.go
@@ -21,6 +21,9 @@
 		return failure.New(failure.Overloaded, "the queue holds too many bytes")
 	}
 	waiting, held := q.held(j.Team)
+	if most := q.policies[j.Team].Waiting; most > 0 && waiting+len(tasks) > most {
+		return failure.New(failure.OverQuota, "the team's quota of waiting tasks is used up")
+	}
 	if waiting+len(tasks) > freeTasks || held+bytes > freeBytes {
 		return failure.New(failure.OverQuota, "the team has too much waiting")
 	}
--- a/internal/request/queue/team.go
+++ b/internal/request/queue/team.go
@@ -7,8 +7,9 @@
 
 // TeamPolicy is what the bundle grants a team.
 type TeamPolicy struct {
-	Weight float64 // share of the slots in relation to the other teams; 0 counts as 1
-	Limit  int     // tasks that may run at once from this host; 0 for no limit
+	Weight  float64 // share of the slots in relation to the other teams; 0 counts as 1
+	Limit   int     // tasks that may run at once from this host; 0 for no limit
+	Waiting int     // tasks that may wait at this host; 0 for the queue's own bounds
 }
 
 // team is a team with tasks that wait or run.
@@ -17,6 +18,7 @@
 	virtual     float64 // start tag of the next task, in weighted seconds
 	heaps       [lanes]jobHeap
 	waiting     int
+	accelerated int // of the waiting tasks, those that need an accelerator
 	bytes       int64
 	work        time.Duration // learned run times of the waiting tasks
 	running     int
@@ -46,6 +48,17 @@
 
 func (t *team) idle() bool { return t.waiting == 0 && t.running == 0 }
 
+// startable returns the waiting tasks of both lanes that the limit lets start.
+func (t *team) startable() (plain, accelerated int) {
+	plain, accelerated = t.waiting-t.accelerated, t.accelerated
+	if t.policy.Limit > 0 {
+		room := max(0, t.policy.Limit-t.running)
+		accelerated = min(accelerated, room)
+		plain = min(plain, room-accelerated)
+	}
+	return plain, accelerated
+}
+
 // run takes a running task into the counts (sign 1) or out of them (-1).
 func (t *team) run(task Task, sign int) {
 	t.running += sign
@@ -57,6 +70,9 @@
 // count takes a waiting task into the counts (sign 1) or out of them (-1).
 func (t *team) count(task Task, sign int) {
 	t.waiting += sign
+	if task.Accelerator {
+		t.accelerated += sign
+	}
 	t.bytes += int64(sign) * task.Bytes
 	if task.Learned {
 		t.work += time.Duration(sign) * task.Cost
