--- a/internal/connection/targetlink/link.go
+++ b/internal/connection/targetlink/link.go
@@ -22,6 +22,7 @@
 	probeIdle      = 5 * time.Second  // keep-alive probes start after this silence
 	probeInterval  = 2 * time.Second
 	probeCount     = 3
+	stopConns      = 2 // connections to one target for stops
 )
 
 // Config configures Links.
@@ -35,6 +36,7 @@
 	config Config
 	mu     sync.Mutex
 	links  map[string]*link // by address
+	stops  *http.Transport  // requests to stop tasks, apart from the starts
 }
 
 // link holds the connections to one target.
@@ -45,7 +47,9 @@
 
 // NewLinks returns Links without connections.
 func NewLinks(config Config) *Links {
-	return &Links{config: config, links: make(map[string]*link)}
+	l := &Links{config: config, links: make(map[string]*link)}
+	l.stops = l.transport(stopConns)
+	return l
 }
 
 // Send implements dispatch.Sender.
@@ -57,13 +61,12 @@
 	if outcome == dispatch.Lost {
 		l.retire(s.Address)
 	}
-	return dispatch.Result{ID: s.ID, Outcome: outcome, Output: output, Message: message}
+	return dispatch.Result{ID: s.ID, Outcome: outcome, Output: output, Message: message, Silent: !a.answered}
 }
 
 // taskName names an attempt uniquely among all hosts and incarnations.
 func (l *Links) taskName(s dispatch.Start) string {
-	return l.config.Origin + "." + strconv.FormatUint(uint64(s.Job), 10) + "." +
-		strconv.FormatUint(uint64(s.ID), 10) + "/" + s.Task.ID
+	return l.config.Origin + "." + s.Name()
 }
 
 // link returns the link to address, made anew if its width changed.
@@ -122,6 +125,8 @@
 	name   string
 	conn   *countingConn // nil until a connection was got
 	before int64         // bytes written on conn before this request
+
+	answered bool // the target answered, whatever it said
 }
 
 // written reports whether a byte of the request may have reached the network.
@@ -142,6 +147,7 @@
 		return dispatch.Lost, nil, err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
+	a.answered = true
 	return a.read(response)
 }
 
--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -9,6 +9,7 @@
 // assign starts waiting tasks while a target has a free slot for them. Tasks
 // that need an accelerator go first: no other target will do for them.
 func (c *Core) assign(now time.Time) {
+	c.releaseHeld(now)
 	for c.assignOne(now, true) {
 	}
 	for c.assignOne(now, false) {
@@ -35,21 +36,24 @@
 	j := c.jobs[JobID(r.Job.ID)]
 	task := &j.spec.Tasks[r.Task.Index]
 	c.last++
-	c.starts[c.last] = started{ref: r, job: j, target: t, pool: pool, at: now}
-	t.busy++
-	j.running++
-	deadline := now.Add(c.config.AttemptTimeout)
-	if j.deadline.Before(deadline) {
-		deadline = j.deadline
+	s := started{id: c.last, ref: r, job: j, target: t, pool: pool, at: now}
+	s.deadline = now.Add(c.attemptLimit(now, s))
+	if j.deadline.Before(s.deadline) {
+		s.deadline = j.deadline
 	}
-	c.out.Starts = append(c.out.Starts, Start{
+	start := Start{
 		ID:       c.last,
 		Job:      j.id,
 		Target:   t.Target,
 		Address:  t.Address,
 		Conns:    t.Connections,
 		Task:     task,
-		Deadline: deadline,
+		Deadline: s.deadline,
 		LeaseEnd: t.LeaseEnd,
-	})
+	}
+	s.name = start.Name()
+	c.starts[c.last] = s
+	t.busy++
+	j.open[c.last] = true
+	c.out.Starts = append(c.out.Starts, start)
 }
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -28,7 +28,8 @@
 	Core    *Core
 	Records record.Config
 	Minter  *ticket.Minter
-	Teller  Teller // nil without other hosts in the domain
+	Stopper Stopper // nil if tasks cannot be stopped
+	Teller  Teller  // nil without other hosts in the domain
 	Sender  Sender
 	Copier  Copier
 	Spiller Spiller                    // nil if no job is passed to another domain
@@ -74,6 +75,8 @@
 // pending is a job in progress and who waits for its answer.
 type pending struct {
 	key     record.CopyKey
+	spec    *job.Spec
+	since   time.Time // when it was admitted
 	digest  uint64
 	book    *record.Book
 	waiters []chan *job.Answer
@@ -223,6 +226,7 @@
 		l.finish(f)
 	}
 	l.tell(ctx, out.Tells)
+	l.stopTasks(ctx, out.Stops)
 }
 
 func (l *Loop) send(ctx context.Context, s Start) {
@@ -233,11 +237,17 @@
 	}
 }
 
+// finish gives the answer to a job and records it. The record of a job that did
+// not run and may come back is dropped, so that it runs when it does.
 func (l *Loop) finish(f Finish) {
 	p := l.jobs[f.Job]
 	l.drop(f.Job)
-	p.book.Finish(p.key.Seq, f.Answer)
-	l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	if f.Answer.MayComeBack() {
+		p.book.Forget(p.key.Seq)
+	} else {
+		p.book.Finish(p.key.Seq, f.Answer)
+		l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	}
 	p.reply(f.Answer)
 }
 
--- a/internal/process/dispatch/pools.go
+++ b/internal/process/dispatch/pools.go
@@ -61,18 +61,23 @@
 			live[poolOf(t)] = append(live[poolOf(t)], sharing.Target{Name: t.Target, Slots: t.Slots})
 		}
 	}
+	changed := false
 	for i, list := range live {
 		if !slices.Equal(list, c.pools.targets[i]) {
 			c.pools.targets[i] = list
 			c.pools.demand[i].SetTargets(now, list)
+			changed = true
 		}
 	}
+	if changed {
+		c.setHealthTargets(now, live)
+	}
 }
 
 // acquire reserves a slot for a task and returns its target and pool, or nil.
 // A task without need for an accelerator takes one's place last.
 func (c *Core) acquire(now time.Time, accelerator bool) (*Target, int) {
-	usable := func(name string) bool { return c.targets[name].alive(now) }
+	usable := func(name string) bool { return c.usable(now, c.targets[name]) }
 	for i := range poolCount {
 		if accelerator && i != acceleratorPool {
 			continue
@@ -84,14 +89,23 @@
 	return nil, 0
 }
 
-// free returns the slot of an attempt that has ended.
-func (c *Core) free(now time.Time, s started, outcome Outcome) {
-	pool := c.pools.demand[s.pool]
-	if outcome == NotStarted {
-		pool.Refused(now, s.target.Target)
-		return
+// free returns the slot of an attempt that has ended. After a lost answer the
+// task may run until its lease ends, and keeps the slot.
+func (c *Core) free(now time.Time, s started, r Result) {
+	pool, target := c.pools.demand[s.pool], s.target.Target
+	switch {
+	case r.Outcome == NotStarted && r.Silent:
+		pool.Unreachable(now, target)
+	case r.Outcome == NotStarted:
+		pool.Refused(now, target)
+	case r.Outcome == TaskError && !s.job.done:
+		c.hold(now, s, s.at.Add(c.runtimes.Estimate(now, s.key(), 0).Mean))
+	case r.Outcome == Lost:
+		c.hold(now, s, s.deadline)
+		c.stopTask(now, s)
+	default:
+		pool.Release(target)
 	}
-	pool.Release(s.target.Target)
 }
 
 // waiting returns the tasks that want a slot of each pool.
--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -62,6 +62,10 @@
 	c.AttemptTimeout = b.AttemptTimeout
 	c.DefaultDeadline = b.Deadlines.Default
 	c.RestartIdempotent = b.Retry.RestartIdempotent
+	c.Health.Failures = b.Ejection.Failures
+	c.Health.FirstPause = b.Ejection.Pause
+	c.Health.LongPause = b.Ejection.GreatestPause
+	c.Health.MaxEjected = float64(b.Ejection.GreatestPercent) / 100
 	if b.SlotPolicyOf(s.Domain) == bundle.SharesProbing {
 		c.SlotProbe = true
 		c.SlotRetry = probeRetry
@@ -95,7 +99,7 @@
 }
 
 // setBundle puts b in force at this host if it is newer than the one in force.
-func (h *Host) setBundle(b bundle.Bundle) {
+func (h *Host) setBundle(b bundle.Bundle, digest bundle.Digest) {
 	if !h.policy.replace(time.Now(), b) {
 		return
 	}
@@ -104,5 +108,6 @@
 		h.log.Error("The bundle is not in force.", "version", b.Version, "error", err)
 		return
 	}
+	h.recorder.InForce(time.Now(), b.Version, digest)
 	h.log.Info("A bundle is in force.", "version", b.Version)
 }
