State only changed slots in the reports between hosts of a domain

Cause: with shared slots, 78 daemons with 154 targets in each of 13 domains sent and received 44.8 KB a second each over peer links, up from 21.6; each host named every target to each peer once a second.

Ruled out: rarer reports, since a dead peer's slots come back only after several.

Change: a report states what differs from the state that its receiver has confirmed, with digests of both; a receiver that cannot build the state does not confirm it and gets everything next time.

--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -52,6 +52,7 @@
 		m.Cursor = h.targets.cursor(name)
 		m.Copies = h.outbox.take(name)
 		h.report(ctx, name, m)
+		h.slotStates.shrink(name, m)
 	}
 	answer, err := h.client.Exchange(ctx, name, m)
 	if err != nil {
@@ -59,6 +60,7 @@
 		return
 	}
 	h.hosts.answered(asked, answer)
+	h.slotStates.confirm(name, answer)
 	h.heed(h.running, answer)
 	if answer.GetDelta() != nil {
 		h.setTargets(h.targets.merge(name, asked, answer.GetDelta()))
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -62,6 +62,7 @@
 	client      *peer.Client
 	security    peertls.Credentials
 	observer    *observer
+	slotStates  *slotStates
 	draining    atomic.Bool
 }
 
@@ -74,6 +75,7 @@
 		recorder:    report.NewRecorder(s.Host, time.Now()),
 		incarnation: newIncarnation(time.Now()),
 		observer:    newObserver(s.Host, s.Domain),
+		slotStates:  newSlotStates(),
 		policy:      newPolicy(time.Now()),
 	}
 	h.hosts = newHostTable(s, h.incarnation)
--- a/internal/process/host/slots.go
+++ b/internal/process/host/slots.go
@@ -52,6 +52,7 @@
 // mergeSlots takes in the part of a question that is about slots and adds the
 // reply to the answer.
 func (h *Host) mergeSlots(question, answer *peerpb.ExchangeMessage) {
+	h.slotStates.expand(question, answer)
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Timing.DialTimeout)
 	defer cancel()
 	reply, err := h.loop.Exchange(ctx, question.GetHost(), peerMessageFrom(question))
--- /dev/null
+++ b/internal/process/host/slotstates.go
@@ -0,0 +1,162 @@
+package host
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabifield.example/wasabifield/internal/connection/peerpb"
+)
+
+// slotState is the slots that a host holds in one pool, by target.
+type slotState struct {
+	digest uint64
+	slots  map[string]uint32
+}
+
+// slotKey names a pool of one other host.
+type slotKey struct {
+	host string
+	pool uint32
+}
+
+// slotStates makes reports on slots small: a report states only what differs
+// from the last state that the receiver has confirmed. A receiver that cannot
+// build the new state, since either host has restarted or an answer was lost,
+// does not confirm it, and the next report states everything.
+type slotStates struct {
+	mu        sync.Mutex
+	sent      map[slotKey]slotState // of this host, last sent to another
+	confirmed map[slotKey]slotState // of this host, as another has confirmed
+	received  map[slotKey]slotState // of another host
+}
+
+func newSlotStates() *slotStates {
+	return &slotStates{
+		sent:      make(map[slotKey]slotState),
+		confirmed: make(map[slotKey]slotState),
+		received:  make(map[slotKey]slotState),
+	}
+}
+
+// shrink leaves out of a question what its receiver has confirmed.
+func (s *slotStates) shrink(to string, question *peerpb.ExchangeMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range question.GetSlots() {
+		if !m.GetFull() {
+			continue
+		}
+		key := slotKey{to, m.GetPool()}
+		state := newSlotState(m.GetHolds())
+		s.sent[key] = state
+		m.Digest = state.digest
+		if base, ok := s.confirmed[key]; ok {
+			m.Base = base.digest
+			m.Holds = base.difference(state)
+		}
+	}
+}
+
+// confirm takes in the answer to a question that was shrunk.
+func (s *slotStates) confirm(from string, answer *peerpb.ExchangeMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, state := range s.sent {
+		if key.host != from {
+			continue
+		}
+		delete(s.sent, key)
+		if slices.Contains(answer.GetConfirmed(), state.digest) {
+			s.confirmed[key] = state
+		} else {
+			delete(s.confirmed, key)
+		}
+	}
+}
+
+// expand states everything in a question that was shrunk, and confirms it in
+// the answer. A report that cannot be expanded names no target.
+func (s *slotStates) expand(question, answer *peerpb.ExchangeMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range question.GetSlots() {
+		if !m.GetFull() || m.GetDigest() == 0 {
+			continue
+		}
+		key := slotKey{question.GetHost(), m.GetPool()}
+		var base slotState
+		if m.GetBase() != 0 {
+			base = s.received[key]
+		}
+		state := base.apply(m.GetHolds())
+		if state.digest != m.GetDigest() {
+			delete(s.received, key)
+			m.Full, m.Holds = false, nil
+			continue
+		}
+		s.received[key] = state
+		m.Holds = state.grants()
+		answer.Confirmed = append(answer.Confirmed, state.digest)
+	}
+}
+
+func newSlotState(holds []*peerpb.SlotGrant) slotState {
+	return slotState{}.apply(holds)
+}
+
+// apply returns the state with the given slots in place of its own; 0 slots
+// remove a target.
+func (s slotState) apply(changes []*peerpb.SlotGrant) slotState {
+	next := slotState{slots: make(map[string]uint32, len(s.slots)+len(changes))}
+	maps.Copy(next.slots, s.slots)
+	for _, g := range changes {
+		next.slots[g.GetTarget()] = g.GetSlots()
+		if g.GetSlots() == 0 {
+			delete(next.slots, g.GetTarget())
+		}
+	}
+	next.digest = digestOf(next.grants())
+	return next
+}
+
+// difference returns the changes that lead from s to next.
+func (s slotState) difference(next slotState) []*peerpb.SlotGrant {
+	var changes []*peerpb.SlotGrant
+	for target, slots := range next.slots {
+		if s.slots[target] != slots {
+			changes = append(changes, &peerpb.SlotGrant{Target: target, Slots: slots})
+		}
+	}
+	for target := range s.slots {
+		if next.slots[target] == 0 {
+			changes = append(changes, &peerpb.SlotGrant{Target: target})
+		}
+	}
+	return changes
+}
+
+// grants returns the slots in the order of the targets' names.
+func (s slotState) grants() []*peerpb.SlotGrant {
+	list := make([]*peerpb.SlotGrant, 0, len(s.slots))
+	for target, slots := range s.slots {
+		list = append(list, &peerpb.SlotGrant{Target: target, Slots: slots})
+	}
+	slices.SortFunc(list, func(a, b *peerpb.SlotGrant) int { return cmp.Compare(a.GetTarget(), b.GetTarget()) })
+	return list
+}
+
+// digestOf is never 0, which stands for no state.
+func digestOf(sorted []*peerpb.SlotGrant) uint64 {
+	var text []byte
+	for _, g := range sorted {
+		text = binary.AppendUvarint(text, uint64(len(g.GetTarget())))
+		text = append(text, g.GetTarget()...)
+		text = binary.AppendUvarint(text, uint64(g.GetSlots()))
+	}
+	return max(xxhash.Sum64(text), 1)
+}
