Measure how long a change takes to be in force everywhere

Change: make rollout starts real hosts, makes 100 changes through all of them in turn and reads from each host's own account since when it served with each.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test lint bench capacity generate fmt
+.PHONY: all build demo test lint bench rollout capacity generate fmt
 
 all: build
 
@@ -16,6 +16,11 @@
 bench: build
 	$(GO) run ./internal/standin/cmd/bench --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
 
+# rollout measures changes of the bundle and the cost of control. It takes a
+# minute.
+rollout: build
+	$(GO) run ./internal/standin/cmd/rollout --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
+
 # capacity measures costs at several sizes and rewrites the table in
 # docs/CAPACITY.md. It takes seven minutes and starts up to 160 processes.
 capacity: build
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -32,6 +32,8 @@
 	Slots            int           // of each target
 	Service          string        // run times of the targets, as "standin target" takes them
 	Exchange         time.Duration // between exchanges of entry hosts; the default if 0
+	Disks            int           // the first host of as many domains has a disk
+	Operators        []settings.Operator
 }
 
 // Fleet is a set of running processes.
@@ -100,6 +102,10 @@
 			if s.Peer, err = ports.Address(); err != nil {
 				return err
 			}
+			s.Operators = f.config.Operators
+			if i == 0 && d < f.config.Disks {
+				s.DataFolder = filepath.Join(f.folder, s.Host+".data")
+			}
 			f.Hosts = append(f.Hosts, s)
 		}
 	}
