Log when a replaced disk counts as a voter

Cause: after a disk is replaced another one must not be taken out before the new one counts, and nothing told an operator when that was; the log said only that the joining had begun.

Change: one line when the value that names the disk is known to be chosen.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -39,6 +39,7 @@
 	delayed  bool       // the timer repeats an attempt that was outbid
 	timer    *time.Timer
 	survey   survey
+	joining  bool // a change that names this disk as a voter is not known to be chosen
 }
 
 // event is a message for the owner: a request with the place for its answer,
--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -42,6 +42,7 @@
 // the host.
 func (c *Controller) joinVoters() register.Change {
 	self := c.self
+	c.joining = true
 	c.log.Info("Joining the voters.", "identity", self.Identity)
 	return func(v register.Value) (register.Value, error) {
 		if v.Has(self) {
--- a/internal/process/controller/own.go
+++ b/internal/process/controller/own.go
@@ -84,6 +84,10 @@
 func (c *Controller) take(e register.Entry) {
 	c.proposer.Learn(e)
 	c.copy.learn(e)
+	if c.joining && e.Value.Has(c.self) {
+		c.joining = false
+		c.log.Info("The new disk counts as a voter.", "identity", c.self.Identity)
+	}
 }
 
 func (c *Controller) onReply(r register.Reply) {
