Try the control path with real processes and the operators' tool

Cause: the control state, the register, the host and the tool were tested each by itself.

Change: the scenario language gets disks, operators, the tool, a race and checks of the versions that hosts served with.

--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -87,6 +87,16 @@
 }
 
 func (w *World) startHost(h *hostProcess) error {
+	if err := w.launch(h); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	return launch.WaitReady(ctx, h.settings.HTTP)
+}
+
+// launch starts an entry host and does not wait until it serves.
+func (w *World) launch(h *hostProcess) error {
 	if err := w.joinPeers(); err != nil {
 		return err
 	}
@@ -95,12 +105,7 @@
 		return err
 	}
 	h.process, err = w.start(h.settings.Host, w.config.Daemon, "--config", file)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	return launch.WaitReady(ctx, h.settings.HTTP)
+	return err
 }
 
 // joinPeers makes each host know the others by the links to them.
--- a/internal/standin/scenario/scenario_test.go
+++ b/internal/standin/scenario/scenario_test.go
@@ -9,6 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"wasabifield.example/wasabifield/internal/process/daemon"
+	"wasabifield.example/wasabifield/internal/process/tool"
 	"wasabifield.example/wasabifield/internal/standin/command"
 	"wasabifield.example/wasabifield/internal/standin/history"
 	"wasabifield.example/wasabifield/internal/standin/scenario"
@@ -23,6 +24,7 @@
 	testscript.Main(m, map[string]func(){
 		"wasabifieldd": func() { os.Exit(daemon.Main()) },
 		"standin":      command.Main,
+		"wasabifield":  func() { os.Exit(tool.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
 }
 
@@ -46,7 +48,7 @@
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
-		Cmds:                scenario.Commands(),
+		Cmds:                scenario.ControlCommands(),
 		RequireUniqueNames:  true,
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
