--- a/internal/process/slots/demand.go
+++ b/internal/process/slots/demand.go
@@ -10,7 +10,7 @@
 // DemandConfig configures a Demand.
 type DemandConfig struct {
 	Self  string        // this host's name
-	Retry time.Duration // from one request to the next
+	Retry time.Duration // from a request that was not met in full to the next
 	Probe bool          // ask also when no peer's last word showed an idle slot
 	Batch time.Duration // how long slots for a peer are gathered into one message
 	Lease time.Duration // a peer not heard of for this long loses its slots
@@ -33,6 +33,7 @@
 	hosts   []string // this host and its peers, sorted
 	queued  int      // this host's waiting tasks, as of the last call of Messages
 	asked   string   // the peer with an open request, or ""
+	wanted  int      // slots asked for in the open request
 	askedAt time.Time
 	nextAsk time.Time
 	turn    int             // rotates among peers of equal rank
@@ -168,6 +169,7 @@
 	m := Message{Reply: p.reply, Lend: grants(p.lend), Queued: d.queued, Busy: d.pool.busy, Total: d.pool.usable()}
 	if ask {
 		m.Want = d.queued
+		d.wanted = d.queued
 	}
 	p.reply, p.since = false, time.Time{}
 	clear(p.lend)
@@ -247,6 +249,9 @@
 	}
 	if m.Reply && d.asked == from {
 		d.asked = ""
+		if slotsIn(m.Lend) >= d.wanted {
+			d.nextAsk = now
+		}
 	}
 	if m.Want > 0 {
 		p.reply = true
@@ -331,6 +336,14 @@
 	return d.pool.held + d.Idle(now) - d.pool.idle()
 }
 
+func slotsIn(list []Grant) int {
+	sum := 0
+	for _, g := range list {
+		sum += g.Slots
+	}
+	return sum
+}
+
 func counts(list []Grant) map[string]int {
 	m := make(map[string]int, len(list))
 	for _, g := range list {
