--- a/internal/standin/scenario/commands.go
+++ b/internal/standin/scenario/commands.go
@@ -39,6 +39,7 @@
 //	started LABEL N                   wait for N starts of the job's tasks
 //	starts LABEL N                    check the number of starts so far
 //	refused TARGET N                  wait until TARGET has refused N tasks
+//	left TARGET                       wait until TARGET has recorded its leaving
 //	post HOST PATH FILE               print the status and body of the answer
 //	get HOST PATH                     print the status and body of the answer
 //	pause D                           let time pass
@@ -72,6 +73,7 @@
 		"started":   count((*World).Started),
 		"starts":    count((*World).Starts),
 		"refused":   count((*World).Refused),
+		"left":      each((*World).Left),
 		"post":      post,
 		"get":       get,
 		"pause":     run(1, pause),
--- a/internal/standin/scenario/jobs.go
+++ b/internal/standin/scenario/jobs.go
@@ -232,6 +232,17 @@
 	})
 }
 
+// Left waits until the target has recorded its leaving.
+func (w *World) Left(target string) error {
+	return poll(func() error {
+		n, err := w.count(func(e history.Event) bool { return e.What == history.Leaving && e.Target == target })
+		if err == nil && n == 0 {
+			err = fmt.Errorf("%s: has not left", target)
+		}
+		return err
+	})
+}
+
 func startOf(label string) func(history.Event) bool {
 	return func(e history.Event) bool { return e.What == history.Start && e.Job == label }
 }
