--- a/internal/standin/caller/sender.go
+++ b/internal/standin/caller/sender.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -94,6 +95,25 @@
 	s.config.History.Write(event)
 }
 
+// Cancel withdraws the job of a ticket at the entry host at address entry.
+func (s *Sender) Cancel(ctx context.Context, entry, ticket string) error {
+	url := "http://" + entry + wire.PathJobs + "?ticket=" + ticket
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := s.config.Client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		body, _ := io.ReadAll(response.Body)
+		return fmt.Errorf("cancel: %s: %s", response.Status, body)
+	}
+	return nil
+}
+
 // exchange posts one document and reads the whole answer.
 func (s *Sender) exchange(ctx context.Context, entry, path string, in, out any) (status int, err error) {
 	body, err := json.Marshal(in)
--- a/internal/standin/scenario/jobs.go
+++ b/internal/standin/scenario/jobs.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
-	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/standin/caller"
 	"wasabifield.example/wasabifield/internal/standin/history"
@@ -52,17 +50,28 @@
 
 // Job declares a job.
 func (w *World) Job(label string, config JobConfig) {
-	state := &jobState{deadline: config.Deadline}
-	for i := range config.Tasks {
+	w.jobs[label] = &jobState{
+		tasks:    jobTasks(label, config.Tasks, config.Fault, config.Run),
+		deadline: config.Deadline,
+	}
+}
+
+type task = job.Task
+
+// jobTasks returns tasks that run for the given time. Fault is done to the
+// first one.
+func jobTasks(label string, count int, fault history.Payload, run time.Duration) []task {
+	var tasks []task
+	for i := range count {
 		payload := history.Payload{}
 		if i == 0 {
-			payload = config.Fault
+			payload = fault
 		}
 		payload.Job, payload.Task = label, fmt.Sprintf("t%d", i+1)
-		payload.RunMS = new(config.Run.Milliseconds())
-		state.tasks = append(state.tasks, caller.Task(payload))
+		payload.RunMS = new(run.Milliseconds())
+		tasks = append(tasks, caller.Task(payload))
 	}
-	w.jobs[label] = state
+	return tasks
 }
 
 // Ticket gets the job a ticket issued by host.
@@ -184,21 +193,7 @@
 	if err != nil {
 		return err
 	}
-	url := "http://" + link.Address() + wire.PathJobs + "?ticket=" + state.ticket
-	request, err := http.NewRequest(http.MethodDelete, url, nil)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusBadRequest {
-		body, _ := io.ReadAll(response.Body)
-		return fmt.Errorf("cancel %s: %s: %s", label, response.Status, body)
-	}
-	return nil
+	return w.sender.Cancel(context.Background(), link.Address(), state.ticket)
 }
 
 // Started waits until at least count tasks of the job were started.
--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -77,16 +77,27 @@
 // Start starts a declared host or target, for the first time or again, and
 // waits until it serves.
 func (w *World) Start(name string) error {
+	if err := w.launch(name); err != nil {
+		return err
+	}
+	if t, ok := w.targets[name]; ok {
+		return w.Listed(t.entries[0], name, true)
+	}
+	return w.waitReady(name)
+}
+
+// launch starts a declared host or target without waiting.
+func (w *World) launch(name string) error {
 	if h, ok := w.hosts[name]; ok {
-		return w.startHost(h)
+		return w.launchHost(h)
 	}
 	if t, ok := w.targets[name]; ok {
-		return w.startTarget(name, t)
+		return w.launchTarget(name, t)
 	}
 	return fmt.Errorf("%s: not declared", name)
 }
 
-func (w *World) startHost(h *hostProcess) error {
+func (w *World) launchHost(h *hostProcess) error {
 	if err := w.joinPeers(); err != nil {
 		return err
 	}
@@ -95,12 +106,13 @@
 		return err
 	}
 	h.process, err = w.start(h.settings.Host, w.config.Daemon, "--config", file)
-	if err != nil {
-		return err
-	}
+	return err
+}
+
+func (w *World) waitReady(host string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
-	return launch.WaitReady(ctx, h.settings.HTTP)
+	return launch.WaitReady(ctx, w.hosts[host].settings.HTTP)
 }
 
 // joinPeers makes each host know the others by the links to them.
@@ -130,7 +142,7 @@
 	return nil
 }
 
-func (w *World) startTarget(name string, t *targetProcess) error {
+func (w *World) launchTarget(name string, t *targetProcess) error {
 	var entries []string
 	for _, e := range t.entries {
 		link, err := w.Link("targets-" + e)
@@ -144,10 +156,7 @@
 		"--announce", t.announce, "--history", w.historyFile(name)}
 	var err error
 	t.process, err = w.start(name, w.config.Target, append(args, t.flags...)...)
-	if err != nil {
-		return err
-	}
-	return w.Listed(t.entries[0], name, true)
+	return err
 }
 
 // Listed waits until the host lists the target as alive, or as not alive.
--- a/internal/standin/scenario/world.go
+++ b/internal/standin/scenario/world.go
@@ -40,6 +40,7 @@
 	targets map[string]*targetProcess
 	links   map[string]*relay.Relay
 	jobs    map[string]*jobState
+	history *history.Writer
 	sender  *caller.Sender
 	closers []func()
 }
@@ -75,6 +76,7 @@
 		return nil, err
 	}
 	w.closers = append(w.closers, func() { _ = file.Close() })
+	w.history = writer
 	w.sender = caller.NewSender(senderConfig(writer))
 	return w, nil
 }
