--- a/internal/standin/scenario/control.go
+++ b/internal/standin/scenario/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,7 +21,6 @@
 	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/report"
-	"wasabifield.example/wasabifield/internal/standin/launch"
 	"wasabifield.example/wasabifield/internal/version/control"
 )
 
@@ -45,8 +43,8 @@
 		"disks":     each((*World).giveDisk),
 		"losedisk":  each((*World).loseDisk),
 		"operators": operators,
-		"launch":    each((*World).launchHost),
-		"ready":     each((*World).ready),
+		"launch":    each((*World).launch),
+		"ready":     each((*World).waitReady),
 		"tool":      tool,
 		"inforce":   run(2, inForce),
 		"grows":     each((*World).versionsGrow),
@@ -83,24 +81,6 @@
 	return os.MkdirAll(h.settings.DataFolder, 0o700)
 }
 
-func (w *World) launchHost(name string) error {
-	h, err := w.host(name)
-	if err != nil {
-		return err
-	}
-	return w.launch(h)
-}
-
-func (w *World) ready(name string) error {
-	h, err := w.host(name)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	return launch.WaitReady(ctx, h.settings.HTTP)
-}
-
 // operators makes keys by the tool and names them in every host's settings.
 func operators(ts *testscript.TestScript, _ bool, args []string) {
 	approvals, err := strconv.Atoi(args[0])
--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -77,26 +77,27 @@
 // Start starts a declared host or target, for the first time or again, and
 // waits until it serves.
 func (w *World) Start(name string) error {
-	if h, ok := w.hosts[name]; ok {
-		return w.startHost(h)
+	if err := w.launch(name); err != nil {
+		return err
 	}
 	if t, ok := w.targets[name]; ok {
-		return w.startTarget(name, t)
+		return w.Listed(t.entries[0], name, true)
 	}
-	return fmt.Errorf("%s: not declared", name)
+	return w.waitReady(name)
 }
 
-func (w *World) startHost(h *hostProcess) error {
-	if err := w.launch(h); err != nil {
-		return err
+// launch starts a declared host or target without waiting.
+func (w *World) launch(name string) error {
+	if h, ok := w.hosts[name]; ok {
+		return w.launchHost(h)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	return launch.WaitReady(ctx, h.settings.HTTP)
+	if t, ok := w.targets[name]; ok {
+		return w.launchTarget(name, t)
+	}
+	return fmt.Errorf("%s: not declared", name)
 }
 
-// launch starts an entry host and does not wait until it serves.
-func (w *World) launch(h *hostProcess) error {
+func (w *World) launchHost(h *hostProcess) error {
 	if err := w.joinPeers(); err != nil {
 		return err
 	}
@@ -108,6 +109,12 @@
 	return err
 }
 
+func (w *World) waitReady(host string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	return launch.WaitReady(ctx, w.hosts[host].settings.HTTP)
+}
+
 // joinPeers makes each host know the others by the links to them.
 func (w *World) joinPeers() error {
 	var all []settings.Settings
@@ -135,7 +142,7 @@
 	return nil
 }
 
-func (w *World) startTarget(name string, t *targetProcess) error {
+func (w *World) launchTarget(name string, t *targetProcess) error {
 	var entries []string
 	for _, e := range t.entries {
 		link, err := w.Link("targets-" + e)
@@ -149,10 +156,7 @@
 		"--announce", t.announce, "--history", w.historyFile(name)}
 	var err error
 	t.process, err = w.start(name, w.config.Target, append(args, t.flags...)...)
-	if err != nil {
-		return err
-	}
-	return w.Listed(t.entries[0], name, true)
+	return err
 }
 
 // Listed waits until the host lists the target as alive, or as not alive.
