Hand the dispatch loop only the targets that an exchange changed

Cause: each of 40 exchanges a second handed all 154 targets of a domain to the loop and sorted them; a profile of an idle host with 5 peers showed it.

Ruled out: handing over changes alone, since a change that a full ring refused would be lost; all targets still go over once a second.

--- a/internal/process/host/targets.go
+++ b/internal/process/host/targets.go
@@ -14,6 +14,7 @@
 type targetTable struct {
 	mu    sync.Mutex
 	table *membership.Targets
+	whole time.Time // when merge last returned all targets
 }
 
 func newTargetTable(config membership.TargetsConfig) *targetTable {
@@ -45,16 +46,23 @@
 	return t.table.Delta(now, cursor)
 }
 
-// merge takes in peer's answer to a question sent at asked and returns all
-// targets.
+// wholeInterval is how often merge returns all targets, so that a change that
+// the loop had no room for is not lost.
+const wholeInterval = time.Second
+
+// merge takes in peer's answer to a question sent at asked and returns the
+// targets that changed, at times all targets.
 func (t *targetTable) merge(peer string, asked time.Time, delta *membershippb.TargetDelta) []dispatch.Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.table.Merge(peer, asked, delta)
-	t.table.Expire(asked)
-	all := t.table.All()
-	list := make([]dispatch.Target, len(all))
-	for i, held := range all {
+	changed := t.table.Merge(peer, asked, delta)
+	if asked.Sub(t.whole) >= wholeInterval {
+		t.whole = asked
+		t.table.Expire(asked)
+		changed = t.table.All()
+	}
+	list := make([]dispatch.Target, len(changed))
+	for i, held := range changed {
 		list[i] = toDispatch(held)
 	}
 	return list
--- a/internal/process/membership/targets.go
+++ b/internal/process/membership/targets.go
@@ -113,9 +113,9 @@
 	return a.Address != held.Address
 }
 
-// apply merges an announcement that is not stale. Leaving holds for the rest
-// of an incarnation.
-func (t *Targets) apply(a wire.Announcement, received time.Time) {
+// apply merges an announcement that is not stale and reports whether it told
+// anything new. Leaving holds for the rest of an incarnation.
+func (t *Targets) apply(a wire.Announcement, received time.Time) bool {
 	r := t.records[a.Target]
 	if r == nil {
 		t.handles++
@@ -130,6 +130,7 @@
 			a.Leaving = leaving
 		}
 	}
+	changed := a != r.announcement || received != r.received
 	r.received = received
 	if a != r.announcement {
 		r.announcement = a
@@ -140,6 +141,7 @@
 	if received.Sub(r.relayed) >= t.config.Lease/relaySteps {
 		t.offer(r)
 	}
+	return changed
 }
 
 // offer makes r part of the next delta to each peer.
@@ -167,11 +169,10 @@
 
 // Get returns the target of that name, lapsed and leaving ones included.
 func (t *Targets) Get(name string) (Target, bool) {
-	r, ok := t.records[name]
-	if !ok {
+	if t.records[name] == nil {
 		return Target{}, false
 	}
-	return Target{r.announcement, r.received.Add(t.config.Lease)}, true
+	return t.target(name), true
 }
 
 // All returns every remembered target, lapsed and leaving ones included, in
@@ -237,22 +238,34 @@
 }
 
 // Merge takes peer's delta, which answers a question that this host sent at
-// asked. A record that is invalid or stale is passed over.
-func (t *Targets) Merge(peer string, asked time.Time, delta *membershippb.TargetDelta) {
+// asked, and returns the targets that it told something new of. A record that
+// is invalid or stale is passed over.
+func (t *Targets) Merge(peer string, asked time.Time, delta *membershippb.TargetDelta) []Target {
 	v := t.views[peer]
 	if v == nil || v.table != delta.GetTable() {
 		v = &view{table: delta.GetTable(), names: make(map[uint32]identity)}
 		t.views[peer] = v
 	}
+	var changed []Target
 	for _, p := range delta.GetRecords() {
 		a := fromProto(p)
 		v.names[p.GetHandle()] = identity{a.Target, a.Incarnation}
-		t.mergeRecord(a, receipt(asked, p.GetAgeMs()))
+		if t.mergeRecord(a, receipt(asked, p.GetAgeMs())) {
+			changed = append(changed, t.target(a.Target))
+		}
 	}
+	renewed, whole := t.mergeRenewals(v, asked, delta)
 	v.seq = delta.GetSeq()
-	if !t.mergeRenewals(v, asked, delta) {
+	if !whole {
 		v.seq = 0
 	}
+	return append(changed, renewed...)
+}
+
+// target returns the remembered target of that name.
+func (t *Targets) target(name string) Target {
+	r := t.records[name]
+	return Target{r.announcement, r.received.Add(t.config.Lease)}
 }
 
 // receipt returns the latest instant at which the announcement can have been
@@ -261,24 +274,26 @@
 	return asked.Add(-time.Duration(ageMS) * time.Millisecond)
 }
 
-func (t *Targets) mergeRecord(a wire.Announcement, received time.Time) {
+// mergeRecord reports whether the record told anything new.
+func (t *Targets) mergeRecord(a wire.Announcement, received time.Time) bool {
 	if checkAnnouncement(a, t.config.Domain) != nil {
-		return
+		return false
 	}
 	held := t.records[a.Target]
 	if held == nil && len(t.records) >= maxTargets {
-		return
+		return false
 	}
 	if held != nil && isStale(held.announcement, a) {
-		return
+		return false
 	}
-	t.apply(a, received)
+	return t.apply(a, received)
 }
 
-// mergeRenewals reports false if a renewal names a target that is not held, so
-// that the whole table must be asked for.
-func (t *Targets) mergeRenewals(v *view, asked time.Time, delta *membershippb.TargetDelta) bool {
-	whole := true
+// mergeRenewals returns the targets that were renewed. Whole is false if a
+// renewal names a target that is not held, so that the whole table must be
+// asked for.
+func (t *Targets) mergeRenewals(v *view, asked time.Time, delta *membershippb.TargetDelta) (renewed []Target, whole bool) {
+	whole = true
 	for i, handle := range delta.GetHandles() {
 		id, known := v.names[handle]
 		r := t.records[id.target]
@@ -286,9 +301,12 @@
 			whole = false
 			continue
 		}
-		if r.announcement.Incarnation == id.incarnation {
-			t.apply(r.announcement, receipt(asked, delta.GetAgesMs()[i]))
+		if r.announcement.Incarnation != id.incarnation {
+			continue
+		}
+		if t.apply(r.announcement, receipt(asked, delta.GetAgesMs()[i])) {
+			renewed = append(renewed, t.target(id.target))
 		}
 	}
-	return whole
+	return renewed, whole
 }
--- a/internal/process/membership/targets_test.go
+++ b/internal/process/membership/targets_test.go
@@ -129,6 +129,23 @@
 	g.Expect(proto.Size(idle)).To(BeNumerically("<=", 4), "bytes of a delta without news")
 }
 
+func TestMergeReturnsWhatItToldAnew(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newTable(1), newTable(2)
+	merged := func(now time.Time) []string {
+		return names(b.Merge("a", now, a.Delta(now, b.Cursor("a"))))
+	}
+	g.Expect(a.Announce(at(0), announcement("t1", 1, false))).To(Succeed())
+	g.Expect(a.Announce(at(0), announcement("t2", 1, false))).To(Succeed())
+	g.Expect(merged(at(0.1))).To(ConsistOf("t1.1", "t2.1"))
+	g.Expect(merged(at(0.2))).To(BeEmpty())
+	g.Expect(a.Announce(at(1), announcement("t2", 1, false))).To(Succeed())
+	g.Expect(merged(at(1.1))).To(ConsistOf("t2.1"))
+	g.Expect(b.Announce(at(2), announcement("t1", 1, true))).To(Succeed())
+	g.Expect(a.Announce(at(2), announcement("t1", 1, false))).To(Succeed())
+	g.Expect(merged(at(2))).To(BeEmpty(), "an older word on leaving is nothing new")
+}
+
 func TestRestartedPeerIsAskedForItsWholeTable(t *testing.T) {
 	g := NewWithT(t)
 	a, b := newTable(1), newTable(2)
