--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,14 @@
 	$(GO) build -o $(BIN)/standin ./internal/standin/cmd/standin
 
 # bench compares response times, messages and processor time with baselines of
-# the same run. It takes two and a half minutes.
+# the same run, then times changes of the bundle at 78 entry hosts. It takes
+# three minutes.
 bench: build
 	$(GO) run ./internal/standin/cmd/bench --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
+	$(GO) run ./internal/standin/cmd/force --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
 
 # capacity measures costs at several sizes and rewrites the table in
-# docs/CAPACITY.md. It takes seven minutes and starts up to 160 processes.
+# docs/CAPACITY.md. It takes nine minutes and starts up to 160 processes.
 capacity: build
 	$(GO) run ./internal/standin/cmd/capacity --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin --write docs/CAPACITY.md
 
--- a/internal/standin/cmd/capacity/suite.go
+++ b/internal/standin/cmd/capacity/suite.go
@@ -25,7 +25,8 @@
 	per    string    // what one step of size is
 	sizes  []float64 // at least four, but for a single check at full size
 	fleet  func(size int) measure.FleetConfig
-	load   func(size int) (plan measure.LoadPlan, teams int) // nil for an idle fleet
+	load   func(size int) (plan measure.LoadPlan, teams int) // nil for a fleet without jobs
+	change func(size int) (hour, teams int)                  // changes an hour of bundles with as many teams; nil for none
 	target float64                                           // the size that the letter asks for; 0 if the slope alone counts
 }
 
@@ -38,6 +39,8 @@
 	letterTeams   = 51
 	letterStarts  = 3308 // a second in one domain: 43,000 over 13
 	letterTasks   = 210
+	letterChanges = 54 // an hour: 1,300 a day
+	disks         = 3
 )
 
 func (s *suite) experiments() []experiment {
@@ -47,6 +50,11 @@
 			TargetsPerDomain: targets, Slots: slots, Service: scripted, Exchange: s.exchange,
 		}
 	}
+	controlled := func(int) measure.FleetConfig {
+		f := idle(3, 2, 0)
+		f.Disks = disks
+		return f
+	}
 	busy := func(int) measure.FleetConfig { return idle(1, 1, 50) }
 	plan := func(starts float64, tasks int) measure.LoadPlan {
 		return measure.LoadPlan{
@@ -82,6 +90,16 @@
 			fleet: busy,
 			load:  func(n int) (measure.LoadPlan, int) { return plan(500, 5), n },
 		},
+		{
+			name: "changes", per: "change an hour, 51 teams, 6 hosts of which 3 have a disk", sizes: []float64{0, 900, 1800, 3600}, target: letterChanges,
+			fleet:  controlled,
+			change: func(n int) (int, int) { return n, letterTeams },
+		},
+		{
+			name: "bundle", per: "team in the bundle, at 1,800 changes an hour", sizes: []float64{25, 51, 100, 200}, target: letterTeams,
+			fleet:  controlled,
+			change: func(n int) (int, int) { return 1800, n },
+		},
 		{
 			name: "whole", per: "(13 domains of 6 hosts and 154 targets, as asked)", sizes: []float64{letterDomains},
 			fleet: func(n int) measure.FleetConfig { return idle(n, hosts, letterTargets) },
@@ -133,6 +151,10 @@
 
 // work runs the experiment's load, or waits for as long.
 func (s *suite) work(ctx context.Context, e experiment, size int, fleet *measure.Fleet) string {
+	if e.change != nil {
+		hour, teams := e.change(size)
+		return s.changes(ctx, fleet, hour, teams)
+	}
 	if e.load == nil {
 		time.Sleep(s.duration)
 		return "-"
@@ -149,6 +171,23 @@
 	return fmt.Sprintf("%d of %d", complete, len(outcomes))
 }
 
+// changes makes changes at an even rate and then waits out the duration.
+func (s *suite) changes(ctx context.Context, fleet *measure.Fleet, hour, teams int) string {
+	changer := fleet.NewChanger(teams)
+	end := time.Now().Add(s.duration)
+	made, size := 0, 0
+	for i := range int(float64(hour) * s.duration.Hours()) {
+		time.Sleep(time.Until(end.Add(-s.duration + time.Duration(float64(i)/float64(hour)*float64(time.Hour)))))
+		bytes, err := changer.Change(ctx)
+		if err != nil {
+			return fmt.Sprintf("%d changes, then: %v", made, err)
+		}
+		made, size = made+1, bytes
+	}
+	time.Sleep(time.Until(end))
+	return fmt.Sprintf("%d changes of %d bytes", made, size)
+}
+
 func mean(costs []measure.Cost) measure.Cost {
 	if len(costs) == 0 {
 		return measure.Cost{}
--- a/internal/standin/cmd/capacity/table.go
+++ b/internal/standin/cmd/capacity/table.go
@@ -30,7 +30,7 @@
 	for _, c := range columns {
 		fmt.Fprintf(&out, " %s |", c.name)
 	}
-	out.WriteString(" jobs complete |\n| ---: |" + strings.Repeat(" ---: |", len(columns)+1) + "\n")
+	out.WriteString(" jobs complete, or changes |\n| ---: |" + strings.Repeat(" ---: |", len(columns)+1) + "\n")
 	for _, p := range points {
 		fmt.Fprintf(&out, "| %g |", p.size)
 		for _, c := range columns {
