Measure the cost of changes with the operator of the rollout measurement

Change: one operator and one measurement of the time to be in force (rollout); make capacity keeps the slopes for changes an hour and for the bundle's size.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,9 @@
 	$(GO) build -o $(BIN)/standin ./internal/standin/cmd/standin
 
 # bench compares response times, messages and processor time with baselines of
-# the same run, then times changes of the bundle at 78 entry hosts. It takes
-# three minutes.
+# the same run. It takes two and a half minutes.
 bench: build
 	$(GO) run ./internal/standin/cmd/bench --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
-	$(GO) run ./internal/standin/cmd/force --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
 
 # rollout measures changes of the bundle and the cost of control. It takes a
 # minute.
--- a/internal/standin/cmd/capacity/suite.go
+++ b/internal/standin/cmd/capacity/suite.go
@@ -8,9 +8,13 @@
 	"strings"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/standin/measure"
 )
 
+// operator signs the changes.
+var operator = measure.NewOperator()
+
 // suite runs the experiments one after another.
 type suite struct {
 	programs measure.Programs
@@ -53,6 +57,7 @@
 	controlled := func(int) measure.FleetConfig {
 		f := idle(3, 2, 0)
 		f.Disks = disks
+		f.Operators = []settings.Operator{operator.Settings()}
 		return f
 	}
 	busy := func(int) measure.FleetConfig { return idle(1, 1, 50) }
@@ -173,7 +178,7 @@
 
 // changes makes changes at an even rate and then waits out the duration.
 func (s *suite) changes(ctx context.Context, fleet *measure.Fleet, hour, teams int) string {
-	changer := fleet.NewChanger(teams)
+	changer := fleet.NewChanger(operator, teams)
 	end := time.Now().Add(s.duration)
 	made, size := 0, 0
 	for i := range int(float64(hour) * s.duration.Hours()) {
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -31,7 +31,6 @@
 	TargetsPerDomain int
 	Slots            int           // of each target
 	Service          string        // run times of the targets, as "standin target" takes them
-	Disks            int           // entry hosts with a disk, the first of as many domains
 	Exchange         time.Duration // between exchanges of entry hosts; the default if 0
 	Disks            int           // the first host of as many domains has a disk
 	Operators        []settings.Operator
@@ -93,10 +92,6 @@
 			s.Host = fmt.Sprintf("%s-h%d", s.Domain, i)
 			s.Log.Level = "warn"
 			s.Timing.DrainNotice = 0
-			s.Operators = operatorSettings()
-			if i == 0 && d < f.config.Disks {
-				s.DataFolder = filepath.Join(f.folder, "data-"+s.Host)
-			}
 			if f.config.Exchange > 0 {
 				s.Timing.Exchange = f.config.Exchange
 			}
@@ -116,11 +111,6 @@
 	}
 	launch.Peers(f.Hosts, func(_, to settings.Settings) string { return to.Peer })
 	for _, s := range f.Hosts {
-		if s.DataFolder != "" {
-			if err := os.Mkdir(s.DataFolder, 0o700); err != nil {
-				return err
-			}
-		}
 		file, err := launch.WriteSettings(f.folder, s)
 		if err != nil {
 			return err
