--- a/internal/process/host/spill.go
+++ b/internal/process/host/spill.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,7 +24,7 @@
 	if !ok {
 		return nil
 	}
-	body, err := json.Marshal(spec)
+	body, err := spec.Encode()
 	if err != nil {
 		return nil
 	}
