Serve callers and operators over HTTPS where a certificate is given

Cause: only the links between entry hosts could be secured. Ruled out: client certificates for callers; nobody asked, operators sign what they send. Change: settings http_tls, the tool's flag --ca, and one maker of certificates for the tests of both kinds of link.

--- a/internal/connection/operatorclient/client.go
+++ b/internal/connection/operatorclient/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,19 +22,32 @@
 
 // Client asks entry hosts. It is safe for concurrent use.
 type Client struct {
-	hosts []string
-	http  *http.Client
+	hosts  []string
+	scheme string // of the hosts' addresses
+	http   *http.Client
 }
 
-// NewClient returns a Client of hosts, each an IP number and port. Timeout
-// bounds one request to one host. Connections are not kept, so that a request
-// is never repeated below the Client.
-func NewClient(hosts []string, timeout time.Duration) *Client {
+// Config configures a Client.
+type Config struct {
+	Hosts   []string       // IP number and port of each
+	Timeout time.Duration  // of one request to one host
+	Roots   *x509.CertPool // authorities of the hosts' certificates; nil for plain HTTP
+}
+
+// NewClient returns a Client. Connections are not kept, so that a request is
+// never repeated below the Client.
+func NewClient(config Config) *Client {
 	transport := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: timeout}).DialContext,
+		DialContext:       (&net.Dialer{Timeout: config.Timeout}).DialContext,
+		TLSClientConfig:   &tls.Config{RootCAs: config.Roots, MinVersion: tls.VersionTLS13},
 		DisableKeepAlives: true,
 	}
-	return &Client{hosts: hosts, http: &http.Client{Transport: transport, Timeout: timeout}}
+	scheme := "http://"
+	if config.Roots != nil {
+		scheme = "https://"
+	}
+	client := &http.Client{Transport: transport, Timeout: config.Timeout}
+	return &Client{hosts: config.Hosts, scheme: scheme, http: client}
 }
 
 // Send sends a command. Dry makes the host say what it would answer and change
@@ -105,7 +120,7 @@
 }
 
 func (c *Client) askHost(ctx context.Context, host string, q question, document any) error {
-	request, err := http.NewRequestWithContext(ctx, q.method, "http://"+host+q.path, bytes.NewReader(q.body))
+	request, err := http.NewRequestWithContext(ctx, q.method, c.scheme+host+q.path, bytes.NewReader(q.body))
 	if err != nil {
 		return fmt.Errorf("host %s: %w", host, err)
 	}
--- a/internal/connection/peertls/peertls_test.go
+++ b/internal/connection/peertls/peertls_test.go
@@ -2,16 +2,7 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -23,78 +14,9 @@
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
 	"wasabifield.example/wasabifield/internal/connection/peertls"
 	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/internal/standin/certificate"
 )
 
-// authority signs the certificates of a test.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	file        string
-}
-
-func write(t *testing.T, name, kind string, der []byte) string {
-	t.Helper()
-	file := filepath.Join(t.TempDir(), name)
-	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return file
-}
-
-func newAuthority(t *testing.T) authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: "authority"},
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return authority{certificate, key, write(t, "ca.pem", "CERTIFICATE", der)}
-}
-
-// settings returns the files of a host that a vouches for. The host trusts
-// only trusted.
-func (a authority) settings(t *testing.T, trusted authority) settings.TLS {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2),
-		NotAfter:     time.Now().Add(time.Hour),
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	private, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return settings.TLS{
-		CertFile: write(t, "cert.pem", "CERTIFICATE", der),
-		KeyFile:  write(t, "key.pem", "EC PRIVATE KEY", private),
-		CAFile:   trusted.file,
-	}
-}
-
 // call makes one call over a link with the given settings at its ends. The
 // server knows no method, so a link that works answers Unimplemented.
 func call(t *testing.T, client, server settings.TLS) codes.Code {
@@ -126,8 +48,8 @@
 }
 
 func TestBothEndsMustBeVouchedFor(t *testing.T) {
-	own, other := newAuthority(t), newAuthority(t)
-	good := own.settings(t, own)
+	own, other := certificate.NewAuthority(t), certificate.NewAuthority(t)
+	good := own.Files(t, own)
 	cases := map[string]struct {
 		client, server settings.TLS
 		want           codes.Code
@@ -136,10 +58,10 @@
 		"same authority":          {good, good, codes.Unimplemented},
 		"plain client":            {settings.TLS{}, good, codes.Unavailable},
 		"plain server":            {good, settings.TLS{}, codes.Unavailable},
-		"client of another":       {other.settings(t, own), good, codes.Unavailable},
-		"server of another":       {good, other.settings(t, own), codes.Unavailable},
-		"client trusts another":   {own.settings(t, other), good, codes.Unavailable},
-		"server trusts another's": {good, own.settings(t, other), codes.Unavailable},
+		"client of another":       {other.Files(t, own), good, codes.Unavailable},
+		"server of another":       {good, other.Files(t, own), codes.Unavailable},
+		"client trusts another":   {own.Files(t, other), good, codes.Unavailable},
+		"server trusts another's": {good, own.Files(t, other), codes.Unavailable},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -150,8 +72,8 @@
 
 func TestFaultNamesTheSetting(t *testing.T) {
 	g := NewWithT(t)
-	good := newAuthority(t)
-	s := good.settings(t, good)
+	good := certificate.NewAuthority(t)
+	s := good.Files(t, good)
 	_, err := peertls.Load(settings.TLS{CertFile: s.CertFile, KeyFile: "missing", CAFile: s.CAFile})
 	g.Expect(err).To(MatchError(ContainSubstring("tls.key_file")))
 	_, err = peertls.Load(settings.TLS{CertFile: s.CertFile, KeyFile: s.KeyFile, CAFile: s.KeyFile})
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -174,7 +174,7 @@
 	group, duties := errgroup.WithContext(h.running)
 	group.Go(func() error { return h.loop.Run(duties) })
 	group.Go(func() error { return h.observer.sample(duties, h.loop) })
-	group.Go(func() error { return ignoreClosed(httpServer.Serve(web)) })
+	group.Go(func() error { return h.serveHTTP(httpServer, web) })
 	group.Go(func() error { return grpcServer.Serve(link) })
 	group.Go(func() error { return h.plane.Run(duties) })
 	group.Go(func() error { return h.exchange(duties) })
@@ -194,6 +194,16 @@
 // defaultDeadline is for a job that states none.
 func (h *Host) defaultDeadline() time.Duration { return h.policy.current().Deadlines.Default }
 
+// serveHTTP serves until the server is shut down, with the certificate of the
+// settings if there is one.
+func (h *Host) serveHTTP(server *http.Server, web net.Listener) error {
+	files := h.settings.HTTPTLS
+	if files.CertFile == "" {
+		return ignoreClosed(server.Serve(web))
+	}
+	return ignoreClosed(server.ServeTLS(web, files.CertFile, files.KeyFile))
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -69,6 +69,9 @@
 		c.fault("data_folder", s.DataFolder, "an absolute path or empty")
 	}
 	s.TLS.check(c)
+	if (s.HTTPTLS.CertFile == "") != (s.HTTPTLS.KeyFile == "") {
+		c.fault("http_tls", s.HTTPTLS, "both cert_file and key_file, or none")
+	}
 	c.oneOf("log.format", s.Log.Format, "text", "json")
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	s.Limits.check(c)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -12,6 +12,7 @@
 	Peers      []Peer     `yaml:"peers"`       // the other entry hosts
 	DataFolder string     `yaml:"data_folder"` // folder on a disk; empty on a host without one
 	TLS        TLS        `yaml:"tls"`         // certificates for links between entry hosts
+	HTTPTLS    HTTPTLS    `yaml:"http_tls"`    // certificate of the HTTP address
 	Profiles   bool       `yaml:"profiles"`    // serve CPU and memory profiles under /debug/pprof
 	Log        Log        `yaml:"log"`
 	Limits     Limits     `yaml:"limits"`
@@ -37,6 +38,13 @@
 	CAFile   string `yaml:"ca_file"`
 }
 
+// HTTPTLS names the files of the certificate that the HTTP address is served
+// with. Both empty means plain HTTP.
+type HTTPTLS struct {
+	CertFile string `yaml:"cert_file"`
+	KeyFile  string `yaml:"key_file"`
+}
+
 // Log configures the log on standard error.
 type Log struct {
 	Format string `yaml:"format"` // text or json
--- a/internal/process/tool/report.go
+++ b/internal/process/tool/report.go
@@ -10,7 +10,6 @@
 
 	"github.com/spf13/cobra"
 
-	"wasabifield.example/wasabifield/internal/connection/operatorclient"
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/request/report"
 )
@@ -57,7 +56,7 @@
 	}
 	for i, host := range t.hosts {
 		var r report.Report
-		if err := operatorclient.NewClient([]string{host}, t.timeout).Get(ctx, path, &r); err != nil {
+		if err := t.clientOf(host).Get(ctx, path, &r); err != nil {
 			return r, err
 		}
 		if i == 0 {
--- a/internal/process/tool/root.go
+++ b/internal/process/tool/root.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -33,6 +35,8 @@
 	hosts   []string
 	output  string
 	timeout time.Duration
+	caFile  string
+	roots   *x509.CertPool // nil for plain HTTP
 }
 
 // Main runs the tool and returns its exit code.
@@ -59,6 +63,7 @@
 	}
 	flags := root.PersistentFlags()
 	flags.StringSliceVar(&t.hosts, "host", nil, "IP:port of an entry host; several are tried in turn")
+	flags.StringVar(&t.caFile, "ca", "", "file with the authority of the hosts' certificates; plain HTTP without it")
 	flags.StringVar(&t.output, "output", outputTable, "table or json")
 	flags.DurationVar(&t.timeout, "timeout", defaultTimeout, "greatest time of one request to one host")
 	outputs := cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp)
@@ -79,6 +84,22 @@
 			return fmt.Errorf("--host is %q, must be an IP number and port such as 10.0.0.1:7000", host)
 		}
 	}
+	return t.readAuthority()
+}
+
+// readAuthority reads the file of --ca.
+func (t *tool) readAuthority() error {
+	if t.caFile == "" {
+		return nil
+	}
+	text, err := os.ReadFile(t.caFile)
+	if err != nil {
+		return fmt.Errorf("--ca: %w", err)
+	}
+	t.roots = x509.NewCertPool()
+	if !t.roots.AppendCertsFromPEM(text) {
+		return fmt.Errorf("--ca is %q, which holds no certificate", t.caFile)
+	}
 	return nil
 }
 
@@ -87,7 +108,11 @@
 	if len(t.hosts) == 0 {
 		return nil, usageError{fmt.Errorf("--host is missing: the IP:port of an entry host")}
 	}
-	return operatorclient.NewClient(t.hosts, t.timeout), nil
+	return t.clientOf(t.hosts...), nil
+}
+
+func (t *tool) clientOf(hosts ...string) *operatorclient.Client {
+	return operatorclient.NewClient(operatorclient.Config{Hosts: hosts, Timeout: t.timeout, Roots: t.roots})
 }
 
 // get reads a document from a host.
--- a/internal/standin/measure/change.go
+++ b/internal/standin/measure/change.go
@@ -19,7 +19,7 @@
 // NewChanger returns a Changer whose bundles name the given number of teams.
 func (f *Fleet) NewChanger(operator Operator, teams int) *Changer {
 	return &Changer{
-		client:   operatorclient.NewClient(f.Entries(), readyLimit),
+		client:   operatorclient.NewClient(operatorclient.Config{Hosts: f.Entries(), Timeout: readyLimit}),
 		operator: operator,
 		teams:    teams,
 	}
--- a/internal/standin/measure/rollout.go
+++ b/internal/standin/measure/rollout.go
@@ -61,7 +61,7 @@
 	for i := range count {
 		version := uint64(i + 1)
 		document := fmt.Appendf(nil, "version: %d\nbased_on: %d\n", version, i)
-		client := operatorclient.NewClient([]string{f.Hosts[i%len(f.Hosts)].HTTP}, readyLimit)
+		client := operatorclient.NewClient(operatorclient.Config{Hosts: []string{f.Hosts[i%len(f.Hosts)].HTTP}, Timeout: readyLimit})
 		sent[i] = time.Now()
 		answer, err := client.Send(ctx, o.Replace(version, document), false)
 		if err != nil {
@@ -81,7 +81,7 @@
 func (f *Fleet) addInForce(ctx context.Context, sent []time.Time, rollouts []Rollout) error {
 	for _, h := range f.Hosts {
 		var r report.Report
-		client := operatorclient.NewClient([]string{h.HTTP}, readyLimit)
+		client := operatorclient.NewClient(operatorclient.Config{Hosts: []string{h.HTTP}, Timeout: readyLimit})
 		if err := client.Get(ctx, wire.PathReport, &r); err != nil {
 			return err
 		}
