--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -28,7 +28,8 @@
 	Core    *Core
 	Records record.Config
 	Minter  *ticket.Minter
-	Teller  Teller // nil without other hosts in the domain
+	Stopper Stopper // nil if tasks cannot be stopped
+	Teller  Teller  // nil without other hosts in the domain
 	Sender  Sender
 	Copier  Copier
 	Spiller Spiller                    // nil if no job is passed to another domain
@@ -74,6 +75,8 @@
 // pending is a job in progress and who waits for its answer.
 type pending struct {
 	key     record.CopyKey
+	spec    *job.Spec
+	since   time.Time // when it was admitted
 	digest  uint64
 	book    *record.Book
 	waiters []chan *job.Answer
@@ -102,8 +105,9 @@
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.stopped)
 	l.running = ctx
-	ticker := time.NewTicker(l.config.Tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(l.config.Tick)
+	defer timer.Stop()
+	idle := false // whether the timer is set for a Loop without jobs
 	for {
 		select {
 		case <-ctx.Done():
@@ -114,11 +118,28 @@
 			l.config.Core.Result(l.config.Clock(), r)
 		case r := <-l.spilled:
 			l.settleSpill(r)
-		case <-ticker.C:
+		case <-timer.C:
 			l.tick(l.config.Clock())
+			idle = len(l.jobs) == 0
+			timer.Reset(l.interval(idle))
 		}
 		l.apply(ctx, l.config.Core.Take())
+		if idle && len(l.jobs) > 0 {
+			idle = false
+			timer.Reset(l.interval(idle))
+		}
+	}
+}
+
+const idleTicks = 10 // ticks that an idle Loop skips at a time
+
+// interval returns the time to the next tick. Without jobs only leases and
+// adverts depend on it.
+func (l *Loop) interval(idle bool) time.Duration {
+	if idle {
+		return idleTicks * l.config.Tick
 	}
+	return l.config.Tick
 }
 
 func (l *Loop) tick(now time.Time) {
@@ -223,6 +244,7 @@
 		l.finish(f)
 	}
 	l.tell(ctx, out.Tells)
+	l.stopTasks(ctx, out.Stops)
 }
 
 func (l *Loop) send(ctx context.Context, s Start) {
--- a/internal/process/host/exchange.go
+++ b/internal/process/host/exchange.go
@@ -9,12 +9,12 @@
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
 )
 
-const exchangePoll = 10 * time.Millisecond // between two looks at which host is due
+const exchangePolls = 10 // looks at which host is due, in the time between two exchanges
 
 // exchange asks the other hosts in turn until ctx is cancelled. A host that
 // has not answered yet is not asked again.
 func (h *Host) exchange(ctx context.Context) error {
-	ticker := time.NewTicker(exchangePoll)
+	ticker := time.NewTicker(h.settings.Timing.Exchange / exchangePolls)
 	defer ticker.Stop()
 	asking := make(map[string]bool)
 	done := make(chan string, len(h.settings.Peers))
@@ -52,6 +52,7 @@
 		m.Cursor = h.targets.cursor(name)
 		m.Copies = h.outbox.take(name)
 		h.report(ctx, name, m)
+		h.slotStates.shrink(name, m)
 	}
 	answer, err := h.client.Exchange(ctx, name, m)
 	if err != nil {
@@ -59,6 +60,8 @@
 		return
 	}
 	h.hosts.answered(asked, answer)
+	h.slotStates.confirm(name, answer)
+	h.heed(h.running, answer)
 	if answer.GetDelta() != nil {
 		h.setTargets(h.targets.merge(name, asked, answer.GetDelta()))
 	}
@@ -75,6 +78,8 @@
 		Domain:           h.settings.Domain,
 		Incarnation:      h.hosts.incarnation(),
 		Draining:         h.draining.Load(),
+		ControlVersion:   h.plane.Version(),
+		Informed:         h.plane.Informed(),
 		FreeSlots:        uint32(load.Free),
 		FreeAccelerators: uint32(load.Accelerators),
 		QueuedTasks:      uint32(load.Queued),
@@ -90,6 +95,7 @@
 	}
 	now := time.Now()
 	held := h.hosts.asked(now, m)
+	h.heed(h.running, m)
 	for _, c := range m.GetCopies() {
 		h.putCopy(c)
 	}
--- a/internal/process/slots/demand.go
+++ b/internal/process/slots/demand.go
@@ -10,7 +10,7 @@
 // DemandConfig configures a Demand.
 type DemandConfig struct {
 	Self  string        // this host's name
-	Retry time.Duration // from one request to the next
+	Retry time.Duration // from a request that was not met in full to the next
 	Probe bool          // ask also when no peer's last word showed an idle slot
 	Batch time.Duration // how long slots for a peer are gathered into one message
 	Lease time.Duration // a peer not heard of for this long loses its slots
@@ -33,6 +33,7 @@
 	hosts   []string // this host and its peers, sorted
 	queued  int      // this host's waiting tasks, as of the last call of Messages
 	asked   string   // the peer with an open request, or ""
+	wanted  int      // slots asked for in the open request
 	askedAt time.Time
 	nextAsk time.Time
 	turn    int             // rotates among peers of equal rank
@@ -102,6 +103,9 @@
 	return now.Sub(d.peers[name].heard) < d.cfg.Lease
 }
 
+// Shut takes a target out of use or puts it back. Its slots are not lent.
+func (d *Demand) Shut(target string, shut bool) { d.pool.shut(target, shut) }
+
 // Acquire implements Policy.
 func (d *Demand) Acquire(now time.Time, rng *rand.Rand, usable func(string) bool) (string, bool) {
 	return d.pool.acquire(now, rng, usable)
@@ -125,6 +129,15 @@
 // Refused implements Policy.
 func (d *Demand) Refused(now time.Time, target string) { d.pool.refuse(now, target, d.cfg.Pause) }
 
+// unreachablePause is the first pause after a start that did not reach its
+// target, in units of the pause after a refusal.
+const unreachablePause = 20
+
+// Unreachable returns the slot of a start that did not reach its target.
+func (d *Demand) Unreachable(now time.Time, target string) {
+	d.pool.refuse(now, target, unreachablePause*d.cfg.Pause)
+}
+
 // pass moves n slots of e to what p will be sent.
 func (d *Demand) pass(e *entry, p *peer, n int) {
 	d.pool.hold(e, e.held-n)
@@ -153,9 +166,10 @@
 }
 
 func (d *Demand) message(p *peer, ask bool) Message {
-	m := Message{Reply: p.reply, Lend: grants(p.lend), Queued: d.queued, Busy: d.pool.busy, Total: d.pool.held}
+	m := Message{Reply: p.reply, Lend: grants(p.lend), Queued: d.queued, Busy: d.pool.busy, Total: d.pool.usable()}
 	if ask {
 		m.Want = d.queued
+		d.wanted = d.queued
 	}
 	p.reply, p.since = false, time.Time{}
 	clear(p.lend)
@@ -235,6 +249,9 @@
 	}
 	if m.Reply && d.asked == from {
 		d.asked = ""
+		if slotsIn(m.Lend) >= d.wanted {
+			d.nextAsk = now
+		}
 	}
 	if m.Want > 0 {
 		p.reply = true
@@ -291,7 +308,7 @@
 // Report implements Policy.
 func (d *Demand) Report(now time.Time, to string, queued int) Message {
 	d.queued = queued
-	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.held}
+	m := Message{Queued: queued, Busy: d.pool.busy, Total: d.pool.usable()}
 	if p := d.peers[to]; p != nil && now.Sub(p.told) >= d.cfg.Full {
 		p.told = now
 		m.Full, m.Held = true, d.heldSlots()
@@ -319,6 +336,14 @@
 	return d.pool.held + d.Idle(now) - d.pool.idle()
 }
 
+func slotsIn(list []Grant) int {
+	sum := 0
+	for _, g := range list {
+		sum += g.Slots
+	}
+	return sum
+}
+
 func counts(list []Grant) map[string]int {
 	m := make(map[string]int, len(list))
 	for _, g := range list {
