Bound how long a drain waits for silent connections of other hosts

Cause: a stop of the gRPC server waits for connections that were accepted and have sent nothing, 120 s by default. A cut leaves one behind whenever a host reconnects during it. Ruled out: a stop without grace, which cuts answers to forwarded jobs. Change: a connection has the dial timeout to begin, as long as its dialler waits for it, and the graceful stop ends with the drain's limit.

--- a/internal/process/host/drain.go
+++ b/internal/process/host/drain.go
@@ -32,12 +32,28 @@
 		return errors.Join(ErrCut, web.Close())
 	}
 	err := web.Shutdown(limit)
-	link.GracefulStop()
+	stopLink(limit, link)
 	h.handOn(cut)
 	h.log.Info("Stopped.")
 	return err
 }
 
+// stopLink lets calls in progress end and closes the connections. Those that
+// are silent are closed when ctx ends.
+func stopLink(ctx context.Context, link *grpc.Server) {
+	stopped := make(chan struct{})
+	go func() {
+		link.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		link.Stop()
+		<-stopped
+	}
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -165,7 +165,11 @@
 	web = h.observer.meter(webLinks).Listen(web)
 	link = h.observer.meter(peerLinks).Listen(link)
 	httpServer := &http.Server{Handler: h.observer.handler(h.mux()), ReadHeaderTimeout: headerTimeout}
-	grpcServer := grpc.NewServer(grpc.Creds(h.security.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
+	grpcServer := grpc.NewServer(
+		grpc.Creds(h.security.Server),
+		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
+		grpc.ConnectionTimeout(h.settings.Timing.DialTimeout),
+	)
 	peer.Register(grpcServer, h)
 	h.plane.Register(grpcServer)
 
