--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -86,7 +87,7 @@
 	return w.waitReady(name)
 }
 
-// launch starts a declared host or target without waiting.
+// launch starts a declared host or target and waits until it listens.
 func (w *World) launch(name string) error {
 	if h, ok := w.hosts[name]; ok {
 		return w.launchHost(h)
@@ -106,7 +107,10 @@
 		return err
 	}
 	h.process, err = w.start(h.settings.Host, w.config.Daemon, "--config", file)
-	return err
+	if err != nil {
+		return err
+	}
+	return listening(h.settings.HTTP)
 }
 
 func (w *World) waitReady(host string) error {
@@ -156,7 +160,22 @@
 		"--announce", t.announce, "--history", w.historyFile(name)}
 	var err error
 	t.process, err = w.start(name, w.config.Target, append(args, t.flags...)...)
-	return err
+	if err != nil {
+		return err
+	}
+	return listening(t.listen)
+}
+
+// listening waits until something listens at address. Both programs handle
+// signals before they listen, so that a signal sent then is not lost.
+func listening(address string) error {
+	return poll(func() error {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	})
 }
 
 // Listed waits until the host lists the target as alive, or as not alive.
