--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(GO) run ./internal/standin/cmd/rollout --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin
 
 # capacity measures costs at several sizes and rewrites the table in
-# docs/CAPACITY.md. It takes seven minutes and starts up to 160 processes.
+# docs/CAPACITY.md. It takes nine minutes and starts up to 160 processes.
 capacity: build
 	$(GO) run ./internal/standin/cmd/capacity --daemon $(BIN)/wasabifieldd --standin $(BIN)/standin --write docs/CAPACITY.md
 
