--- a/internal/connection/wire/status.go
+++ b/internal/connection/wire/status.go
@@ -3,9 +3,10 @@
 // TargetStatus is one line of GET PathTargets.
 type TargetStatus struct {
 	Announcement
-	Alive   bool  `json:"alive"`
-	Busy    int   `json:"busy"`     // starts in progress from the answering host
-	LeaseMS int64 `json:"lease_ms"` // left of the lease, ms; not above 0 when it is over
+	Alive   bool   `json:"alive"`
+	Busy    int    `json:"busy"`     // starts in progress from the answering host
+	Use     string `json:"use"`      // in use, ejected, on trial or worker lost, as the answering host sees it
+	LeaseMS int64  `json:"lease_ms"` // left of the lease, ms; not above 0 when it is over
 }
 
 // HostStatus is one line of GET PathHosts.
--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -45,8 +45,9 @@
 // shutEjected keeps the slots of ejected targets from being used or lent.
 func (c *Core) shutEjected(now time.Time) {
 	for _, t := range c.order {
-		ejected := c.health.State(now, t.Target) == health.Ejected
-		c.pools.demand[poolOf(t)].Shut(t.Target, ejected)
+		t.state = c.health.State(now, t.Target)
+		t.lost = c.workers.Lost(now, t.Target)
+		c.pools.demand[poolOf(t)].Shut(t.Target, t.state == health.Ejected)
 	}
 }
 
--- a/internal/process/dispatch/health_test.go
+++ b/internal/process/dispatch/health_test.go
@@ -45,6 +45,7 @@
 	failed := b.steady(30*time.Second, "quote") // 6000 jobs
 	g.Expect(failed).To(BeNumerically("<=", 15))
 	g.Expect(b.core.State(b.now, "t3")).NotTo(Equal(health.Healthy))
+	g.Expect(b.core.Targets()[3].Use()).To(Or(Equal("ejected"), Equal("on trial")))
 }
 
 // TestATargetThatFailsFastAttractsNoLoad looks at the time before the target
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -158,6 +158,7 @@
 			Announcement: t.Announcement,
 			Alive:        t.Alive(now),
 			Busy:         t.Busy(),
+			Use:          t.Use(),
 			LeaseMS:      t.LeaseEnd.Sub(now).Milliseconds(),
 		})
 	}
--- a/internal/process/host/observer.go
+++ b/internal/process/host/observer.go
@@ -115,6 +115,17 @@
 // Unwrap lets an http.ResponseController reach the answer.
 func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// outOfUse counts the targets that are ejected, on trial or on a lost worker.
+func outOfUse(targets []dispatch.Target) int {
+	n := 0
+	for _, t := range targets {
+		if t.Use() != "in use" {
+			n++
+		}
+	}
+	return n
+}
+
 // sample sets the gauges until ctx is cancelled.
 func (o *observer) sample(ctx context.Context, loop *dispatch.Loop) error {
 	ticker := time.NewTicker(sampleInterval)
@@ -136,5 +147,6 @@
 		scope.Gauge("running_tasks").Update(float64(s.Running))
 		scope.Gauge("stored_answers").Update(float64(s.Answers))
 		scope.Gauge("targets").Update(float64(len(s.Targets)))
+		scope.Gauge("targets_out_of_use").Update(float64(outOfUse(s.Targets)))
 	}
 }
--- a/internal/process/tool/targets.go
+++ b/internal/process/tool/targets.go
@@ -37,6 +37,8 @@
 		return "lost"
 	case s.Leaving:
 		return "leaving"
+	case s.Use != "" && s.Use != "in use":
+		return s.Use
 	}
 	return "alive"
 }
