Take targets on workers that are reported full last

Cause: the platform reports usage with a lag, and nothing took it in. Ruled out: giving full workers no work: the load may be this system's own tasks, and an old report would stop a domain. Change: POST /v1/workers at an entry host; the report's weight fades with its age; targets on full workers are taken when no other slot is free. Shown failing first: without the preference, without the second choice and without fading the test fails.

--- a/internal/connection/callerapi/api.go
+++ b/internal/connection/callerapi/api.go
@@ -23,6 +23,8 @@
 	Cancel(ctx context.Context, ticket string) error
 	// Announce takes in what a target says of itself.
 	Announce(a wire.Announcement) (wire.Lease, error)
+	// ReportUsage takes in what the platform says of its workers.
+	ReportUsage(list []wire.WorkerUsage) error
 	// Targets lists the known targets.
 	Targets(ctx context.Context) ([]wire.TargetStatus, error)
 	// Hosts lists the known entry hosts, this one included.
@@ -56,6 +58,7 @@
 	mux.HandleFunc("POST "+wire.PathTickets, a.grant)
 	mux.HandleFunc("POST "+wire.PathTargets, a.announce)
 	mux.HandleFunc("GET "+wire.PathTargets, a.targets)
+	mux.HandleFunc("POST "+wire.PathWorkers, a.reportUsage)
 	mux.HandleFunc("GET "+wire.PathHosts, a.hosts)
 	mux.HandleFunc("GET "+wire.PathReady, a.ready)
 	mux.HandleFunc("GET "+wire.PathHealth, a.healthy)
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -5,6 +5,7 @@
 	PathJobs    = "/v1/jobs"    // POST: submit a job; DELETE: cancel the job of a ticket
 	PathTickets = "/v1/tickets" // POST: get a first ticket
 	PathTargets = "/v1/targets" // POST: announce a target; GET: list them
+	PathWorkers = "/v1/workers" // POST: report the usage of workers
 	PathHosts   = "/v1/hosts"   // GET: list the entry hosts
 	PathReady   = "/readyz"     // GET: 200 while new work is accepted
 	PathHealth  = "/healthz"    // GET: 200 while the process lives
@@ -40,6 +41,15 @@
 	Leaving      bool   `json:"leaving,omitempty"` // no new work is wanted
 }
 
+// WorkerUsage is what the platform reports of one worker. A report is sent to
+// every entry host of the worker's failure domain.
+type WorkerUsage struct {
+	Worker     string  `json:"worker"`
+	AgeMS      int64   `json:"age_ms"`     // since it was measured, ms
+	Processors float64 `json:"processors"` // used part, 0 to 1
+	Memory     float64 `json:"memory"`     // used part, 0 to 1
+}
+
 // Lease is the answer to an announcement.
 type Lease struct {
 	LeaseMS int64  `json:"lease_ms"` // the lease's length, ms from the answer
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -61,6 +61,7 @@
 	held     []heldSlot
 	workers  *workers.Table
 	stops    *workers.Stops
+	usages   *workers.Usages
 	peers    map[string]*peerDemand
 	heard    bool // every peer has reported within the lease
 	out      Effects
@@ -88,6 +89,7 @@
 		health:   health.NewTracker(config.Health),
 		workers:  workers.NewTable(),
 		stops:    workers.NewStops(stopLimit),
+		usages:   workers.NewUsages(),
 	}
 	c.applyTeams()
 	return c
--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -17,6 +17,13 @@
 // State returns whether a target is healthy, ejected or on trial.
 func (c *Core) State(now time.Time, target string) health.State { return c.health.State(now, target) }
 
+// ReportUsage takes in the platform's reports on workers.
+func (c *Core) ReportUsage(now time.Time, list []workers.Usage) {
+	for _, u := range list {
+		c.usages.Report(now, u)
+	}
+}
+
 // hear notes whether a target gave a sign of life.
 func (c *Core) hear(now time.Time, target string, silent bool) {
 	if silent {
--- a/internal/process/dispatch/health_test.go
+++ b/internal/process/dispatch/health_test.go
@@ -8,6 +8,7 @@
 
 	"wasabifield.example/wasabifield/internal/connection/health"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
@@ -145,3 +146,26 @@
 	b.pass(500 * time.Millisecond)
 	g.Expect(b.totalStarts()).To(Equal(2))
 }
+
+// TestFullWorkersAreTakenLast reports three of four workers as full.
+func TestFullWorkersAreTakenLast(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(dispatch.DefaultConfig(), 4, 2)
+	for _, worker := range []string{"w0", "w1", "w2"} {
+		b.core.ReportUsage(b.now, []workers.Usage{{Worker: worker, At: b.now.Add(-time.Second), Processors: 1}})
+	}
+	_, err := b.submit("a", "", 2, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.started).To(Equal(map[string]int{"t3": 2}))
+	_, err = b.submit("a", "", 6, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.totalStarts()).To(Equal(8))
+	b.pass(9 * time.Second)
+	clear(b.started)
+	for range 20 {
+		_, err = b.submit("a", "", 1, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		b.pass(200 * time.Millisecond)
+	}
+	g.Expect(len(b.started)).To(BeNumerically(">", 1), "old reports say nothing")
+}
--- a/internal/process/dispatch/pools.go
+++ b/internal/process/dispatch/pools.go
@@ -75,9 +75,25 @@
 }
 
 // acquire reserves a slot for a task and returns its target and pool, or nil.
-// A task without need for an accelerator takes one's place last.
+// Targets on workers that are reported full are taken only if no other is free:
+// the report lags, and their load may be the tasks of this system.
 func (c *Core) acquire(now time.Time, accelerator bool) (*Target, int) {
 	usable := func(name string) bool { return c.usable(now, c.targets[name]) }
+	if c.usages.None() {
+		return c.acquireFrom(now, accelerator, usable)
+	}
+	t, pool := c.acquireFrom(now, accelerator, func(name string) bool {
+		return usable(name) && !c.usages.Full(now, c.targets[name].Worker)
+	})
+	if t == nil {
+		return c.acquireFrom(now, accelerator, usable)
+	}
+	return t, pool
+}
+
+// acquireFrom reserves a slot on a usable target. A task without need for an
+// accelerator takes one's place last.
+func (c *Core) acquireFrom(now time.Time, accelerator bool, usable func(string) bool) (*Target, int) {
 	for i := range poolCount {
 		if accelerator && i != acceleratorPool {
 			continue
--- a/internal/process/dispatch/stopper.go
+++ b/internal/process/dispatch/stopper.go
@@ -13,6 +13,11 @@
 	Stop(ctx context.Context, t workers.Task) error
 }
 
+// ReportUsage takes in the platform's reports on workers.
+func (l *Loop) ReportUsage(list []workers.Usage) error {
+	return l.post(func(now time.Time) { l.config.Core.ReportUsage(now, list) })
+}
+
 // stopTasks asks for tasks to be stopped, each on a goroutine of its own; their
 // number is bounded by the tasks that run.
 func (l *Loop) stopTasks(ctx context.Context, list []workers.Task) {
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -7,6 +7,7 @@
 
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/ticket"
@@ -145,6 +146,21 @@
 	}, nil
 }
 
+// ReportUsage implements callerapi.Backend.
+func (h *Host) ReportUsage(list []wire.WorkerUsage) error {
+	now := time.Now()
+	usages := make([]workers.Usage, len(list))
+	for i, u := range list {
+		usages[i] = workers.Usage{
+			Worker:     u.Worker,
+			At:         now.Add(-time.Duration(u.AgeMS) * time.Millisecond),
+			Processors: u.Processors,
+			Memory:     u.Memory,
+		}
+	}
+	return h.loop.ReportUsage(usages)
+}
+
 // Targets implements callerapi.Backend.
 func (h *Host) Targets(ctx context.Context) ([]wire.TargetStatus, error) {
 	s, err := h.loop.Status(ctx)
--- a/internal/process/workers/usage.go
+++ b/internal/process/workers/usage.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// None reports whether no report is held.
+func (u *Usages) None() bool { return len(u.last) == 0 }
+
 // Load returns the greater of the reported loads, fading to 0 with the
 // report's age. A report from the future counts as new.
 func (u *Usages) Load(now time.Time, worker string) float64 {
