Find overdue jobs by a heap of deadlines

Cause: every tick, 100 times a second, looked at every job in progress. Without the heap's places the tests panic.

--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -52,6 +52,7 @@
 	targets  map[string]*Target
 	order    []*Target // the targets in the order of their first announcement
 	jobs     map[JobID]*jobState
+	ends     deadlines // of the jobs
 	starts   map[StartID]started
 	last     StartID
 	queue    *queue.Queue
@@ -132,6 +133,7 @@
 		return err
 	}
 	c.jobs[id] = j
+	c.ends.add(j)
 	c.queue.Push(j.queueJob(), tasks)
 	c.assign(now)
 	return nil
@@ -211,10 +213,8 @@
 
 // Tick expires jobs and targets and makes the starts that became possible.
 func (c *Core) Tick(now time.Time) {
-	for _, j := range c.jobs {
-		if !now.Before(j.deadline) {
-			c.giveUp(now, j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
-		}
+	for j := c.ends.expired(now); j != nil; j = c.ends.expired(now) {
+		c.giveUp(now, j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
 	}
 	c.dropTargets(now)
 	c.refreshTargets(now)
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -18,6 +18,7 @@
 	spec     *job.Spec
 	team     string
 	deadline time.Time
+	place    int // in the heap of deadlines
 	outputs  []json.RawMessage
 	left     int              // tasks without an output
 	open     map[StartID]bool // starts in progress
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -102,6 +102,7 @@
 func (c *Core) finish(now time.Time, j *jobState, answer *job.Answer) {
 	j.done = true
 	delete(c.jobs, j.id)
+	c.ends.remove(j)
 	c.queue.Remove(uint64(j.id))
 	c.stopTasks(now, j)
 	c.out.Finishes = append(c.out.Finishes, Finish{Job: j.id, Answer: answer})
--- /dev/null
+++ b/internal/process/dispatch/tick_test.go
@@ -0,0 +1,32 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/dispatch"
+)
+
+// BenchmarkTick ticks a Core with a full queue and 154 targets.
+func BenchmarkTick(b *testing.B) {
+	w := newBench(dispatch.DefaultConfig(), 154, 8)
+	for range 9000 {
+		_, _ = w.submit("a", "", 1, time.Hour)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.core.Tick(w.now)
+		w.core.Take()
+	}
+}
+
+// BenchmarkStart submits a job of one task and ends it, with 154 targets.
+func BenchmarkStart(b *testing.B) {
+	w := newBench(dispatch.DefaultConfig(), 154, 8)
+	w.serve = func(dispatch.Start) (dispatch.Outcome, time.Duration) { return dispatch.Done, time.Millisecond }
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = w.submit("a", "quote", 1, 0)
+		w.pass(time.Millisecond)
+	}
+}
