--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -17,6 +17,13 @@
 // State returns whether a target is healthy, ejected or on trial.
 func (c *Core) State(now time.Time, target string) health.State { return c.health.State(now, target) }
 
+// ReportUsage takes in the platform's reports on workers.
+func (c *Core) ReportUsage(now time.Time, list []workers.Usage) {
+	for _, u := range list {
+		c.usages.Report(now, u)
+	}
+}
+
 // hear notes whether a target gave a sign of life.
 func (c *Core) hear(now time.Time, target string, silent bool) {
 	if silent {
@@ -45,8 +52,9 @@
 // shutEjected keeps the slots of ejected targets from being used or lent.
 func (c *Core) shutEjected(now time.Time) {
 	for _, t := range c.order {
-		ejected := c.health.State(now, t.Target) == health.Ejected
-		c.pools.demand[poolOf(t)].Shut(t.Target, ejected)
+		t.state = c.health.State(now, t.Target)
+		t.lost = c.workers.Lost(now, t.Target)
+		c.pools.demand[poolOf(t)].Shut(t.Target, t.state == health.Ejected)
 	}
 }
 
