Ask again for audit entries that a disk host lacks

Cause: a disk host that missed more changes than the control state's last 64 entries asked the other disk hosts for them once, when it took in a state. If all hosts restarted together nobody answered at that moment, and the trail kept its gap until the next change. The asking also stood before the bundle came into force, in the same goroutine.

Ruled out: asking again on each exchange message; it needs no such pace.

The bundle comes into force without waiting for it.

Conclusion: every disk host's trail becomes whole again without a further change.

--- a/internal/process/controlplane/plane.go
+++ b/internal/process/controlplane/plane.go
@@ -38,11 +38,16 @@
 type Plane struct {
 	config   Config
 	informed *informed
+	states   chan control.State // holds the newest state that the trail was not brought up to
 }
 
 // NewPlane returns a Plane.
 func NewPlane(config Config) *Plane {
-	return &Plane{config: config, informed: newInformed(config.Neighbours)}
+	return &Plane{
+		config:   config,
+		informed: newInformed(config.Neighbours),
+		states:   make(chan control.State, 1),
+	}
 }
 
 // Register adds the services for other hosts to a gRPC server.
@@ -53,6 +58,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.config.Controller.Run(ctx) })
 	group.Go(func() error { return p.follow(ctx) })
+	group.Go(func() error { return p.keepTrail(ctx) })
 	return group.Wait()
 }
 
@@ -148,7 +154,7 @@
 				p.config.Log.Error("The control state cannot be read.", "error", err)
 				continue
 			}
-			p.record(ctx, state)
+			p.noteState(state)
 			if newer, ok := p.accepted(state); ok {
 				next = newer
 				due.Reset(next.wait)
@@ -185,40 +191,3 @@
 	passed := p.config.Clock().Sub(v.EndedAt)
 	return accepted{bundle: b, digest: v.Digest, wait: min(delay, max(0, delay-passed))}, true
 }
-
-// record appends what the trail lacks. Entries that the state no longer holds
-// are asked of other disk hosts.
-func (p *Plane) record(ctx context.Context, state control.State) {
-	if p.config.Trail == nil {
-		return
-	}
-	entries, whole := state.After(p.config.Trail.Head())
-	if !whole {
-		p.fill(ctx, state)
-		entries, whole = state.After(p.config.Trail.Head())
-	}
-	if !whole {
-		p.config.Log.Error("The audit trail has a gap.", "head", p.config.Trail.Head().Index, "want", state.Head.Index)
-		return
-	}
-	if err := p.config.Trail.Append(entries); err != nil {
-		p.config.Log.Error("The audit trail was not written.", "error", err)
-	}
-}
-
-// fill asks the other disk hosts for the entries before those in the state.
-func (p *Plane) fill(ctx context.Context, state control.State) {
-	for _, host := range p.config.Disks {
-		for p.config.Trail.Head().Index < state.Head.Index {
-			head := p.config.Trail.Head()
-			entries, err := p.config.Fetch(ctx, host, head.Index+1)
-			if err != nil || len(entries) == 0 {
-				break
-			}
-			if err := p.config.Trail.Append(entries); err != nil {
-				p.config.Log.Error("Audit entries of another host do not fit.", "host", host, "error", err)
-				break
-			}
-		}
-	}
-}
