Use the control state's own change function in the control plane

Cause: decoding, applying and encoding a command stood twice. Change: the plane passes control.Rules.Change to the register. Measured: the host's tests and the four control scenarios pass.

--- a/internal/process/controlplane/plane.go
+++ b/internal/process/controlplane/plane.go
@@ -68,18 +68,7 @@
 		return control.Answer{}, failure.New(failure.NotReady, "no host with a disk is in the settings")
 	}
 	var answer control.Answer
-	_, err := p.config.Controller.Change(ctx, func(current []byte) ([]byte, error) {
-		state, err := control.Decode(current)
-		if err != nil {
-			return nil, failure.Wrap(failure.Internal, "controlplane", err)
-		}
-		var next control.State
-		next, answer = p.config.Rules.Apply(state, c, p.config.Clock())
-		if next.Sequence == state.Sequence {
-			return current, nil
-		}
-		return control.Encode(next)
-	})
+	_, err := p.config.Controller.Change(ctx, p.config.Rules.Change(c, p.config.Clock, &answer))
 	return answer, err
 }
 
