Run the register on every host: voter, proposer and local copy

One goroutine owns the state and syncs it before it answers; one sends to each peer. Chosen values are pushed once to every peer in the order of domains, and a host that finds a value chosen while no voter knew pushes it in place of a proposer that died. Hosts confirm their copy by a read of a quorum, which writes nothing.

Fresh disks found the register by themselves. A founding after a single survey was ruled out: with one lost report of a host without a disk, a system with one disk founded a second register (seen in TestFreshDisksDoNotFoundASecondRegister, where the test lost the report). Now all hosts must have reported, or eight surveys in a row must agree.

--- /dev/null
+++ b/internal/process/controller/config.go
@@ -0,0 +1,59 @@
+package controller
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"wasabifield.example/wasabifield/internal/version/store"
+)
+
+const (
+	// MaxContent bounds the register's content, bytes. An entry must fit in
+	// one message of the default size.
+	MaxContent = 3 << 20
+
+	stateName     = "register" // file in the data folder
+	eventRing     = 256        // messages that wait for the owner
+	operationRing = 64         // operations that wait for the one in progress
+	peerRing      = 32         // messages that wait for one peer
+	foundAfter    = 8          // surveys without all hosts before the register is founded
+)
+
+// Config configures a Controller.
+type Config struct {
+	Host   string
+	Folder *store.Folder // the data folder; nil on a host without a disk
+	Peers  []Peer        // the other entry hosts
+	Random *rand.Rand    // used by the controller alone
+	Clock  func() time.Time
+	Log    *slog.Logger
+	Timing Timing
+
+	// Order returns the failure domains in the order in which a chosen value
+	// is pushed to them; domains that it leaves out come last. It may be nil.
+	Order func(content []byte) []string
+}
+
+// Peer is another entry host.
+type Peer struct {
+	Host   string
+	Domain string
+	Disk   bool
+	Conn   grpc.ClientConnInterface
+}
+
+// Timing holds the controller's times.
+type Timing struct {
+	Attempt time.Duration // for an attempt and for each call to a peer
+	Read    time.Duration // until a read gives up on a quorum
+	Confirm time.Duration // mean time between reads that confirm the local copy
+}
+
+// DefaultTiming returns the times for hosts some milliseconds apart. A value
+// whose push was lost is in force within two confirming reads.
+func DefaultTiming() Timing {
+	return Timing{Attempt: time.Second, Read: 2 * time.Second, Confirm: 3 * time.Second}
+}
--- /dev/null
+++ b/internal/process/controller/join.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"context"
+
+	"wasabifield.example/wasabifield/internal/version/register"
+)
+
+// survey gathers what the hosts hold while this host's disk is fresh.
+type survey struct {
+	ballot  register.Ballot // names the survey; zero if there is none
+	reports []register.Report
+	agreed  int // surveys in a row that ended in favour of founding
+}
+
+// onConfirm makes the host a voter if it has a disk and is none; otherwise it
+// confirms the local copy by a read. It leaves operations of callers alone.
+func (c *Controller) onConfirm(ctx context.Context) {
+	if c.isFresh() {
+		c.plan(true)
+		c.startSurvey()
+		return
+	}
+	if c.current != nil {
+		return
+	}
+	entry, confirmed := c.copy.get()
+	if c.config.Folder != nil && !confirmed.IsZero() && !entry.Value.Has(c.self) {
+		c.startOwn(ctx, c.joinVoters())
+		return
+	}
+	c.startOwn(ctx, nil)
+}
+
+// startOwn begins an operation of the controller itself.
+func (c *Controller) startOwn(ctx context.Context, change register.Change) {
+	limited, cancel := context.WithTimeout(ctx, c.config.Timing.Attempt)
+	context.AfterFunc(limited, cancel)
+	c.start(newOperation(limited, change))
+}
+
+// joinVoters names this host's disk as a voter, in place of an earlier disk of
+// the host.
+func (c *Controller) joinVoters() register.Change {
+	self := c.self
+	c.log.Info("Joining the voters.", "identity", self.Identity)
+	return func(v register.Value) (register.Value, error) {
+		if v.Has(self) {
+			return v, nil
+		}
+		return v.WithMember(self), nil
+	}
+}
+
+// isFresh reports whether the host has a disk that may not vote yet.
+func (c *Controller) isFresh() bool { return c.config.Folder != nil && !c.state.Whole }
+
+// startSurvey asks all hosts what they hold.
+func (c *Controller) startSurvey() {
+	c.survey.ballot = c.survey.ballot.Next(c.state.Identity)
+	c.survey.reports = nil
+	for _, l := range c.links {
+		c.send(l.Host, register.Inspect{Ballot: c.survey.ballot})
+	}
+}
+
+func (c *Controller) onSurvey(r register.Report) {
+	if !c.isFresh() || r.Ballot != c.survey.ballot {
+		return
+	}
+	c.survey.reports = append(c.survey.reports, r)
+	c.plan(false)
+}
+
+// plan takes the next step of a host with a fresh disk. It founds the register
+// once all hosts have reported in one survey, those without a disk too, as they
+// may remember a value; or, as one of them may be down, after several surveys
+// in which none of them reported a value.
+func (c *Controller) plan(atEnd bool) {
+	if c.survey.ballot == (register.Ballot{}) {
+		return
+	}
+	step, entry := register.PlanJoin(c.self, c.disks(), c.survey.reports)
+	switch step {
+	case register.Establish:
+		if atEnd {
+			c.survey.agreed++
+		}
+		if len(c.survey.reports) == len(c.links) || c.survey.agreed >= foundAfter {
+			c.log.Info("Founding the register with the other disks.", "identity", c.state.Identity)
+			c.learn(entry)
+		}
+	case register.Adopt:
+		c.learn(entry)
+	case register.Join:
+		c.survey.agreed = 0
+		if c.current == nil {
+			c.startOwn(context.Background(), nil)
+		}
+	case register.Wait:
+		if atEnd {
+			c.survey.agreed = 0
+		}
+	}
+}
+
+// learn takes in a founding entry. A failure is logged, and the next survey
+// tries again.
+func (c *Controller) learn(e register.Entry) {
+	_, _ = c.apply(register.Learn{Entry: e})
+}
--- /dev/null
+++ b/internal/process/controller/service.go
@@ -0,0 +1,86 @@
+package controller
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"wasabifield.example/wasabifield/internal/version/register"
+	"wasabifield.example/wasabifield/internal/version/registerpb"
+)
+
+// service answers the messages of peers.
+type service struct {
+	registerpb.UnimplementedRegisterServer
+	controller *Controller
+}
+
+// Register adds the register's service to a gRPC server.
+func (c *Controller) Register(r grpc.ServiceRegistrar) {
+	registerpb.RegisterRegisterServer(r, service{controller: c})
+}
+
+// Prepare implements registerpb.RegisterServer.
+func (s service) Prepare(ctx context.Context, m *registerpb.PrepareRequest) (*registerpb.PrepareReply, error) {
+	reply, err := s.controller.handle(ctx, register.Prepare{To: m.GetTo(), Ballot: m.GetBallot().Register()})
+	if err != nil {
+		return nil, err
+	}
+	return registerpb.NewPrepareReply(reply.(register.Promise)), nil
+}
+
+// Accept implements registerpb.RegisterServer.
+func (s service) Accept(ctx context.Context, m *registerpb.AcceptRequest) (*registerpb.AcceptReply, error) {
+	entry, err := readEntry(m.GetEntry())
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.controller.handle(ctx, register.Accept{To: m.GetTo(), Entry: entry})
+	if err != nil {
+		return nil, err
+	}
+	return registerpb.NewAcceptReply(reply.(register.Acceptance)), nil
+}
+
+// Inspect implements registerpb.RegisterServer.
+func (s service) Inspect(ctx context.Context, m *registerpb.InspectRequest) (*registerpb.InspectReply, error) {
+	inspect := register.Inspect{Ballot: m.GetBallot().Register(), Known: m.GetKnown().Register()}
+	reply, err := s.controller.handle(ctx, inspect)
+	if err != nil {
+		return nil, err
+	}
+	return registerpb.NewInspectReply(reply.(register.Report)), nil
+}
+
+// Learn implements registerpb.RegisterServer.
+func (s service) Learn(ctx context.Context, m *registerpb.LearnRequest) (*registerpb.LearnReply, error) {
+	entry, err := readEntry(m.GetEntry())
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.controller.handle(ctx, register.Learn{Entry: entry})
+	if err != nil {
+		return nil, err
+	}
+	return &registerpb.LearnReply{Version: reply.(register.Learned).Version}, nil
+}
+
+// Fetch implements registerpb.RegisterServer.
+func (s service) Fetch(_ context.Context, m *registerpb.FetchRequest) (*registerpb.FetchReply, error) {
+	entry, _ := s.controller.copy.get()
+	if entry.Value.Version <= m.GetVersion() {
+		return &registerpb.FetchReply{}, nil
+	}
+	return &registerpb.FetchReply{Entry: registerpb.NewEntry(entry)}, nil
+}
+
+// readEntry refuses an entry without members, which stands for none.
+func readEntry(m *registerpb.Entry) (register.Entry, error) {
+	entry := m.Register()
+	if entry.IsZero() {
+		return entry, status.Error(codes.InvalidArgument, "the entry names no members")
+	}
+	return entry, nil
+}
--- a/internal/version/register/proposer.go
+++ b/internal/version/register/proposer.go
@@ -25,7 +25,7 @@
 type Result struct {
 	Entry   Entry // a chosen entry that was current after the start
 	Changed bool  // whether the change made it
-	Chosen  bool  // whether this operation got it chosen, also for another proposer
+	Chosen  bool  // whether this operation got it chosen, or found it so while no voter knew
 	Err     error // the refusal by the change itself
 }
 
@@ -58,7 +58,7 @@
 	accepted map[uint64]bool // voters that accepted the proposal
 	own      bool            // the proposal is the change's result
 	sent     bool            // such a proposal has been sent
-	chosen   Ballot          // of the last entry that this operation got chosen
+	chosen   Ballot          // of the last entry that this operation got or found chosen
 	outbid   bool            // a voter has promised a higher ballot
 	replaced bool            // a voter has another identity by now
 	result   *Result
@@ -197,6 +197,7 @@
 		return more
 	}
 	if p.change == nil && p.isChosen(best) {
+		p.found(best)
 		p.finish(Result{Entry: best})
 		return nil
 	}
@@ -219,7 +220,7 @@
 	if !p.isChosen(best) {
 		return p.propose(best.Value, false)
 	}
-	p.Learn(best)
+	p.found(best)
 	return p.derive(best)
 }
 
@@ -231,6 +232,14 @@
 	}
 }
 
+// found takes in an entry that the votes prove to be chosen.
+func (p *Proposer) found(e Entry) {
+	if !p.isKnown(e) {
+		p.chosen = e.Ballot
+	}
+	p.Learn(e)
+}
+
 // granted notes a higher ballot and reports whether the voter agreed.
 func (p *Proposer) granted(v Verdict, promised Ballot) bool {
 	p.highest = higher(p.highest, promised)
