--- a/internal/process/controller/config.go
+++ b/internal/process/controller/config.go
@@ -19,7 +19,7 @@
 	eventRing     = 256        // messages that wait for the owner
 	operationRing = 64         // operations that wait for the one in progress
 	peerRing      = 32         // messages that wait for one peer
-	freshRate     = 4          // surveys of a fresh disk in the time of an attempt
+	foundAfter    = 8          // surveys without all hosts before the register is founded
 )
 
 // Config configures a Controller.
--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -10,6 +10,7 @@
 type survey struct {
 	ballot  register.Ballot // names the survey; zero if there is none
 	reports []register.Report
+	agreed  int // surveys in a row that ended in favour of founding
 }
 
 // onConfirm makes the host a voter if it has a disk and is none; otherwise it
@@ -73,8 +74,9 @@
 }
 
 // plan takes the next step of a host with a fresh disk. It founds the register
-// only at the end of a survey, so that hosts without a disk that remember a
-// value are heard too.
+// once all hosts have reported in one survey, those without a disk too, as they
+// may remember a value; or, as one of them may be down, after several surveys
+// in which none of them reported a value.
 func (c *Controller) plan(atEnd bool) {
 	if c.survey.ballot == (register.Ballot{}) {
 		return
@@ -83,16 +85,23 @@
 	switch step {
 	case register.Establish:
 		if atEnd {
+			c.survey.agreed++
+		}
+		if len(c.survey.reports) == len(c.links) || c.survey.agreed >= foundAfter {
 			c.log.Info("Founding the register with the other disks.", "identity", c.state.Identity)
 			c.learn(entry)
 		}
 	case register.Adopt:
 		c.learn(entry)
 	case register.Join:
+		c.survey.agreed = 0
 		if c.current == nil {
 			c.startOwn(context.Background(), nil)
 		}
 	case register.Wait:
+		if atEnd {
+			c.survey.agreed = 0
+		}
 	}
 }
 
