Parse a proposed bundle once, and only a named operator's

Cause: a document was parsed when the command was admitted and again when it was proposed, and before its signature was verified. Change: admit verifies the signatures, then parses once and hands on what the proposal needs.

--- a/internal/version/control/act.go
+++ b/internal/version/control/act.go
@@ -6,12 +6,11 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
-	"wasabifield.example/wasabifield/internal/version/bundle"
 )
 
 // act carries out a command on s and returns a message for the operator. On a
 // refusal s is left as it was.
-func (r Rules) act(s *State, c Command, now time.Time) (string, *failure.Error) {
+func (r Rules) act(s *State, c admitted, now time.Time) (string, *failure.Error) {
 	switch c.Action {
 	case Propose:
 		return s.propose(c, now)
@@ -26,24 +25,20 @@
 	}
 }
 
-func (s *State) propose(c Command, now time.Time) (string, *failure.Error) {
+func (s *State) propose(c admitted, now time.Time) (string, *failure.Error) {
 	if v, ok := s.Version(c.Version); ok && v.Digest == c.Digest {
 		return v.proposedAgain()
 	}
 	if err := s.checkNumber(c.Version); err != nil {
 		return "", err
 	}
-	b, err := bundle.Parse(c.Document)
-	if err != nil {
-		return "", failure.Invalid("document", err.Error())
-	}
-	if b.BasedOn != s.Accepted {
-		return "", staleBase(b.Version, b.BasedOn, s.Accepted)
+	if c.basedOn != s.Accepted {
+		return "", staleBase(c.Version, c.basedOn, s.Accepted)
 	}
 	if s.open() >= MaxOpen {
 		return "", failure.New(failure.Overloaded, fmt.Sprintf("%d proposals are open; withdraw one first", MaxOpen))
 	}
-	s.Versions = append(s.Versions, newVersion(b, c, now))
+	s.Versions = append(s.Versions, newVersion(c, now))
 	s.Highest = c.Version
 	return fmt.Sprintf("version %d is proposed", c.Version), nil
 }
@@ -60,10 +55,10 @@
 	return failure.New(failure.StaleVersion, fmt.Sprintf("version %d is %s already", v.Number, v.Status))
 }
 
-func newVersion(b bundle.Bundle, c Command, now time.Time) Version {
+func newVersion(c admitted, now time.Time) Version {
 	return Version{
 		Number:     c.Version,
-		BasedOn:    b.BasedOn,
+		BasedOn:    c.basedOn,
 		Digest:     c.Digest,
 		Status:     Proposed,
 		Document:   string(c.Document),
@@ -100,7 +95,7 @@
 }
 
 // proposal returns the index of the open proposal that c names.
-func (s *State) proposal(c Command) (int, *failure.Error) {
+func (s *State) proposal(c admitted) (int, *failure.Error) {
 	i, err := s.named(c)
 	if err != nil {
 		return 0, err
@@ -112,7 +107,7 @@
 }
 
 // named returns the index of the version that c names by number and digest.
-func (s *State) named(c Command) (int, *failure.Error) {
+func (s *State) named(c admitted) (int, *failure.Error) {
 	i := s.find(c.Version)
 	switch {
 	case i < 0 && c.Version <= s.Highest:
@@ -125,7 +120,7 @@
 	return i, nil
 }
 
-func (r Rules) approve(s *State, c Command) (string, *failure.Error) {
+func (r Rules) approve(s *State, c admitted) (string, *failure.Error) {
 	i, err := s.named(c)
 	if err != nil {
 		return "", err
@@ -165,7 +160,7 @@
 	return fmt.Sprintf("%d of the %d approvals that it needs", r.approvals(v), r.Approvals)
 }
 
-func (r Rules) roll(s *State, c Command, now time.Time) (string, *failure.Error) {
+func (r Rules) roll(s *State, c admitted, now time.Time) (string, *failure.Error) {
 	i, err := s.named(c)
 	if err != nil {
 		return "", err
@@ -210,7 +205,7 @@
 
 // replace proposes, approves and rolls in one step; if one of them is refused,
 // none is done.
-func (r Rules) replace(s *State, c Command, now time.Time) (string, *failure.Error) {
+func (r Rules) replace(s *State, c admitted, now time.Time) (string, *failure.Error) {
 	next := s.clone()
 	if _, err := next.propose(c, now); err != nil {
 		return "", err
@@ -232,7 +227,7 @@
 	return message, nil
 }
 
-func (s *State) withdraw(c Command, now time.Time) (string, *failure.Error) {
+func (s *State) withdraw(c admitted, now time.Time) (string, *failure.Error) {
 	i, err := s.named(c)
 	if err != nil {
 		return "", err
--- a/internal/version/control/rules.go
+++ b/internal/version/control/rules.go
@@ -37,7 +37,8 @@
 // too, raises the sequence number by one and adds an audit entry, unless its
 // request id was answered before: then the first answer is given again.
 func (r Rules) Apply(s State, c Command, now time.Time) (State, Answer) {
-	if refusal := r.admit(c); refusal != nil {
+	a, refusal := r.admit(c)
+	if refusal != nil {
 		return s, s.refuse(c, refusal)
 	}
 	if outcome, ok := s.outcome(c.Request); ok {
@@ -45,27 +46,40 @@
 	}
 	now = now.UTC().Truncate(time.Millisecond)
 	next := s.clone()
-	message, refusal := r.act(&next, c, now)
+	message, refusal := r.act(&next, a, now)
 	next.Sequence++
 	answer := next.answer(c, message, refusal)
 	next.record(s, c, answer, now)
 	return next, answer
 }
 
-// admit checks what can be checked without the state.
-func (r Rules) admit(c Command) *failure.Error {
+// admitted is a command whose form and signatures are right.
+type admitted struct {
+	Command
+	basedOn uint64 // what the document states; 0 without a document
+}
+
+// admit checks what can be checked without the state. Signatures come before
+// the document, so that nothing of a stranger's is parsed.
+func (r Rules) admit(c Command) (admitted, *failure.Error) {
+	a := admitted{Command: c}
 	if err := c.checkForm(); err != nil {
-		return err
+		return a, err
 	}
 	if err := r.verify(c.Operator, c.text(), c.Signature); err != nil {
-		return err
+		return a, err
 	}
-	for _, a := range c.Approvals {
-		if err := r.verify(a.Operator, approvalText(c.Version, c.Digest), a.Signature); err != nil {
-			return err
+	for _, approval := range c.Approvals {
+		if err := r.verify(approval.Operator, approvalText(c.Version, c.Digest), approval.Signature); err != nil {
+			return a, err
 		}
 	}
-	return nil
+	if !c.carriesDocument() {
+		return a, nil
+	}
+	b, err := c.parseDocument()
+	a.basedOn = b.BasedOn
+	return a, err
 }
 
 func (c Command) checkForm() *failure.Error {
@@ -82,9 +96,7 @@
 		return failure.Invalid("reason", fmt.Sprintf("must be at most %d bytes of UTF-8", MaxReason))
 	case len(c.Approvals) > MaxApprovals:
 		return failure.Invalid("approvals", fmt.Sprintf("must be at most %d", MaxApprovals))
-	case c.carriesDocument():
-		return c.checkDocument()
-	case len(c.Document) > 0:
+	case !c.carriesDocument() && len(c.Document) > 0:
 		return failure.Invalid("document", fmt.Sprintf("is not allowed with %s", c.Action))
 	}
 	return c.checkApprovals()
@@ -94,21 +106,21 @@
 	return c.Action == Propose || c.Action == Replace
 }
 
-func (c Command) checkDocument() *failure.Error {
+func (c Command) parseDocument() (bundle.Bundle, *failure.Error) {
 	if digest := bundle.DigestOf(c.Document); digest != c.Digest {
-		return failure.Invalid("digest", fmt.Sprintf("is %s, but the document's is %s", c.Digest, digest))
+		return bundle.Bundle{}, failure.Invalid("digest", fmt.Sprintf("is %s, but the document's is %s", c.Digest, digest))
 	}
 	if !utf8.Valid(c.Document) {
-		return failure.Invalid("document", "must be UTF-8")
+		return bundle.Bundle{}, failure.Invalid("document", "must be UTF-8")
 	}
 	b, err := bundle.Parse(c.Document)
 	if err != nil {
-		return failure.Invalid("document", err.Error())
+		return b, failure.Invalid("document", err.Error())
 	}
 	if b.Version != c.Version {
-		return failure.Invalid("version", fmt.Sprintf("is %d, but the document's is %d", c.Version, b.Version))
+		return b, failure.Invalid("version", fmt.Sprintf("is %d, but the document's is %d", c.Version, b.Version))
 	}
-	return c.checkApprovals()
+	return b, nil
 }
 
 func (c Command) checkApprovals() *failure.Error {
