Say truthfully whether a change without a majority may have taken effect

Cause: the kind no_quorum stood for two cases. A cut-off host that had sent a change to nobody answered 'the outcome is unknown: ... nothing was changed', and the operators' tool could not go on to the next host. And a host that stopped while a change was undecided answered draining, which says that nothing was done, whenever its select took the stop before the outcome.

Change: no_quorum now promises that nothing was changed; the new kind undecided says that the change may still take effect. After the owner's stop the outcome that it gave is read first.

Conclusion: a refusal as not run is true for control commands as well.

--- a/internal/connection/operatorapi/api.go
+++ b/internal/connection/operatorapi/api.go
@@ -19,8 +19,8 @@
 }
 
 // Changer changes and reads the control state. Its errors carry a
-// failure.Kind: NoQuorum when the outcome is not known, NotReady or
-// Overloaded when the command was not tried.
+// failure.Kind: Undecided when the outcome is not known, NoQuorum, NotReady or
+// Overloaded when nothing was changed.
 type Changer interface {
 	Change(ctx context.Context, c control.Command) (control.Answer, error)
 	State(ctx context.Context) (StateView, error)
--- a/internal/connection/operatorapi/api_test.go
+++ b/internal/connection/operatorapi/api_test.go
@@ -153,8 +153,13 @@
 	f.register.SetFault(failure.NoQuorum)
 	response, answer = f.send(command(control.Propose, "p", first, 1))
 	f.Expect(answer.Kind).To(Equal(failure.NoQuorum))
-	f.Expect(response.Header.Get(wire.RanHeader)).To(Equal("unknown"))
+	f.Expect(response.Header.Get(wire.RanHeader)).To(Equal("no"))
 	f.Expect(response.Header.Get("Retry-After")).To(Equal("2"))
+
+	f.register.SetFault(failure.Undecided)
+	response, answer = f.send(command(control.Propose, "p", first, 1))
+	f.Expect(answer.Kind).To(Equal(failure.Undecided))
+	f.Expect(response.Header.Get(wire.RanHeader)).To(Equal("unknown"))
 }
 
 func TestAnErrorNamesTheField(t *testing.T) {
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -158,8 +158,9 @@
 // alter its argument, nor the caller the result. An error of f is
 // returned as it is, with the content that it was given, which is chosen.
 //
-// Other errors are Overloaded, Draining, TooLarge, and NoQuorum when ctx ends
-// first; the last wraps ErrUndecided if the change may still take effect.
+// Other errors are Overloaded, Draining, TooLarge and, when ctx ends first,
+// NoQuorum if nothing was changed and Undecided, which wraps ErrUndecided, if
+// the change may still take effect.
 func (c *Controller) Change(ctx context.Context, f func(current []byte) (next []byte, err error)) ([]byte, error) {
 	entry, err := c.operate(ctx, func(v register.Value) (register.Value, error) {
 		next, err := f(v.Content)
@@ -216,7 +217,7 @@
 		case out := <-o.done:
 			return out.entry, out.err
 		case <-c.stopped:
-			return register.Entry{}, errStopped
+			return o.outcomeAfterStop()
 		case <-given:
 			if o.taken.CompareAndSwap(false, true) {
 				return register.Entry{}, o.abandoned(false)
--- a/internal/process/controller/operation.go
+++ b/internal/process/controller/operation.go
@@ -37,11 +37,22 @@
 	return &operation{ctx: ctx, change: c, done: make(chan outcome, 1)}
 }
 
+// outcomeAfterStop returns the outcome once the owner has stopped: the one that
+// it gave, or errStopped if it never saw the operation.
+func (o *operation) outcomeAfterStop() (register.Entry, error) {
+	select {
+	case out := <-o.done:
+		return out.entry, out.err
+	default:
+		return register.Entry{}, errStopped
+	}
+}
+
 // abandoned returns the error of an operation that was given up.
 func (o *operation) abandoned(undecided bool) error {
 	switch {
 	case undecided:
-		return failure.Wrap(failure.NoQuorum, "controller", ErrUndecided)
+		return failure.Wrap(failure.Undecided, "controller", ErrUndecided)
 	case o.change == nil:
 		return failure.Wrap(failure.NoQuorum, "controller", errUnread)
 	}
--- a/internal/process/host/restart_test.go
+++ b/internal/process/host/restart_test.go
@@ -12,7 +12,7 @@
 
 const (
 	rolls         = 50 // versions brought into force, 3 changes each
-	rollsTogether = 10  // before one disk host stops
+	rollsTogether = 10 // before one disk host stops
 )
 
 // trail reads the whole audit trail that a host serves, and checks it.
--- a/internal/request/failure/kind.go
+++ b/internal/request/failure/kind.go
@@ -33,7 +33,8 @@
 	StaleVersion      Kind = "stale_version"      // a change is based on an old version
 	VersionTaken      Kind = "version_taken"      // another content holds the version number
 	NotAllowed        Kind = "not_allowed"        // the signer may not do this
-	NoQuorum          Kind = "no_quorum"          // too few disk hosts answered
+	NoQuorum          Kind = "no_quorum"          // too few disk hosts answered, and nothing was changed
+	Undecided         Kind = "undecided"          // a change was sent and too few disk hosts answered
 	NotFound          Kind = "not_found"          // nothing has this name
 	Internal          Kind = "internal"           // a fault of the host itself
 )
--- a/internal/request/failure/table.go
+++ b/internal/request/failure/table.go
@@ -36,7 +36,8 @@
 	StaleVersion:      {http.StatusConflict, No, No, Never},
 	VersionTaken:      {http.StatusConflict, No, No, Never},
 	NotAllowed:        {http.StatusForbidden, No, No, Never},
-	NoQuorum:          {http.StatusServiceUnavailable, Unknown, Unknown, later},
+	NoQuorum:          {http.StatusServiceUnavailable, No, No, later},
+	Undecided:         {http.StatusGatewayTimeout, Unknown, Unknown, soon},
 	NotFound:          {http.StatusNotFound, No, No, Never},
 	Internal:          {http.StatusInternalServerError, Unknown, Unknown, later},
 }
--- a/internal/request/report/words.go
+++ b/internal/request/report/words.go
@@ -31,6 +31,7 @@
 	failure.VersionTaken:      "a change used a version number that belongs to another",
 	failure.NotAllowed:        "a change came from someone who may not make it",
 	failure.NoQuorum:          "too few of the machines that must agree on a change could be reached",
+	failure.Undecided:         "a change was sent and too few of the machines that must agree on it answered",
 	failure.NotFound:          "what was asked for does not exist",
 	failure.Internal:          "a fault inside the service",
 }
