--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -1,80 +1,59 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// assign starts queued tasks while a target has a free slot for them. A task
-// that needs an accelerator does not hold back the tasks behind it.
+	"wasabifield.example/wasabifield/internal/request/queue"
+)
+
+// assign starts waiting tasks while a target has a free slot for them. Tasks
+// that need an accelerator go first: no other target will do for them.
 func (c *Core) assign(now time.Time) {
-	var waiting []taskRef
-	for {
-		r, ok := c.queue.pop()
-		if !ok {
-			break
-		}
-		accelerator := r.task().Accelerator
-		var t *Target
-		if !accelerator || len(waiting) == 0 {
-			t = c.choose(now, accelerator)
-		}
-		if t != nil {
-			c.start(now, r, t)
-			continue
-		}
-		waiting = append(waiting, r)
-		if !accelerator {
-			break
-		}
+	c.releaseHeld(now)
+	for c.assignOne(now, true) {
 	}
-	for i := len(waiting) - 1; i >= 0; i-- {
-		c.queue.pushFront(waiting[i])
+	for c.assignOne(now, false) {
 	}
+	c.tell(now)
 }
 
-// choose returns the less loaded of two random free targets, nil if none is
-// free (Mitzenmacher, "The Power of Two Choices in Randomized Load
-// Balancing", 2001).
-func (c *Core) choose(now time.Time, accelerator bool) *Target {
-	var first, second *Target
-	free := 0
-	for _, t := range c.order {
-		if !t.free(now) || !t.fits(accelerator) {
-			continue
-		}
-		free++
-		// Reservoir sampling of two among the free targets.
-		switch i := c.random.IntN(free); {
-		case free <= 2 && first == nil:
-			first = t
-		case free <= 2:
-			second = t
-		case i == 0:
-			first = t
-		case i == 1:
-			second = t
-		}
+func (c *Core) assignOne(now time.Time, accelerator bool) bool {
+	if !c.queue.Waiting(accelerator) {
+		return false
+	}
+	t, pool := c.acquire(now, accelerator)
+	if t == nil {
+		return false
 	}
-	if second != nil && second.load() < first.load() {
-		return second
+	r, ok := c.queue.Pop(accelerator)
+	if ok {
+		c.start(now, r, t, pool)
 	}
-	return first
+	return ok
 }
 
-func (c *Core) start(now time.Time, r taskRef, t *Target) {
+func (c *Core) start(now time.Time, r queue.Ref, t *Target, pool int) {
+	j := c.jobs[JobID(r.Job.ID)]
+	task := &j.spec.Tasks[r.Task.Index]
 	c.last++
-	c.starts[c.last] = started{r, t}
-	t.busy++
-	r.job.running++
-	deadline := now.Add(c.config.AttemptTimeout)
-	if r.job.deadline.Before(deadline) {
-		deadline = r.job.deadline
+	s := started{id: c.last, ref: r, job: j, target: t, pool: pool, at: now}
+	s.deadline = now.Add(c.attemptLimit(now, s))
+	if j.deadline.Before(s.deadline) {
+		s.deadline = j.deadline
 	}
-	c.out.Starts = append(c.out.Starts, Start{
+	start := Start{
 		ID:       c.last,
-		Job:      r.job.id,
+		Job:      j.id,
 		Target:   t.Target,
 		Address:  t.Address,
 		Conns:    t.Connections,
-		Task:     r.task(),
-		Deadline: deadline,
-	})
+		Task:     task,
+		Deadline: s.deadline,
+		LeaseEnd: t.LeaseEnd,
+	}
+	s.name = start.Name()
+	c.starts[c.last] = s
+	t.busy++
+	j.open[c.last] = true
+	c.out.Starts = append(c.out.Starts, start)
 }
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -5,8 +5,12 @@
 	"math/rand/v2"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/connection/health"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/request/queue"
+	"wasabifield.example/wasabifield/internal/request/runtimes"
 )
 
 // Config is the policy of a Core.
@@ -15,8 +19,14 @@
 	QueuedBytes       int64         // payload bytes of those tasks at most
 	AttemptTimeout    time.Duration // an attempt is given up after this
 	DefaultDeadline   time.Duration // for a job that states none
-	RefusalPause      time.Duration // a target that refused a start is avoided for this
+	RefusalPause      time.Duration // a target that refused a start is avoided for this at first
 	RestartIdempotent bool          // start a task of an idempotent job again after an unknown outcome
+	Teams             map[string]Team
+	Host              string        // this host's name
+	PeerLease         time.Duration // a peer not heard of for this long loses its slots
+	SlotRetry         time.Duration // between two requests for a peer's idle slots
+	Health            health.Config
+	SlotProbe         bool // request slots also of peers that were busy when last heard of
 }
 
 // DefaultConfig returns the policy in force until a bundle states another.
@@ -26,49 +36,83 @@
 		QueuedBytes:     64 << 20,
 		AttemptTimeout:  30 * time.Second,
 		DefaultDeadline: 30 * time.Second,
-		RefusalPause:    20 * time.Millisecond,
+		RefusalPause:    5 * time.Millisecond,
+		Host:            "self",
+		PeerLease:       2 * time.Second,
+		SlotRetry:       50 * time.Millisecond,
+		Health:          health.DefaultConfig(),
 	}
 }
 
 // Core is the state of all jobs in progress at one entry host. It is not safe
 // for concurrent use.
 type Core struct {
-	config  Config
-	random  *rand.Rand
-	targets map[string]*Target
-	order   []*Target // the targets in the order of their first announcement
-	jobs    map[JobID]*jobState
-	starts  map[StartID]started
-	last    StartID
-	queue   taskQueue
-	out     Effects
-}
-
-// started is an attempt in progress.
-type started struct {
-	task   taskRef
-	target *Target
+	config   Config
+	random   *rand.Rand
+	targets  map[string]*Target
+	order    []*Target // the targets in the order of their first announcement
+	jobs     map[JobID]*jobState
+	ends     deadlines // of the jobs
+	starts   map[StartID]started
+	last     StartID
+	queue    *queue.Queue
+	runtimes *runtimes.Table
+	pools    *pools
+	health   *health.Tracker
+	held     []heldSlot
+	workers  *workers.Table
+	stops    *workers.Stops
+	usages   *workers.Usages
+	peers    map[string]*peerDemand
+	heard    bool // every peer has reported within the lease
+	out      Effects
 }
 
 // Effects are what the owner of a Core has to do.
 type Effects struct {
 	Starts   []Start
 	Finishes []Finish
+	Tells    []Tell
+	Stops    []workers.Task // tasks to be stopped
 }
 
 // NewCore returns a Core without targets. The random source breaks ties.
 func NewCore(config Config, random *rand.Rand) *Core {
-	return &Core{
-		config:  config,
-		random:  random,
-		targets: make(map[string]*Target),
-		jobs:    make(map[JobID]*jobState),
-		starts:  make(map[StartID]started),
+	c := &Core{
+		config:   config,
+		random:   random,
+		targets:  make(map[string]*Target),
+		jobs:     make(map[JobID]*jobState),
+		starts:   make(map[StartID]started),
+		queue:    queue.New(queue.Config{Tasks: config.QueuedTasks, Bytes: config.QueuedBytes}),
+		runtimes: runtimes.NewTable(runtimeKeys),
+		pools:    newPools(config),
+		health:   health.NewTracker(config.Health),
+		workers:  workers.NewTable(),
+		stops:    workers.NewStops(stopLimit),
+		usages:   workers.NewUsages(),
 	}
+	c.applyTeams()
+	return c
 }
 
-// SetConfig puts another policy in force.
-func (c *Core) SetConfig(config Config) { c.config = config }
+// runtimeKeys bounds the teams and kinds whose run times are learned.
+const runtimeKeys = 4096
+
+// stopLimit bounds the tasks that are being stopped.
+const stopLimit = 20_000
+
+// SetConfig puts another policy in force. The host's name stays.
+func (c *Core) SetConfig(config Config) {
+	config.Host = c.config.Host
+	c.config = config
+	c.queue.SetBounds(config.QueuedTasks, config.QueuedBytes)
+	for _, pool := range c.pools.demand {
+		pool.SetConfig(config.sharing())
+	}
+	c.health.SetConfig(config.Health)
+	c.applyTeams()
+}
 
 // Take returns the effects since the last call.
 func (c *Core) Take() Effects {
@@ -80,36 +124,35 @@
 // Submit admits a job. An error means that nothing of it was started and that
 // it is not admitted.
 func (c *Core) Submit(now time.Time, id JobID, spec *job.Spec) error {
-	if err := c.admit(now, spec); err != nil {
+	if err := c.checkRunnable(now, spec); err != nil {
 		return err
 	}
+	j := c.newJob(now, id, spec)
+	tasks := c.queueTasks(now, j)
+	if err := c.queue.Admit(now, j.queueJob(), tasks, c.capacity(now)); err != nil {
+		return err
+	}
+	c.jobs[id] = j
+	c.ends.add(j)
+	c.queue.Push(j.queueJob(), tasks)
+	c.assign(now)
+	return nil
+}
+
+func (c *Core) newJob(now time.Time, id JobID, spec *job.Spec) *jobState {
 	deadline := c.config.DefaultDeadline
 	if spec.DeadlineMS > 0 {
 		deadline = time.Duration(spec.DeadlineMS) * time.Millisecond
 	}
-	j := &jobState{
+	return &jobState{
 		id:       id,
 		spec:     spec,
+		team:     c.teamOf(spec.Team),
 		deadline: now.Add(deadline),
 		outputs:  newOutputs(spec),
 		left:     len(spec.Tasks),
+		open:     make(map[StartID]bool),
 	}
-	c.jobs[id] = j
-	for i := range spec.Tasks {
-		c.queue.push(taskRef{j, i})
-	}
-	c.assign(now)
-	return nil
-}
-
-func (c *Core) admit(now time.Time, spec *job.Spec) error {
-	if c.queue.tasks+len(spec.Tasks) > c.config.QueuedTasks {
-		return failure.New(failure.Overloaded, "the queue is full")
-	}
-	if c.queue.bytes+spec.PayloadBytes() > c.config.QueuedBytes {
-		return failure.New(failure.Overloaded, "the queue holds too many bytes")
-	}
-	return c.checkRunnable(now, spec)
 }
 
 // checkRunnable refuses a job that no known target could run.
@@ -140,7 +183,7 @@
 	if !ok {
 		return
 	}
-	c.giveUp(j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
+	c.giveUp(now, j, failure.Cancelled, failure.CancelledRunning, "the caller withdrew the job")
 	c.assign(now)
 }
 
@@ -148,30 +191,38 @@
 // incarnation of a target count until they end.
 func (c *Core) SetTargets(now time.Time, list []Target) {
 	for _, t := range list {
-		c.setTarget(t)
+		c.setTarget(now, t)
 	}
+	c.refreshTargets(now)
 	c.assign(now)
 }
 
-func (c *Core) setTarget(t Target) {
+func (c *Core) setTarget(now time.Time, t Target) {
 	known, ok := c.targets[t.Target]
 	if !ok {
 		known = &Target{}
 		c.targets[t.Target] = known
 		c.order = append(c.order, known)
 	}
+	if t.LeaseEnd.After(known.LeaseEnd) {
+		c.workers.Alive(now, t.Target)
+	}
 	known.Announcement = t.Announcement
 	known.LeaseEnd = t.LeaseEnd
 }
 
 // Tick expires jobs and targets and makes the starts that became possible.
 func (c *Core) Tick(now time.Time) {
-	for _, j := range c.jobs {
-		if !now.Before(j.deadline) {
-			c.giveUp(j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
-		}
+	for j := c.ends.expired(now); j != nil; j = c.ends.expired(now) {
+		c.giveUp(now, j, failure.ExpiredQueued, failure.ExpiredRunning, "the deadline has passed")
 	}
 	c.dropTargets(now)
+	c.refreshTargets(now)
+	c.shutEjected(now)
+	c.askStops(now)
+	c.queue.Sweep()
+	c.heard = c.heardAll(now)
+	c.applyTeams()
 	c.assign(now)
 }
 
@@ -194,11 +245,21 @@
 func (c *Core) Jobs() int { return len(c.jobs) }
 
 // Queued returns the number of tasks waiting for a slot.
-func (c *Core) Queued() int { return c.queue.tasks }
+func (c *Core) Queued() int { return c.queue.Tasks() }
 
 // Running returns the number of starts in progress.
 func (c *Core) Running() int { return len(c.starts) }
 
+// Load returns the free capacity at now.
+func (c *Core) Load(now time.Time) Load {
+	accelerators := c.pools.demand[acceleratorPool].Idle(now)
+	return Load{
+		Free:         c.pools.demand[plainPool].Idle(now) + accelerators,
+		Accelerators: accelerators,
+		Queued:       c.Queued(),
+	}
+}
+
 // Targets returns the known targets in the order of their announcement.
 func (c *Core) Targets() []Target {
 	list := make([]Target, len(c.order))
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -16,15 +17,32 @@
 	Send(ctx context.Context, s Start) Result
 }
 
+// Spiller runs a job in another failure domain. It returns nil if no host took
+// the job, and is called on a goroutine of its own.
+type Spiller interface {
+	Spill(ctx context.Context, spec *job.Spec) *job.Answer
+}
+
 // LoopConfig configures a Loop.
 type LoopConfig struct {
-	Core   *Core
-	Book   *record.Book
-	Minter *ticket.Minter
-	Sender Sender
-	Ring   int              // messages waiting at most
-	Clock  func() time.Time // the host's clock
-	Tick   time.Duration    // between two ticks of the Core
+	Core    *Core
+	Records record.Config
+	Minter  *ticket.Minter
+	Stopper Stopper // nil if tasks cannot be stopped
+	Teller  Teller  // nil without other hosts in the domain
+	Sender  Sender
+	Copier  Copier
+	Spiller Spiller                    // nil if no job is passed to another domain
+	Allow   func(spec *job.Spec) error // refuses a new job that the bundle forbids; nil allows all
+	Ring    int                        // messages waiting at most
+	Clock   func() time.Time           // the host's clock
+	Tick    time.Duration              // between two ticks of the Core
+}
+
+// Copier takes the answers that this host gave, to be copied to another host.
+// It must not block.
+type Copier interface {
+	Copy(key record.CopyKey, digest uint64, answer *job.Answer)
 }
 
 // Loop owns a Core and the records of its jobs. One goroutine runs it; others
@@ -33,27 +51,63 @@
 	config  LoopConfig
 	ring    chan func(now time.Time)
 	results chan Result
-	waiters map[JobID][]chan *job.Answer
-	drain   bool
+	spilled chan spillResult
+	load    atomic.Pointer[Load]
+	issuers map[ticket.Issuer]*issuer
+	copies  *record.Copies
+	jobs    map[JobID]*pending
+	byKey   map[record.CopyKey]JobID
+	last    JobID
+	drain   bool            // new jobs are refused
+	handed  bool            // the records were handed on: nothing may start
+	running context.Context // Run's; ends the spills
 	stopped chan struct{}
 }
 
+// issuer is an incarnation whose tickets this host answers for: its own, and
+// those that drained hosts handed on.
+type issuer struct {
+	minter *ticket.Minter
+	book   *record.Book
+	ends   time.Time // when the last ticket expires; zero for this host's own incarnation
+}
+
+// pending is a job in progress and who waits for its answer.
+type pending struct {
+	key     record.CopyKey
+	spec    *job.Spec
+	since   time.Time // when it was admitted
+	digest  uint64
+	book    *record.Book
+	waiters []chan *job.Answer
+	cancel  context.CancelFunc // ends the spill; nil if the job runs here
+}
+
 // NewLoop returns a Loop that Run has to drive.
 func NewLoop(config LoopConfig) *Loop {
-	return &Loop{
+	l := &Loop{
 		config:  config,
 		ring:    make(chan func(time.Time), config.Ring),
 		results: make(chan Result, config.Ring),
-		waiters: make(map[JobID][]chan *job.Answer),
+		spilled: make(chan spillResult, config.Ring),
+		issuers: make(map[ticket.Issuer]*issuer),
+		copies:  record.NewCopies(config.Records),
+		jobs:    make(map[JobID]*pending),
+		byKey:   make(map[record.CopyKey]JobID),
 		stopped: make(chan struct{}),
 	}
+	l.load.Store(&Load{})
+	l.issuers[config.Minter.Issuer()] = &issuer{minter: config.Minter, book: record.NewBook(config.Records)}
+	return l
 }
 
 // Run drives the Core until ctx is cancelled.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.stopped)
-	ticker := time.NewTicker(l.config.Tick)
-	defer ticker.Stop()
+	l.running = ctx
+	timer := time.NewTimer(l.config.Tick)
+	defer timer.Stop()
+	idle := false // whether the timer is set for a Loop without jobs
 	for {
 		select {
 		case <-ctx.Done():
@@ -62,12 +116,41 @@
 			message(l.config.Clock())
 		case r := <-l.results:
 			l.config.Core.Result(l.config.Clock(), r)
-		case <-ticker.C:
-			now := l.config.Clock()
-			l.config.Core.Tick(now)
-			l.config.Book.Expire(now)
+		case r := <-l.spilled:
+			l.settleSpill(r)
+		case <-timer.C:
+			l.tick(l.config.Clock())
+			idle = len(l.jobs) == 0
+			timer.Reset(l.interval(idle))
 		}
 		l.apply(ctx, l.config.Core.Take())
+		if idle && len(l.jobs) > 0 {
+			idle = false
+			timer.Reset(l.interval(idle))
+		}
+	}
+}
+
+const idleTicks = 10 // ticks that an idle Loop skips at a time
+
+// interval returns the time to the next tick. Without jobs only leases and
+// adverts depend on it.
+func (l *Loop) interval(idle bool) time.Duration {
+	if idle {
+		return idleTicks * l.config.Tick
+	}
+	return l.config.Tick
+}
+
+func (l *Loop) tick(now time.Time) {
+	l.config.Core.Tick(now)
+	load := l.config.Core.Load(now)
+	l.load.Store(&load)
+	for id, i := range l.issuers {
+		i.book.Expire(now)
+		if !i.ends.IsZero() && now.After(i.ends) {
+			delete(l.issuers, id)
+		}
 	}
 }
 
@@ -81,88 +164,36 @@
 	}
 }
 
-// Submit hands in a job and waits for its answer. The ticket must be one of
-// this host. If ctx ends first the job goes on and its answer is kept for a
-// resubmission.
-func (l *Loop) Submit(ctx context.Context, spec *job.Spec) (*job.Answer, error) {
-	t, err := ticket.Parse(spec.Ticket)
-	if err != nil {
-		return nil, err
+// ask runs f on the Loop's goroutine and returns its results. Its own errors
+// are Overloaded for a full ring, Draining if the Loop has stopped, and ctx's.
+func ask[T any](ctx context.Context, l *Loop, f func(now time.Time) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
 	}
-	reply := make(chan *job.Answer, 1)
-	digest := spec.Digest()
-	err = l.post(func(now time.Time) { l.submit(now, t, spec, digest, reply) })
+	reply := make(chan result, 1)
+	var zero T
+	err := l.post(func(now time.Time) {
+		value, err := f(now)
+		reply <- result{value, err}
+	})
 	if err != nil {
-		return nil, err
+		return zero, err
 	}
 	select {
-	case answer := <-reply:
-		return answer, nil
+	case r := <-reply:
+		return r.value, r.err
 	case <-ctx.Done():
-		return nil, failure.New(failure.AnswerLost, "the caller did not wait for the answer")
+		return zero, ctx.Err()
 	case <-l.stopped:
-		return nil, failure.New(failure.AnswerLost, "the host stopped before the answer")
-	}
-}
-
-func (l *Loop) submit(now time.Time, t ticket.Ticket, spec *job.Spec, digest uint64, reply chan *job.Answer) {
-	if err := l.config.Minter.Check(spec.Ticket, now); err != nil {
-		reply <- job.Refuse(err)
-		return
-	}
-	state, answer, err := l.config.Book.Begin(t.Seq, digest, t.Expires)
-	switch {
-	case err != nil:
-		reply <- job.Refuse(err)
-	case state == record.Answered:
-		reply <- answer
-	case state == record.Running:
-		l.wait(JobID(t.Seq), reply)
-	default:
-		l.admit(now, t.Seq, spec, reply)
-	}
-}
-
-func (l *Loop) wait(id JobID, reply chan *job.Answer) {
-	l.waiters[id] = append(l.waiters[id], reply)
-}
-
-func (l *Loop) admit(now time.Time, seq uint64, spec *job.Spec, reply chan *job.Answer) {
-	err := l.refuseDraining()
-	if err == nil {
-		err = l.config.Core.Submit(now, JobID(seq), spec)
+		return zero, failure.New(failure.Draining, "the host has stopped")
 	}
-	if err != nil {
-		l.config.Book.Forget(seq)
-		reply <- job.Refuse(err)
-		return
-	}
-	l.wait(JobID(seq), reply)
 }
 
-func (l *Loop) refuseDraining() error {
-	if !l.drain {
-		return nil
-	}
-	return failure.New(failure.Draining, "the host is stopping")
-}
-
-// Cancel withdraws the job of a ticket of this host. A ticket that was never
-// used is used up, so that a submission still on its way starts nothing.
-func (l *Loop) Cancel(text string) error {
-	t, err := ticket.Parse(text)
-	if err != nil {
-		return err
-	}
-	if err := l.config.Minter.Check(text, l.config.Clock()); err != nil {
-		return err
-	}
-	return l.post(func(now time.Time) {
-		withdrawn := job.Refuse(failure.New(failure.Cancelled, "the caller withdrew the job"))
-		if !l.config.Book.Void(t.Seq, t.Expires, withdrawn) {
-			l.config.Core.Cancel(now, JobID(t.Seq))
-		}
-	})
+// tell is ask for a function without a value.
+func tell(ctx context.Context, l *Loop, f func(now time.Time) error) error {
+	_, err := ask(ctx, l, func(now time.Time) (struct{}, error) { return struct{}{}, f(now) })
+	return err
 }
 
 // SetTargets adds or updates targets.
@@ -170,6 +201,11 @@
 	return l.post(func(now time.Time) { l.config.Core.SetTargets(now, list) })
 }
 
+// SetConfig puts another policy in force.
+func (l *Loop) SetConfig(config Config) error {
+	return l.post(func(time.Time) { l.config.Core.SetConfig(config) })
+}
+
 // Drain makes the Loop refuse jobs that it does not know yet.
 func (l *Loop) Drain() error {
 	return l.post(func(time.Time) { l.drain = true })
@@ -186,29 +222,16 @@
 
 // Status returns what the Loop holds.
 func (l *Loop) Status(ctx context.Context) (Status, error) {
-	reply := make(chan Status, 1)
-	if err := l.post(func(time.Time) { reply <- l.status() }); err != nil {
-		return Status{}, err
-	}
-	select {
-	case s := <-reply:
-		return s, nil
-	case <-ctx.Done():
-		return Status{}, ctx.Err()
-	case <-l.stopped:
-		return Status{}, failure.New(failure.Draining, "the host has stopped")
-	}
+	return ask(ctx, l, func(time.Time) (Status, error) { return l.status(), nil })
 }
 
 func (l *Loop) status() Status {
 	c := l.config.Core
-	return Status{
-		Jobs:    c.Jobs(),
-		Queued:  c.Queued(),
-		Running: c.Running(),
-		Answers: l.config.Book.Stored(),
-		Targets: c.Targets(),
+	s := Status{Jobs: len(l.jobs), Queued: c.Queued(), Running: c.Running(), Targets: c.Targets()}
+	for _, i := range l.issuers {
+		s.Answers += i.book.Stored()
 	}
+	return s
 }
 
 // apply carries out the effects of the Core. Each start gets a goroutine, so
@@ -220,6 +243,8 @@
 	for _, f := range out.Finishes {
 		l.finish(f)
 	}
+	l.tell(ctx, out.Tells)
+	l.stopTasks(ctx, out.Stops)
 }
 
 func (l *Loop) send(ctx context.Context, s Start) {
@@ -230,10 +255,28 @@
 	}
 }
 
+// finish gives the answer to a job and records it. The record of a job that did
+// not run and may come back is dropped, so that it runs when it does.
 func (l *Loop) finish(f Finish) {
-	l.config.Book.Finish(uint64(f.Job), f.Answer)
-	for _, reply := range l.waiters[f.Job] {
-		reply <- f.Answer
+	p := l.jobs[f.Job]
+	l.drop(f.Job)
+	if f.Answer.MayComeBack() {
+		p.book.Forget(p.key.Seq)
+	} else {
+		p.book.Finish(p.key.Seq, f.Answer)
+		l.config.Copier.Copy(p.key, p.digest, f.Answer)
+	}
+	p.reply(f.Answer)
+}
+
+func (p *pending) reply(answer *job.Answer) {
+	for _, waiter := range p.waiters {
+		waiter <- answer
 	}
-	delete(l.waiters, f.Job)
+}
+
+// drop ends a job in progress.
+func (l *Loop) drop(id JobID) {
+	delete(l.byKey, l.jobs[id].key)
+	delete(l.jobs, id)
 }
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/process/dispatch"
+	"wasabifield.example/wasabifield/internal/process/workers"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 	"wasabifield.example/wasabifield/internal/request/ticket"
@@ -15,6 +17,7 @@
 func (h *Host) Submit(ctx context.Context, spec *job.Spec, body []byte) *job.Answer {
 	answer := h.submit(ctx, spec, body)
 	h.observer.answered(answer)
+	h.recorder.Answered(time.Now(), answer)
 	return answer
 }
 
@@ -23,10 +26,56 @@
 	if err != nil {
 		return job.Refuse(err)
 	}
-	if t.Host == h.settings.Host {
+	answer := h.submitTo(ctx, t.Host, spec, body)
+	if !holderIsGone(answer) {
+		return answer
+	}
+	for _, kin := range h.kin(t.Host) {
+		if second := h.submitTo(ctx, kin, spec, body); !holderIsGone(second) {
+			return second
+		}
+	}
+	return answer
+}
+
+// holderIsGone reports whether the host that answered has no record of the
+// ticket's incarnation, or could not be reached. Another host of the issuer's
+// domain may have taken the records over or hold a copy of the answer.
+func holderIsGone(a *job.Answer) bool {
+	if a.Error == nil {
+		return false
+	}
+	return isGone(failure.Kind(a.Error.Kind))
+}
+
+func isGone(k failure.Kind) bool {
+	return k == failure.RecordLost || k == failure.HolderUnreachable
+}
+
+// kin returns the other hosts of a host's domain, this one included.
+func (h *Host) kin(name string) []string {
+	now := time.Now()
+	domain := h.hosts.domainOf(now, name)
+	if name == h.settings.Host {
+		domain = h.settings.Domain
+	}
+	var list []string
+	if domain == h.settings.Domain && name != h.settings.Host {
+		list = append(list, h.settings.Host)
+	}
+	for _, other := range h.hosts.heirs(now, domain) {
+		if other != name {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+func (h *Host) submitTo(ctx context.Context, host string, spec *job.Spec, body []byte) *job.Answer {
+	if host == h.settings.Host {
 		return h.SubmitLocal(ctx, spec)
 	}
-	answer, err := h.client.Forward(ctx, t.Host, body)
+	answer, err := h.forward(ctx, host, spec, body)
 	if err != nil {
 		return job.RefuseElsewhere(err)
 	}
@@ -48,14 +97,35 @@
 	if err != nil {
 		return err
 	}
-	if t.Host == h.settings.Host {
-		return h.CancelLocal(text)
+	err = h.cancelAt(ctx, t.Host, text)
+	for _, kin := range h.kin(t.Host) {
+		if !isGone(failure.KindOf(err)) {
+			break
+		}
+		err = h.cancelAt(ctx, kin, text)
 	}
-	return h.client.Cancel(ctx, t.Host, text)
+	return err
+}
+
+func (h *Host) cancelAt(ctx context.Context, host, text string) error {
+	if host == h.settings.Host {
+		return h.CancelLocal(ctx, text)
+	}
+	return h.client.Cancel(ctx, host, text)
 }
 
 // CancelLocal implements peer.Backend.
-func (h *Host) CancelLocal(text string) error { return h.loop.Cancel(text) }
+func (h *Host) CancelLocal(ctx context.Context, text string) error { return h.loop.Cancel(ctx, text) }
+
+// setTargets hands targets to the loop.
+func (h *Host) setTargets(list []dispatch.Target) {
+	if len(list) == 0 {
+		return
+	}
+	if err := h.loop.SetTargets(list); err != nil {
+		h.log.Warn("The targets were not taken in.", "error", err)
+	}
+}
 
 const renewsPerLease = 3 // a target may miss all but one renewal
 
@@ -76,6 +146,21 @@
 	}, nil
 }
 
+// ReportUsage implements callerapi.Backend.
+func (h *Host) ReportUsage(list []wire.WorkerUsage) error {
+	now := time.Now()
+	usages := make([]workers.Usage, len(list))
+	for i, u := range list {
+		usages[i] = workers.Usage{
+			Worker:     u.Worker,
+			At:         now.Add(-time.Duration(u.AgeMS) * time.Millisecond),
+			Processors: u.Processors,
+			Memory:     u.Memory,
+		}
+	}
+	return h.loop.ReportUsage(usages)
+}
+
 // Targets implements callerapi.Backend.
 func (h *Host) Targets(ctx context.Context) ([]wire.TargetStatus, error) {
 	s, err := h.loop.Status(ctx)
@@ -89,6 +174,7 @@
 			Announcement: t.Announcement,
 			Alive:        t.Alive(now),
 			Busy:         t.Busy(),
+			Use:          t.Use(),
 			LeaseMS:      t.LeaseEnd.Sub(now).Milliseconds(),
 		})
 	}
@@ -101,10 +187,32 @@
 		Host:        h.settings.Host,
 		Domain:      h.settings.Domain,
 		Region:      h.settings.Region,
-		Incarnation: h.incarnation,
+		Incarnation: h.hosts.incarnation(),
 		State:       "self",
+		Control:     h.plane.Version(),
+	}
+	return append([]wire.HostStatus{self}, h.hosts.list(time.Now())...), nil
+}
+
+// Jobs implements operatorapi.JobLister.
+func (h *Host) Jobs(ctx context.Context) ([]wire.JobStatus, error) {
+	list, err := h.loop.JobList(ctx)
+	if err != nil {
+		return nil, err
+	}
+	jobs := make([]wire.JobStatus, len(list))
+	for i, j := range list {
+		jobs[i] = wire.JobStatus{
+			Ticket:     j.Host + "/" + strconv.FormatUint(j.Seq, 10),
+			Team:       j.Team,
+			Tasks:      j.Tasks,
+			Started:    j.Started,
+			Done:       j.Done,
+			AgeMS:      j.Age.Milliseconds(),
+			DeadlineMS: j.Left.Milliseconds(),
+		}
 	}
-	return append([]wire.HostStatus{self}, h.peers.list(time.Now())...), nil
+	return jobs, nil
 }
 
 // Ready implements callerapi.Backend.
@@ -112,8 +220,24 @@
 	if h.draining.Load() {
 		return failure.New(failure.Draining, "the host is stopping")
 	}
-	return nil
+	return h.checkInformed()
+}
+
+// checkInformed refuses new work while a newer bundle may have been in force.
+func (h *Host) checkInformed() error {
+	if h.plane.Informed() {
+		return nil
+	}
+	return failure.New(failure.NotReady, "the host does not know yet which bundle is in force")
+}
+
+// allow refuses a new job that this host must not start.
+func (h *Host) allow(spec *job.Spec) error {
+	if err := h.checkInformed(); err != nil {
+		return err
+	}
+	return h.policy.current().checkLimits(spec)
 }
 
 // Bundle implements callerapi.Backend.
-func (h *Host) Bundle() uint64 { return 0 }
+func (h *Host) Bundle() uint64 { return h.policy.current().Version }
--- a/internal/process/host/observer.go
+++ b/internal/process/host/observer.go
@@ -115,6 +115,17 @@
 // Unwrap lets an http.ResponseController reach the answer.
 func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// outOfUse counts the targets that are ejected, on trial or on a lost worker.
+func outOfUse(targets []dispatch.Target) int {
+	n := 0
+	for _, t := range targets {
+		if t.Use() != "in use" {
+			n++
+		}
+	}
+	return n
+}
+
 // sample sets the gauges until ctx is cancelled.
 func (o *observer) sample(ctx context.Context, loop *dispatch.Loop) error {
 	ticker := time.NewTicker(sampleInterval)
@@ -125,15 +136,17 @@
 			return o.metrics.Close()
 		case <-ticker.C:
 		}
+		scope := o.metrics.Scope()
+		metrics.SampleRuntime(scope)
 		s, err := loop.Status(ctx)
 		if err != nil {
 			continue
 		}
-		scope := o.metrics.Scope()
 		scope.Gauge("jobs").Update(float64(s.Jobs))
 		scope.Gauge("queued_tasks").Update(float64(s.Queued))
 		scope.Gauge("running_tasks").Update(float64(s.Running))
 		scope.Gauge("stored_answers").Update(float64(s.Answers))
 		scope.Gauge("targets").Update(float64(len(s.Targets)))
+		scope.Gauge("targets_out_of_use").Update(float64(outOfUse(s.Targets)))
 	}
 }
--- a/internal/process/membership/hosts.go
+++ b/internal/process/membership/hosts.go
@@ -84,6 +84,11 @@
 // Incarnation returns this host's own incarnation.
 func (h *Hosts) Incarnation() uint64 { return h.config.Incarnation }
 
+// Raise replaces this host's own incarnation by a greater one.
+func (h *Hosts) Raise(incarnation uint64) {
+	h.config.Incarnation = max(h.config.Incarnation, incarnation)
+}
+
 // Due returns the hosts to ask at now. A host that was frozen asks each host
 // once, not once for each time that it missed.
 func (h *Hosts) Due(now time.Time) []string {
@@ -179,10 +184,21 @@
 	return a
 }
 
-// Rumours returns at most limit rumours for a host of domain. Hosts of that
-// domain are left out, since they hear each other. Successive calls go round
-// all hosts.
-func (h *Hosts) Rumours(now time.Time, domain string, limit int) []*membershippb.HostRumour {
+// The greatest number of rumours in one answer. Hosts of one domain ask each
+// other so often that few rumours in each answer still go round in a second.
+const (
+	rumoursWithin = 2  // to a host of the own domain
+	rumoursAcross = 16 // to a host of another domain
+)
+
+// Rumours returns a bounded number of rumours for a host of domain. Hosts of
+// that domain are left out, since they hear each other. Successive calls go
+// round all hosts.
+func (h *Hosts) Rumours(now time.Time, domain string) []*membershippb.HostRumour {
+	limit := rumoursAcross
+	if domain == h.config.Self.Domain {
+		limit = rumoursWithin
+	}
 	var rumours []*membershippb.HostRumour
 	for range h.peers {
 		if len(rumours) == limit {
--- a/internal/standin/launch/process.go
+++ b/internal/standin/launch/process.go
@@ -32,6 +32,9 @@
 	return p, nil
 }
 
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends s.
 func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
 
@@ -71,6 +74,16 @@
 	}
 }
 
+// ExitCode waits for the end of the process for at most limit and returns its
+// exit code, -1 if a signal ended it.
+func (p *Process) ExitCode(limit time.Duration) (int, error) {
+	err := p.Wait(limit)
+	if !p.Exited() {
+		return 0, err
+	}
+	return p.cmd.ProcessState.ExitCode(), nil
+}
+
 // Stop asks for a graceful shutdown and waits for it. A process that does not
 // end within limit is killed.
 func (p *Process) Stop(limit time.Duration) error {
