--- a/internal/standin/measure/rollout.go
+++ b/internal/standin/measure/rollout.go
@@ -34,9 +34,14 @@
 
 // Replace returns the command that puts a document in force in one step.
 func (o Operator) Replace(version uint64, document []byte) control.Command {
+	return o.ReplaceAs(fmt.Sprintf("replace-%d", version), version, document)
+}
+
+// ReplaceAs is Replace under a request id of the caller's.
+func (o Operator) ReplaceAs(request string, version uint64, document []byte) control.Command {
 	digest := bundle.DigestOf(document)
 	c := control.Command{
-		Request:   fmt.Sprintf("replace-%d", version),
+		Request:   request,
 		Operator:  operatorName,
 		Action:    control.Replace,
 		Version:   version,
--- /dev/null
+++ b/internal/standin/scenario/bundles.go
@@ -0,0 +1,110 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/operatorclient"
+	"wasabifield.example/wasabifield/internal/connection/wire"
+	"wasabifield.example/wasabifield/internal/request/report"
+	"wasabifield.example/wasabifield/internal/standin/measure"
+)
+
+const controlTimeout = 20 * time.Second // of one command of an operator
+
+// dataFolder returns the data folder of a host with a disk.
+func (w *World) dataFolder(host string) string {
+	return filepath.Join(w.config.Folder, host+".data")
+}
+
+// Wipe empties the disk of a host that does not run.
+func (w *World) Wipe(host string) error { return os.RemoveAll(w.dataFolder(host)) }
+
+// Replace sends the command that brings a version into force through a host.
+// The verdict is "done", or the kind of the refusal. Two contents of a version
+// differ in their tag.
+func (w *World) Replace(version uint64, host, tag string) (verdict string, err error) {
+	h, ok := w.hosts[host]
+	if !ok {
+		return "", fmt.Errorf("%s: no such host", host)
+	}
+	document := fmt.Appendf(nil, "# %s\nversion: %d\nbased_on: %d\n", tag, version, version-1)
+	client := operatorclient.NewClient([]string{h.settings.HTTP}, controlTimeout)
+	command := w.operator.ReplaceAs(fmt.Sprintf("replace-%d-%s", version, tag), version, document)
+	answer, err := client.Send(context.Background(), command, false)
+	var refused *operatorclient.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return string(refused.Answer.Kind), nil
+	case err != nil:
+		return "unknown", nil
+	case !answer.Done():
+		return string(answer.Kind), nil
+	}
+	return "done", nil
+}
+
+// InForce waits until the host serves with the version or a newer one, and
+// checks that it never went back to an older one.
+func (w *World) InForce(version uint64, host string) error {
+	return poll(func() error {
+		bundles, err := w.bundles(host)
+		if err != nil {
+			return err
+		}
+		if err := onlyForward(host, bundles); err != nil {
+			return err
+		}
+		if n := len(bundles); n == 0 || bundles[n-1].Version < version {
+			return fmt.Errorf("%s: version %d is not in force", host, version)
+		}
+		return nil
+	})
+}
+
+// NotInForce checks that the host does not serve with the version yet.
+func (w *World) NotInForce(version uint64, host string) error {
+	bundles, err := w.bundles(host)
+	if err != nil {
+		return err
+	}
+	if n := len(bundles); n > 0 && bundles[n-1].Version >= version {
+		return fmt.Errorf("%s: version %d is in force", host, bundles[n-1].Version)
+	}
+	return nil
+}
+
+// bundles returns which bundles the host served with since its start, the
+// oldest first.
+func (w *World) bundles(host string) ([]report.InForce, error) {
+	h, ok := w.hosts[host]
+	if !ok {
+		return nil, fmt.Errorf("%s: no such host", host)
+	}
+	var r report.Report
+	client := operatorclient.NewClient([]string{h.settings.HTTP}, controlTimeout)
+	if err := client.Get(context.Background(), wire.PathReport, &r); err != nil {
+		return nil, err
+	}
+	list := make([]report.InForce, len(r.Bundles))
+	for i, b := range r.Bundles {
+		list[len(list)-1-i] = b
+	}
+	return list, nil
+}
+
+func onlyForward(host string, bundles []report.InForce) error {
+	for i := 1; i < len(bundles); i++ {
+		if bundles[i].Version < bundles[i-1].Version {
+			return fmt.Errorf("%s went from version %d back to %d", host, bundles[i-1].Version, bundles[i].Version)
+		}
+	}
+	return nil
+}
+
+// newOperator returns the operator that signs all bundles of a World.
+func newOperator() measure.Operator { return measure.NewOperator() }
--- a/internal/standin/scenario/combined.go
+++ b/internal/standin/scenario/combined.go
@@ -91,12 +91,7 @@
 			return err
 		}
 	}
-	for _, name := range c.world.names {
-		if err := c.world.Start(name); err != nil {
-			return err
-		}
-	}
-	return nil
+	return c.world.Start(c.world.names...)
 }
 
 // call submits one job after the other, in bursts with pauses.
--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -25,7 +25,8 @@
 }
 
 // Entry declares an entry host. All are declared before the first starts, since
-// each knows the others. Overrides are settings in YAML.
+// each knows the others. Overrides are settings in YAML, or "disk" for a host
+// with a disk.
 func (w *World) Entry(name, domain string, overrides ...string) error {
 	s := settings.Default()
 	s.Host, s.Domain = name, domain
@@ -38,7 +39,12 @@
 	if s.Peer, err = w.ports.Address(); err != nil {
 		return err
 	}
+	s.Operators = []settings.Operator{w.operator.Settings()}
 	for _, o := range overrides {
+		if o == "disk" {
+			s.DataFolder = w.dataFolder(name)
+			continue
+		}
 		if err := yaml.Unmarshal([]byte(o), &s); err != nil {
 			return fmt.Errorf("%s: %w", o, err)
 		}
@@ -75,12 +81,23 @@
 	return nil
 }
 
-// Start starts a declared host or target, for the first time or again, and
-// waits until it serves.
-func (w *World) Start(name string) error {
-	if err := w.launch(name); err != nil {
-		return err
+// Start starts declared hosts and targets, for the first time or again, and
+// waits until they serve. Hosts with disks need each other for that.
+func (w *World) Start(names ...string) error {
+	for _, name := range names {
+		if err := w.launch(name); err != nil {
+			return err
+		}
+	}
+	for _, name := range names {
+		if err := w.waitServing(name); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+func (w *World) waitServing(name string) error {
 	if t, ok := w.targets[name]; ok {
 		return w.Listed(t.entries[0], name, true)
 	}
--- a/internal/standin/scenario/world.go
+++ b/internal/standin/scenario/world.go
@@ -14,6 +14,7 @@
 	"wasabifield.example/wasabifield/internal/standin/caller"
 	"wasabifield.example/wasabifield/internal/standin/history"
 	"wasabifield.example/wasabifield/internal/standin/launch"
+	"wasabifield.example/wasabifield/internal/standin/measure"
 	"wasabifield.example/wasabifield/internal/standin/relay"
 )
 
@@ -32,16 +33,17 @@
 
 // World is the set of processes, links and jobs of one scenario.
 type World struct {
-	config  WorldConfig
-	ports   *launch.Ports
-	names   []string // of hosts and targets in the order declared
-	hosts   map[string]*hostProcess
-	targets map[string]*targetProcess
-	links   map[string]*relay.Relay
-	jobs    map[string]*jobState
-	history *history.Writer
-	sender  *caller.Sender
-	closers []func()
+	config   WorldConfig
+	ports    *launch.Ports
+	names    []string // of hosts and targets in the order declared
+	hosts    map[string]*hostProcess
+	targets  map[string]*targetProcess
+	links    map[string]*relay.Relay
+	jobs     map[string]*jobState
+	history  *history.Writer
+	sender   *caller.Sender
+	operator measure.Operator
+	closers  []func()
 }
 
 // hostProcess is an entry host. Process is nil before its first start.
@@ -63,12 +65,13 @@
 // NewWorld returns a World without processes.
 func NewWorld(config WorldConfig) (*World, error) {
 	w := &World{
-		config:  config,
-		ports:   launch.NewPorts(),
-		hosts:   map[string]*hostProcess{},
-		targets: map[string]*targetProcess{},
-		links:   map[string]*relay.Relay{},
-		jobs:    map[string]*jobState{},
+		config:   config,
+		ports:    launch.NewPorts(),
+		hosts:    map[string]*hostProcess{},
+		targets:  map[string]*targetProcess{},
+		links:    map[string]*relay.Relay{},
+		jobs:     map[string]*jobState{},
+		operator: newOperator(),
 	}
 	writer, file, err := history.Open(w.historyFile("callers"))
 	if err != nil {
