Change bundles and lose disks during the combined failures

An operator brings one bundle after the other into force; three hosts have disks, and a crashed one may lose its disk once every earlier loss is repaired. The last accepted version must come into force at each host, and a new rule of the checker says that no host answers by an older bundle than before (planted fault: version 6 after 7).

--- a/internal/standin/history/check.go
+++ b/internal/standin/history/check.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
 )
 
@@ -21,11 +23,12 @@
 	RanAsTold   Rule = "ran_as_told"  // what an answer says about starts agrees with the starts
 	LeftAlone   Rule = "left_alone"   // a leaving target is offered no task after a bound
 	NothingLost Rule = "nothing_lost" // each submission is answered or known to be cut
+	BundleKept  Rule = "bundle_kept"  // a host never answers by an older bundle than before
 )
 
 // Rules returns every Rule.
 func Rules() []Rule {
-	return []Rule{StartedOnce, WholeAnswer, OwnAnswer, RanAsTold, LeftAlone, NothingLost}
+	return []Rule{StartedOnce, WholeAnswer, OwnAnswer, RanAsTold, LeftAlone, NothingLost, BundleKept}
 }
 
 // Fault is one breach of an invariant.
@@ -71,9 +74,16 @@
 	account  Account
 	starts   map[taskKey]int
 	jobStart map[string]time.Time // first start of a job
-	open     map[attemptKey]Event // submissions without an answer so far
+	open     map[attemptKey]sent  // submissions without an answer so far
 	jobs     map[string]*jobState
-	leaving  map[string]Event // by target
+	leaving  map[string]Event  // by target
+	bundles  map[string]uint64 // greatest version in an answer, by host
+}
+
+// sent is a submission and the bundles that were seen before it.
+type sent struct {
+	Event
+	bundles map[string]uint64
 }
 
 // jobState is what the checker knows of one job.
@@ -88,9 +98,10 @@
 		config:   config,
 		starts:   map[taskKey]int{},
 		jobStart: map[string]time.Time{},
-		open:     map[attemptKey]Event{},
+		open:     map[attemptKey]sent{},
 		jobs:     map[string]*jobState{},
 		leaving:  map[string]Event{},
+		bundles:  map[string]uint64{},
 	}
 }
 
@@ -122,7 +133,7 @@
 
 func (c *checker) submit(e Event) {
 	c.account.Submissions++
-	c.open[attemptKey{e.Job, e.Attempt}] = e
+	c.open[attemptKey{e.Job, e.Attempt}] = sent{e, maps.Clone(c.bundles)}
 	state, ok := c.jobs[e.Job]
 	if !ok {
 		state = &jobState{tasks: e.Tasks}
@@ -164,7 +175,8 @@
 
 func (c *checker) answer(e Event) {
 	key := attemptKey{e.Job, e.Attempt}
-	if _, ok := c.open[key]; !ok {
+	submission, ok := c.open[key]
+	if !ok {
 		c.fault(NothingLost, e, "attempt %d was answered without a submission, or twice", e.Attempt)
 	}
 	delete(c.open, key)
@@ -174,6 +186,7 @@
 		return
 	}
 	state.outcome = e.Answer.Outcome
+	c.bundle(e, submission)
 	if e.Answer.Outcome == job.Complete {
 		c.complete(e, state)
 		return
@@ -181,6 +194,19 @@
 	c.incomplete(e, state)
 }
 
+// bundle checks that the host had not answered by a newer bundle before the
+// submission was sent. A host that is not ready has none in force.
+func (c *checker) bundle(e Event, submission sent) {
+	host, version := e.Answer.Host, e.Answer.Bundle
+	if e.Answer.Error != nil && failure.Kind(e.Answer.Error.Kind) == failure.NotReady {
+		return
+	}
+	if before := submission.bundles[host]; version < before {
+		c.fault(BundleKept, e, "host %s answered by version %d after version %d", host, version, before)
+	}
+	c.bundles[host] = max(c.bundles[host], version)
+}
+
 func (c *checker) complete(e Event, state *jobState) {
 	var ids []string
 	for _, o := range e.Answer.Outputs {
@@ -235,7 +261,7 @@
 
 func (c *checker) finish() {
 	for key, e := range c.open {
-		c.fault(NothingLost, e, "attempt %d at %s has no answer", key.attempt, e.Entry)
+		c.fault(NothingLost, e.Event, "attempt %d at %s has no answer", key.attempt, e.Entry)
 	}
 	for _, state := range c.jobs {
 		c.account.count(state)
--- a/internal/standin/history/check_test.go
+++ b/internal/standin/history/check_test.go
@@ -49,6 +49,12 @@
 	return e
 }
 
+// by states the host and the bundle version that answered.
+func by(e history.Event, host string, version uint64) history.Event {
+	e.Answer.Host, e.Answer.Bundle = host, version
+	return e
+}
+
 func leaving(target string) history.Event {
 	return history.Event{What: history.Leaving, Target: target}
 }
@@ -62,6 +68,10 @@
 		at(1, start("a", "t1", "x")),
 		at(2, start("a", "t2", "y")),
 		at(3, leaving("x")),
+		at(3, submit("d", 1, "t1")),
+		at(3, submit("d", 2, "t1")),
+		at(3, by(failed("d", 2, job.NotRun, "no", "no"), "h", 7)),
+		at(3, by(failed("d", 1, job.NotRun, "no", "no"), "h", 6)), // sent before 7 was seen
 		at(4, history.Event{What: history.Lost, Job: "a", Attempt: 1}),
 		at(5, submit("a", 2, "t1", "t2")),
 		at(6, complete("a", 2, label("a", "t1"), label("a", "t2"))),
@@ -77,7 +87,7 @@
 	}, history.CheckConfig{LeaveWithin: leaveWithin})
 
 	g.Expect(account.Faults).To(BeEmpty())
-	g.Expect(account.Jobs).To(Equal(3))
+	g.Expect(account.Jobs).To(Equal(4))
 	g.Expect(account.Complete).To(Equal(2))
 	g.Expect(account.Failed).To(Equal(1))
 	g.Expect(account.Started).To(Equal(4))
@@ -122,6 +132,9 @@
 			leaving("x"), {What: history.Serving, Target: "x", Incarnation: 2}, at(5001, start("a", "t1", "x"))}},
 		"never answered": {history.NothingLost, []history.Event{
 			submit("a", 1, "t1")}},
+		"an older bundle than before": {history.BundleKept, []history.Event{
+			submit("a", 1, "t1"), by(failed("a", 1, job.NotRun, "no", "no"), "h", 7),
+			submit("a", 2, "t1"), by(failed("a", 2, job.NotRun, "no", "no"), "h", 6)}},
 		"answered twice": {history.NothingLost, []history.Event{
 			submit("a", 1, "t1"), start("a", "t1", "x"), whole, whole}},
 	}
--- a/internal/standin/scenario/bundles.go
+++ b/internal/standin/scenario/bundles.go
@@ -6,15 +6,15 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/operatorclient"
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/request/report"
-	"wasabifield.example/wasabifield/internal/standin/measure"
 )
 
-const controlTimeout = 20 * time.Second // of one command of an operator
+const controlTimeout = 5 * time.Second // of one command of an operator
 
 // dataFolder returns the data folder of a host with a disk.
 func (w *World) dataFolder(host string) string {
@@ -24,6 +24,15 @@
 // Wipe empties the disk of a host that does not run.
 func (w *World) Wipe(host string) error { return os.RemoveAll(w.dataFolder(host)) }
 
+// repairs returns how often a new disk of the host became a voter.
+func (w *World) repairs(host string) int {
+	log, err := os.ReadFile(w.logFile(host))
+	if err != nil {
+		return 0
+	}
+	return strings.Count(string(log), "The new disk counts as a voter")
+}
+
 // Replace sends the command that brings a version into force through a host.
 // The verdict is "done", or the kind of the refusal. Two contents of a version
 // differ in their tag.
@@ -105,6 +114,3 @@
 	}
 	return nil
 }
-
-// newOperator returns the operator that signs all bundles of a World.
-func newOperator() measure.Operator { return measure.NewOperator() }
--- a/internal/standin/scenario/combined.go
+++ b/internal/standin/scenario/combined.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,10 +22,11 @@
 	Callers int
 }
 
-// Names of what the combined run starts: two entry hosts and four targets in
-// each of two failure domains. One target fails every task at once, one refuses
-// half of them.
+// Names of what the combined run starts: two entry hosts and three targets in
+// each of two failure domains. Three hosts have disks. One target fails half of
+// its tasks at once, one refuses half of them.
 var (
+	combinedDisks   = []string{"a1", "a2", "b1"}
 	combinedHosts   = map[string]string{"a1": "north", "a2": "north", "b1": "south", "b2": "south"}
 	combinedHostSeq = []string{"a1", "a2", "b1", "b2"}
 	combinedTargets = []string{"n1", "n2", "n3", "s1", "s2", "s3"}
@@ -36,6 +38,8 @@
 	config CombinedConfig
 	random *rand.Rand
 	undo   []undo
+	wiped  map[string]int // how often a host lost its disk
+	last   uint64         // bundle version accepted last; read it when load has ended
 	log    func(format string, args ...any)
 }
 
@@ -50,7 +54,7 @@
 // about failures drawn from the seed, heals everything, and checks that each
 // host serves again. The histories are left to be checked.
 func Combined(w *World, config CombinedConfig, log func(format string, args ...any)) error {
-	c := &combined{world: w, config: config, random: rand.New(rand.NewPCG(config.Seed, 3)), log: log}
+	c := &combined{world: w, config: config, random: rand.New(rand.NewPCG(config.Seed, 3)), wiped: map[string]int{}, log: log}
 	if err := c.startFleet(); err != nil {
 		return err
 	}
@@ -61,6 +65,7 @@
 		load.Go(func() error { return c.call(ctx, i) })
 	}
 	load.Go(func() error { return c.cancelWaves(ctx) })
+	load.Go(func() error { return c.changeBundles(ctx) })
 	err := c.breakThings()
 	stop()
 	if err == nil {
@@ -77,7 +82,11 @@
 
 func (c *combined) startFleet() error {
 	for _, name := range combinedHostSeq {
-		if err := c.world.Entry(name, combinedHosts[name]); err != nil {
+		var settings []string
+		if slices.Contains(combinedDisks, name) {
+			settings = append(settings, diskSetting)
+		}
+		if err := c.world.Entry(name, combinedHosts[name], settings...); err != nil {
 			return err
 		}
 	}
@@ -164,6 +173,24 @@
 	_ = both.Wait()
 }
 
+// changeBundles brings one bundle after the other into force, each through a
+// host drawn anew until one says that it is done.
+func (c *combined) changeBundles(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(c.config.Seed, 5))
+	for ctx.Err() == nil {
+		host := combinedHostSeq[random.IntN(len(combinedHostSeq))]
+		verdict, err := c.world.Replace(c.last+1, host, "only")
+		if err != nil {
+			return err
+		}
+		if verdict == "done" {
+			c.last++
+		}
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+	}
+	return nil
+}
+
 func (c *combined) entries() []string {
 	var list []string
 	for _, name := range combinedHostSeq {
@@ -254,9 +281,28 @@
 	if c.busy(name) {
 		return nil
 	}
-	c.log("step %d: crash %s", step, name)
+	wipe := c.mayWipe(name) && c.random.IntN(2) == 0
+	c.log("step %d: crash %s, disk lost: %t", step, name, wipe)
 	c.endLater(step, name, func() error { return c.world.launch(name) })
-	return c.world.Kill(name)
+	if err := c.world.Kill(name); err != nil || !wipe {
+		return err
+	}
+	c.wiped[name]++
+	return c.world.Wipe(name)
+}
+
+// mayWipe reports whether a host's disk may be lost: the others are well, and
+// every disk that was lost has been repaired.
+func (c *combined) mayWipe(name string) bool {
+	if !slices.Contains(combinedDisks, name) || c.busy("domains") {
+		return false
+	}
+	for _, host := range combinedDisks {
+		if host != name && c.busy(host) || c.world.repairs(host) < c.wiped[host] {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *combined) freeze(step int, name string) error {
@@ -358,10 +404,14 @@
 	return nil
 }
 
-// serveAgain submits one job at each host and expects it complete. A job that
-// meets the failing target is submitted anew.
+// serveAgain waits for the last bundle at each host, submits one job there and
+// expects it complete. A job that meets the failing target is submitted anew.
 func (c *combined) serveAgain() error {
+	c.log("version %d was accepted last, disks lost: %v", c.last, c.wiped)
 	for _, host := range combinedHostSeq {
+		if err := c.world.InForce(c.last, host); err != nil {
+			return err
+		}
 		n := 0
 		err := poll(func() error {
 			n++
--- a/internal/standin/scenario/combined_test.go
+++ b/internal/standin/scenario/combined_test.go
@@ -13,7 +13,7 @@
 )
 
 var (
-	combinedSteps = flag.Int("combined.steps", 20, "failures in TestCombinedFailures")
+	combinedSteps = flag.Int("combined.steps", 40, "failures in TestCombinedFailures")
 	combinedSeed  = flag.Uint64("combined.seed", 1, "seed of TestCombinedFailures")
 )
 
--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -24,6 +24,9 @@
 	t.DrainNotice = 100 * time.Millisecond
 }
 
+// diskSetting gives an entry host a disk.
+const diskSetting = "disk"
+
 // Entry declares an entry host. All are declared before the first starts, since
 // each knows the others. Overrides are settings in YAML, or "disk" for a host
 // with a disk.
@@ -41,7 +44,7 @@
 	}
 	s.Operators = []settings.Operator{w.operator.Settings()}
 	for _, o := range overrides {
-		if o == "disk" {
+		if o == diskSetting {
 			s.DataFolder = w.dataFolder(name)
 			continue
 		}
--- a/internal/standin/scenario/world.go
+++ b/internal/standin/scenario/world.go
@@ -71,7 +71,7 @@
 		targets:  map[string]*targetProcess{},
 		links:    map[string]*relay.Relay{},
 		jobs:     map[string]*jobState{},
-		operator: newOperator(),
+		operator: measure.NewOperator(),
 	}
 	writer, file, err := history.Open(w.historyFile("callers"))
 	if err != nil {
