--- a/internal/request/failure/table_test.go
+++ b/internal/request/failure/table_test.go
@@ -1,9 +1,11 @@
 package failure_test
 
 import (
+	"fmt"
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"os"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -48,3 +50,23 @@
 		g.Expect(row.Status).To(BeNumerically(">=", 400), string(k))
 	}
 }
+
+const pageOfKinds = "../../../docs/operations/failures.md"
+
+func TestTheOperatorsPageStatesEveryRow(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(pageOfKinds)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, k := range failure.Kinds() {
+		row := failure.Lookup(k)
+		back := row.ComeBack.String()
+		switch row.ComeBack {
+		case failure.Never:
+			back = "never"
+		case 0:
+			back = "at once"
+		}
+		line := fmt.Sprintf("| `%s` | %d | %s | %s | %s |", k, row.Status, row.AttemptRan, row.JobRan, back)
+		g.Expect(string(page)).To(ContainSubstring(line))
+	}
+}
