--- a/internal/standin/scenario/bundles.go
+++ b/internal/standin/scenario/bundles.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
@@ -16,14 +15,6 @@
 
 const controlTimeout = 5 * time.Second // of one command of an operator
 
-// dataFolder returns the data folder of a host with a disk.
-func (w *World) dataFolder(host string) string {
-	return filepath.Join(w.config.Folder, host+".data")
-}
-
-// Wipe empties the disk of a host that does not run.
-func (w *World) Wipe(host string) error { return os.RemoveAll(w.dataFolder(host)) }
-
 // repairs returns how often a new disk of the host became a voter.
 func (w *World) repairs(host string) int {
 	log, err := os.ReadFile(w.logFile(host))
@@ -42,7 +33,7 @@
 		return "", fmt.Errorf("%s: no such host", host)
 	}
 	document := fmt.Appendf(nil, "# %s\nversion: %d\nbased_on: %d\n", tag, version, version-1)
-	client := operatorclient.NewClient([]string{h.settings.HTTP}, controlTimeout)
+	client := operatorclient.NewClient(operatorclient.Config{Hosts: []string{h.settings.HTTP}, Timeout: controlTimeout})
 	command := w.operator.ReplaceAs(fmt.Sprintf("replace-%d-%s", version, tag), version, document)
 	answer, err := client.Send(context.Background(), command, false)
 	var refused *operatorclient.RefusedError
@@ -95,7 +86,7 @@
 		return nil, fmt.Errorf("%s: no such host", host)
 	}
 	var r report.Report
-	client := operatorclient.NewClient([]string{h.settings.HTTP}, controlTimeout)
+	client := operatorclient.NewClient(operatorclient.Config{Hosts: []string{h.settings.HTTP}, Timeout: controlTimeout})
 	if err := client.Get(context.Background(), wire.PathReport, &r); err != nil {
 		return nil, err
 	}
--- a/internal/standin/scenario/combined.go
+++ b/internal/standin/scenario/combined.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -71,11 +70,12 @@
 
 func (c *combined) startFleet() error {
 	for _, name := range combinedHostSeq {
-		var settings []string
-		if slices.Contains(combinedDisks, name) {
-			settings = append(settings, diskSetting)
+		if err := c.world.Entry(name, combinedHosts[name]); err != nil {
+			return err
 		}
-		if err := c.world.Entry(name, combinedHosts[name], settings...); err != nil {
+	}
+	for _, name := range combinedDisks {
+		if err := c.world.giveDisk(name); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/scenario/combined_faults.go
+++ b/internal/standin/scenario/combined_faults.go
@@ -99,7 +99,7 @@
 		return err
 	}
 	c.wiped[name]++
-	return c.world.Wipe(name)
+	return c.world.loseDisk(name)
 }
 
 // mayWipe reports whether a host's disk may be lost: the others are well, and
--- a/internal/standin/scenario/commands.go
+++ b/internal/standin/scenario/commands.go
@@ -24,7 +24,7 @@
 
 // Commands returns the scenario language:
 //
-//	entry NAME DOMAIN [disk] [SETTINGS]  declare an entry host
+//	entry NAME DOMAIN [SETTINGS]      declare an entry host
 //	target NAME DOMAIN HOST[,HOST] [direct] [FLAG...]  declare a target
 //	start NAME...                     start processes and wait until they serve
 //	crash|freeze|thaw|terminate|lapse NAME...  signal processes
@@ -42,54 +42,52 @@
 //	starts LABEL N                    check the number of starts so far
 //	refused TARGET N                  wait until TARGET has refused N tasks
 //	left TARGET                       wait until TARGET has recorded its leaving
-//	wipe HOST...                      empty the disk of a host that does not run
 //	replace VERSION HOST [tag=T] [VERDICT [or VERDICT]]  bring a bundle into force
 //	changes FIRST LAST HOST           bring many versions into force, one after the other
-//	inforce VERSION HOST...           wait until the hosts serve with VERSION or newer
-//	notinforce VERSION HOST...        check that the hosts do not serve with VERSION
+//	atleast VERSION HOST...           wait until the hosts serve with VERSION or newer
+//	notyet VERSION HOST...            check that the hosts do not serve with VERSION or newer
 //	post HOST PATH FILE               print the status and body of the answer
 //	get HOST PATH                     print the status and body of the answer
 //	pause D                           let time pass
 //	check                             check the invariants on all histories
 func Commands() map[string]command {
 	return map[string]command{
-		"entry":      run(2, func(w *World, a []string) error { return w.Entry(a[0], a[1], a[2:]...) }),
-		"target":     run(3, func(w *World, a []string) error { return w.Target(a[0], a[1], strings.Split(a[2], ","), a[3:]...) }),
-		"start":      run(1, func(w *World, a []string) error { return w.Start(a...) }),
-		"crash":      each((*World).Kill),
-		"freeze":     signal(syscall.SIGSTOP),
-		"thaw":       signal(syscall.SIGCONT),
-		"terminate":  signal(syscall.SIGTERM),
-		"lapse":      signal(syscall.SIGUSR1),
-		"logged":     run(2, func(w *World, a []string) error { return w.Logged(a[0], a[1]) }),
-		"exits":      run(2, exits),
-		"alive":      run(2, func(w *World, a []string) error { return w.Listed(a[0], a[1], true) }),
-		"gone":       run(2, func(w *World, a []string) error { return w.Listed(a[0], a[1], false) }),
-		"cut":        link(func(r *relay.Relay) { r.Cut(relay.Both) }),
-		"cutup":      link(func(r *relay.Relay) { r.Cut(relay.Up) }),
-		"cutdown":    link(func(r *relay.Relay) { r.Cut(relay.Down) }),
-		"heal":       link(func(r *relay.Relay) { r.Heal() }),
-		"silence":    link(func(r *relay.Relay) { r.Silence() }),
-		"refuse":     link(func(r *relay.Relay) { r.Refuse() }),
-		"job":        run(1, declareJob),
-		"ticket":     run(2, func(w *World, a []string) error { return w.Ticket(a[0], a[1]) }),
-		"submit":     run(2, submit),
-		"persist":    run(2, func(w *World, a []string) error { return w.Persist(a[0], a[1]) }),
-		"cancel":     run(2, func(w *World, a []string) error { return w.Cancel(a[0], a[1]) }),
-		"answer":     run(2, answer),
-		"started":    count((*World).Started),
-		"starts":     count((*World).Starts),
-		"refused":    count((*World).Refused),
-		"left":       each((*World).Left),
-		"wipe":       each((*World).Wipe),
-		"replace":    run(2, replace),
-		"changes":    run(3, changes),
-		"inforce":    versions((*World).InForce),
-		"notinforce": versions((*World).NotInForce),
-		"post":       post,
-		"get":        get,
-		"pause":      run(1, pause),
-		"check":      check,
+		"entry":     run(2, func(w *World, a []string) error { return w.Entry(a[0], a[1], a[2:]...) }),
+		"target":    run(3, func(w *World, a []string) error { return w.Target(a[0], a[1], strings.Split(a[2], ","), a[3:]...) }),
+		"start":     run(1, func(w *World, a []string) error { return w.Start(a...) }),
+		"crash":     each((*World).Kill),
+		"freeze":    signal(syscall.SIGSTOP),
+		"thaw":      signal(syscall.SIGCONT),
+		"terminate": signal(syscall.SIGTERM),
+		"lapse":     signal(syscall.SIGUSR1),
+		"logged":    run(2, func(w *World, a []string) error { return w.Logged(a[0], a[1]) }),
+		"exits":     run(2, exits),
+		"alive":     run(2, func(w *World, a []string) error { return w.Listed(a[0], a[1], true) }),
+		"gone":      run(2, func(w *World, a []string) error { return w.Listed(a[0], a[1], false) }),
+		"cut":       link(func(r *relay.Relay) { r.Cut(relay.Both) }),
+		"cutup":     link(func(r *relay.Relay) { r.Cut(relay.Up) }),
+		"cutdown":   link(func(r *relay.Relay) { r.Cut(relay.Down) }),
+		"heal":      link(func(r *relay.Relay) { r.Heal() }),
+		"silence":   link(func(r *relay.Relay) { r.Silence() }),
+		"refuse":    link(func(r *relay.Relay) { r.Refuse() }),
+		"job":       run(1, declareJob),
+		"ticket":    run(2, func(w *World, a []string) error { return w.Ticket(a[0], a[1]) }),
+		"submit":    run(2, submit),
+		"persist":   run(2, func(w *World, a []string) error { return w.Persist(a[0], a[1]) }),
+		"cancel":    run(2, func(w *World, a []string) error { return w.Cancel(a[0], a[1]) }),
+		"answer":    run(2, answer),
+		"started":   count((*World).Started),
+		"starts":    count((*World).Starts),
+		"refused":   count((*World).Refused),
+		"left":      each((*World).Left),
+		"replace":   run(2, replace),
+		"changes":   run(3, changes),
+		"atleast":   versions((*World).InForce),
+		"notyet":    versions((*World).NotInForce),
+		"post":      post,
+		"get":       get,
+		"pause":     run(1, pause),
+		"check":     check,
 	}
 }
 
--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -24,12 +24,8 @@
 	t.DrainNotice = 100 * time.Millisecond
 }
 
-// diskSetting gives an entry host a disk.
-const diskSetting = "disk"
-
 // Entry declares an entry host. All are declared before the first starts, since
-// each knows the others. Overrides are settings in YAML, or "disk" for a host
-// with a disk.
+// each knows the others. Overrides are settings in YAML.
 func (w *World) Entry(name, domain string, overrides ...string) error {
 	s := settings.Default()
 	s.Host, s.Domain = name, domain
@@ -44,10 +40,6 @@
 	}
 	s.Operators = []settings.Operator{w.operator.Settings()}
 	for _, o := range overrides {
-		if o == diskSetting {
-			s.DataFolder = w.dataFolder(name)
-			continue
-		}
 		if err := yaml.Unmarshal([]byte(o), &s); err != nil {
 			return fmt.Errorf("%s: %w", o, err)
 		}
