--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -38,6 +38,7 @@
 	if s.Peer, err = w.ports.Address(); err != nil {
 		return err
 	}
+	s.Operators = []settings.Operator{w.operator.Settings()}
 	for _, o := range overrides {
 		if err := yaml.Unmarshal([]byte(o), &s); err != nil {
 			return fmt.Errorf("%s: %w", o, err)
@@ -75,12 +76,23 @@
 	return nil
 }
 
-// Start starts a declared host or target, for the first time or again, and
-// waits until it serves.
-func (w *World) Start(name string) error {
-	if err := w.launch(name); err != nil {
-		return err
+// Start starts declared hosts and targets, for the first time or again, and
+// waits until they serve. Hosts with disks need each other for that.
+func (w *World) Start(names ...string) error {
+	for _, name := range names {
+		if err := w.launch(name); err != nil {
+			return err
+		}
 	}
+	for _, name := range names {
+		if err := w.waitServing(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) waitServing(name string) error {
 	if t, ok := w.targets[name]; ok {
 		return w.Listed(t.entries[0], name, true)
 	}
