Give no port to two owners on one machine

Cause: seen once: the host of a scenario never listened, 'connection refused' for 60 s. Ports were chosen by listening for a moment, so two scenarios, or two test programs side by side, could choose the same one before it was used. Ruled out: a fault of the host; it ends with an error when its port is taken.

--- a/internal/process/host/host_test.go
+++ b/internal/process/host/host_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"runtime"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 	g := NewWithT(t)
 	f := &fleet{t: t, hosts: map[string]settings.Settings{}, stops: map[string]func(){}}
 	ports := launch.NewPorts()
+	t.Cleanup(func() { runtime.KeepAlive(ports) })
 	for _, name := range names {
 		s := settings.Default()
 		s.Host, s.Domain, s.Region = name, name[:1], "r"
