--- a/internal/process/controller/own.go
+++ b/internal/process/controller/own.go
@@ -42,13 +42,13 @@
 	}
 }
 
-// confirmDelay spreads the confirming reads of many hosts. A fresh disk asks
-// more often.
+// confirmDelay spreads the confirming reads of many hosts. Surveys of a fresh
+// disk follow each other faster.
 func (c *Controller) confirmDelay() time.Duration {
-	mean := c.config.Timing.Confirm
 	if c.isFresh() {
-		mean = min(mean, c.config.Timing.Attempt/freshRate)
+		return c.config.Timing.Attempt / 2
 	}
+	mean := c.config.Timing.Confirm
 	return mean/2 + time.Duration(c.config.Random.Int64N(int64(mean)))
 }
 
