Limit attempts by the longest run time of a kind, not by its 99th percentile

Cause: a few tasks of a kind take several seconds. Five times the 99th percentile would cut them every time, and each cut fails a job with an unknown outcome. Change: five times the longest run time of the last two minutes, and what was given up counts as a run time. Before: with a task of 8 s after every 200 of 100 ms none of four ends; after: the first is cut, the other three end (go test -run RareLong ./internal/process/dispatch).

--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -98,17 +98,17 @@
 
 const (
 	stragglerSamples = 50              // run times that a limit is learned from at least
-	stragglerFactor  = 5               // limit of an attempt, in 99th percentiles of its kind
+	stragglerFactor  = 5               // limit of an attempt, in longest run times of its kind
 	stragglerLeast   = 2 * time.Second // limit of an attempt at least
 )
 
 // attemptLimit returns how long an attempt may take: a multiple of the longest
-// usual run time where that is known, so that a silent connection or a task
-// that hangs is given up long before the general limit.
+// run time of its kind lately, where that is known, so that a silent connection
+// or a task that hangs is given up long before the general limit.
 func (c *Core) attemptLimit(now time.Time, s started) time.Duration {
 	e := c.runtimes.Estimate(now, s.key(), 0)
 	if e.Samples < stragglerSamples {
 		return c.config.AttemptTimeout
 	}
-	return min(c.config.AttemptTimeout, max(stragglerLeast, stragglerFactor*e.P99))
+	return min(c.config.AttemptTimeout, max(stragglerLeast, stragglerFactor*e.Longest))
 }
--- a/internal/process/dispatch/health_test.go
+++ b/internal/process/dispatch/health_test.go
@@ -104,6 +104,36 @@
 	g.Expect(limit).To(Equal(2 * time.Second))
 }
 
+// TestRareLongTasksAreCutOnce gives a kind of 100 ms a task of 8 s now and then.
+func TestRareLongTasksAreCutOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(dispatch.DefaultConfig(), 2, 8)
+	long := false
+	b.serve = func(s dispatch.Start) (dispatch.Outcome, time.Duration) {
+		limit := s.Deadline.Sub(b.now)
+		switch {
+		case !long:
+			return dispatch.Done, 100 * time.Millisecond
+		case limit < 8*time.Second:
+			return dispatch.Lost, limit
+		}
+		return dispatch.Done, 8 * time.Second
+	}
+	complete := 0
+	for range 4 {
+		long = false
+		b.steady(time.Second, "quote")
+		long = true
+		id, err := b.submit("a", "quote", 1, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		b.pass(15 * time.Second)
+		if b.answers[id].Outcome == job.Complete {
+			complete++
+		}
+	}
+	g.Expect(complete).To(Equal(3))
+}
+
 // TestLossOfARackCostsFewAttempts loses one rack of four. Attempts at it end
 // after 500 ms, nothing started. Once three of its workers are silent, the
 // others get no work.
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -46,6 +46,12 @@
 	return runtimes.Key{Team: s.job.team, Kind: s.task().Kind}
 }
 
+// overdue reports whether an attempt was given up at its learned limit. Its time
+// counts as a run time, so that a limit that was too short grows.
+func (s started) overdue(now time.Time, outcome Outcome) bool {
+	return outcome == Lost && !now.Before(s.deadline) && s.deadline.Before(s.job.deadline)
+}
+
 // queueJob returns what the queue knows of a job.
 func (j *jobState) queueJob() queue.Job {
 	return queue.Job{ID: uint64(j.id), Team: j.team, Deadline: j.deadline}
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -46,7 +46,7 @@
 	if outcome == Done || outcome != NotStarted && !s.job.done {
 		c.observe(now, s, outcome)
 	}
-	if outcome == Done {
+	if outcome == Done || s.overdue(now, outcome) {
 		c.runtimes.Observe(now, s.key(), ran)
 	}
 }
--- a/internal/request/runtimes/histogram.go
+++ b/internal/request/runtimes/histogram.go
@@ -74,6 +74,20 @@
 	return bucketEnd(buckets - 1)
 }
 
+// forgotten is the decayed count below which a run time no longer counts: one
+// that was seen about four half-lives ago.
+const forgotten = 0.06
+
+// longest returns the end of the highest bucket that is not forgotten.
+func (h *histogram) longest() time.Duration {
+	for b := buckets - 1; b > 0; b-- {
+		if h.counts[b] > forgotten {
+			return bucketEnd(b)
+		}
+	}
+	return bucketEnd(0)
+}
+
 func (h *histogram) mean() time.Duration {
 	return time.Duration(h.sum / float64(h.total) * float64(time.Second))
 }
--- a/internal/request/runtimes/table.go
+++ b/internal/request/runtimes/table.go
@@ -16,8 +16,9 @@
 	Mean    time.Duration
 	P50     time.Duration
 	P99     time.Duration
-	Learned bool    // from tasks that ran; else from the declared time
-	Samples float64 // run times behind the estimate, after decay
+	Longest time.Duration // of those not yet forgotten, rounded up
+	Learned bool          // from tasks that ran; else from the declared time
+	Samples float64       // run times behind the estimate, after decay
 }
 
 // Table holds the histograms of a bounded number of keys. It is not safe for
@@ -79,12 +80,12 @@
 		h := &e.Value.(*row).hist
 		h.decay(now)
 		if h.total >= enough {
-			return Estimate{Mean: h.mean(), P50: h.quantile(0.5), P99: h.quantile(0.99), Learned: true, Samples: float64(h.total)}
+			return Estimate{Mean: h.mean(), P50: h.quantile(0.5), P99: h.quantile(0.99), Longest: h.longest(), Learned: true, Samples: float64(h.total)}
 		}
 	}
 	guess := unknownMean
 	if declared > 0 {
 		guess = min(declared, declaredLimit)
 	}
-	return Estimate{Mean: guess, P50: guess, P99: spread * guess}
+	return Estimate{Mean: guess, P50: guess, P99: spread * guess, Longest: spread * guess}
 }
--- a/internal/request/runtimes/table_test.go
+++ b/internal/request/runtimes/table_test.go
@@ -67,3 +67,15 @@
 	g.Expect(table.Len()).To(Equal(10))
 	g.Expect(table.Estimate(now, quote, 0).Learned).To(BeTrue())
 }
+
+func TestTheLongestRunTimeIsRememberedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	table := runtimes.NewTable(10)
+	table.Observe(start, quote, 8*time.Second)
+	now := observe(table, start, 1000, 100*time.Millisecond)
+	g.Expect(table.Estimate(now, quote, 0).Longest).To(BeNumerically(">=", 8*time.Second))
+	for range 3 {
+		now = observe(table, now.Add(time.Minute), 1000, 100*time.Millisecond)
+	}
+	g.Expect(table.Estimate(now, quote, 0).Longest).To(BeNumerically("<", time.Second))
+}
