--- a/internal/standin/cmd/capacity/table.go
+++ b/internal/standin/cmd/capacity/table.go
@@ -20,6 +20,7 @@
 	{"memory, MB", func(c measure.Cost) float64 { return c.RSS / 1e6 }},
 	{"peer links, KB/s", func(c measure.Cost) float64 { return (c.PeerSent + c.PeerRecv) / 1e3 }},
 	{"web links, KB/s", func(c measure.Cost) float64 { return (c.WebSent + c.WebRecv) / 1e3 }},
+	{"of both, sent, KB/s", func(c measure.Cost) float64 { return (c.PeerSent + c.WebSent) / 1e3 }},
 }
 
 // table returns the points of an experiment and the fits through them.
