Serve no older bundle in the first moments after a restart

Change: a host counts as informed only when the state that it holds has been taken in; until then its answers state no version, and the first bundle after a start comes into force at once. Each accepted bundle keeps its own turn in a bounded schedule.

--- a/internal/connection/callerapi/api.go
+++ b/internal/connection/callerapi/api.go
@@ -31,8 +31,9 @@
 	Hosts(ctx context.Context) ([]wire.HostStatus, error)
 	// Ready returns nil while new work is accepted.
 	Ready() error
-	// Bundle returns the version of the bundle in force.
-	Bundle() uint64
+	// Bundle returns the version of the bundle in force, nil while it is not
+	// known.
+	Bundle() *uint64
 }
 
 // Config configures an API.
--- a/internal/process/controlplane/informed.go
+++ b/internal/process/controlplane/informed.go
@@ -28,6 +28,13 @@
 	i.said[host] = r
 }
 
+// already reports whether the host was found informed before.
+func (i *informed) already() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.done
+}
+
 // check reports whether a host that holds a version is informed. Confirmed
 // says that a quorum confirmed the version since the host's start.
 func (i *informed) check(version uint64, confirmed bool) bool {
--- a/internal/process/controlplane/plane.go
+++ b/internal/process/controlplane/plane.go
@@ -1,8 +1,10 @@
 package controlplane
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -38,7 +40,8 @@
 type Plane struct {
 	config   Config
 	informed *informed
-	states   chan control.State // holds the newest state that the trail was not brought up to
+	settled  atomic.Pointer[[]byte] // the control state that was taken in last
+	states   chan control.State     // holds the newest state that the trail was not brought up to
 }
 
 // NewPlane returns a Plane.
@@ -119,64 +122,80 @@
 	}
 }
 
-// Informed reports whether this host may serve with the bundle that it holds.
+// Informed reports whether this host may serve with the bundle in force here:
+// it is no older than what the domain served with, and has been put in force.
 func (p *Plane) Informed() bool {
-	if !p.config.AnyDisk {
+	if !p.config.AnyDisk || p.informed.already() {
 		return true
 	}
 	s := p.config.Controller.Status()
+	settled := p.settled.Load()
+	if settled == nil && s.Version > 0 || settled != nil && !bytes.Equal(*settled, s.Content) {
+		return false
+	}
 	return p.informed.check(s.Version, s.Age >= 0)
 }
 
 // follow takes in each new control state.
 func (p *Plane) follow(ctx context.Context) error {
-	due := time.NewTimer(0)
+	due := time.NewTimer(time.Hour)
 	defer due.Stop()
-	var next accepted
+	var turns schedule
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case content := <-p.config.Controller.Updates():
-			state, err := control.Decode(content)
-			if err != nil {
-				p.config.Log.Error("The control state cannot be read.", "error", err)
-				continue
-			}
-			p.noteState(state)
-			if newer, ok := p.accepted(state); ok {
-				next = newer
-				due.Reset(next.wait)
-			}
+			p.settle(content, &turns)
 		case <-due.C:
-			if next.bundle.Version > 0 {
-				p.config.Force(next.bundle, next.digest)
-			}
+			p.force(&turns)
+		}
+		if wait, ok := turns.wait(p.config.Clock()); ok {
+			due.Reset(wait)
+		}
+	}
+}
+
+// settle takes in a control state. Until the host is informed the accepted
+// bundle comes into force at once: the domain may have had its turn before.
+func (p *Plane) settle(content []byte, turns *schedule) {
+	state, err := control.Decode(content)
+	if err != nil {
+		p.config.Log.Error("The control state cannot be read.", "error", err)
+		return
+	}
+	p.noteState(state)
+	if a, wait, ok := p.accepted(state); ok {
+		if !p.informed.already() {
+			wait = 0
 		}
+		turns.add(a, p.config.Clock().Add(wait))
+		p.force(turns)
 	}
+	p.settled.Store(&content)
 }
 
-// accepted is a bundle that comes into force after a wait.
-type accepted struct {
-	bundle bundle.Bundle
-	digest bundle.Digest
-	wait   time.Duration
+// force puts the newest bundle whose turn has come in force.
+func (p *Plane) force(turns *schedule) {
+	if a, ok := turns.take(p.config.Clock()); ok {
+		p.config.Force(a.bundle, a.digest)
+	}
 }
 
-// accepted returns the bundle that state puts in force. The wait is the
-// domain's place in the roll order, less the time since the acceptance; clocks
-// that differ can only shorten it.
-func (p *Plane) accepted(state control.State) (accepted, bool) {
+// accepted returns the bundle that state puts in force and how long to wait
+// for it. The wait is the domain's place in the roll order, less the time since
+// the acceptance; clocks that differ can only shorten it.
+func (p *Plane) accepted(state control.State) (accepted, time.Duration, bool) {
 	v, ok := state.InForce()
 	if !ok {
-		return accepted{}, false
+		return accepted{}, 0, false
 	}
 	b, err := bundle.Parse([]byte(v.Document))
 	if err != nil {
 		p.config.Log.Error("The accepted bundle cannot be read.", "version", v.Number, "error", err)
-		return accepted{}, false
+		return accepted{}, 0, false
 	}
 	delay := b.RollDelay(p.config.Domain)
 	passed := p.config.Clock().Sub(v.EndedAt)
-	return accepted{bundle: b, digest: v.Digest, wait: min(delay, max(0, delay-passed))}, true
+	return accepted{bundle: b, digest: v.Digest}, min(delay, max(0, delay-passed)), true
 }
--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -240,4 +240,10 @@
 }
 
 // Bundle implements callerapi.Backend.
-func (h *Host) Bundle() uint64 { return h.policy.current().Version }
+func (h *Host) Bundle() *uint64 {
+	if !h.plane.Informed() {
+		return nil
+	}
+	version := h.policy.current().Version
+	return &version
+}
