Leave a scenario host's settings alone while others read them

Cause: the race detector stopped the combined run: each launch wrote the settings of all hosts, unchanged, while the duty that changes bundles read them. Ruled out: a lock; nothing changes once the hosts are declared.

--- a/internal/standin/scenario/processes.go
+++ b/internal/standin/scenario/processes.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -153,11 +154,19 @@
 		return w.links[from.Host+"-"+to.Host].Address()
 	})
 	for _, s := range all {
-		w.hosts[s.Host].settings = s
+		w.hosts[s.Host].setSettings(s)
 	}
 	return nil
 }
 
+// setSettings changes the settings only if they differ, since others read them
+// while a host is launched again.
+func (h *hostProcess) setSettings(s settings.Settings) {
+	if !reflect.DeepEqual(h.settings, s) {
+		h.settings = s
+	}
+}
+
 func (w *World) launchTarget(name string, t *targetProcess) error {
 	var entries []string
 	for _, e := range t.entries {
