Bound a host's control traffic whatever its domain's size

Ruled out: a longer exchange for all; sites of today have one neighbour and gain nothing from it. Asking a random few: a target's leaving then takes rounds. Change: the time between two questions to a neighbour grows with the number of neighbours beyond two, and a target renews after 40% of its lease in place of a third, which still allows one lost renewal.

--- a/internal/process/host/backend.go
+++ b/internal/process/host/backend.go
@@ -127,7 +127,9 @@
 	}
 }
 
-const renewsPerLease = 3 // a target may miss all but one renewal
+// renewAfter is the share of a lease after which a target renews it, in percent.
+// One renewal may be lost.
+const renewAfter = 40
 
 // Announce implements callerapi.Backend.
 func (h *Host) Announce(a wire.Announcement) (wire.Lease, error) {
@@ -141,7 +143,7 @@
 	lease := h.settings.Timing.TargetLease
 	return wire.Lease{
 		LeaseMS: lease.Milliseconds(),
-		RenewMS: (lease / renewsPerLease).Milliseconds(),
+		RenewMS: lease.Milliseconds() * renewAfter / 100,
 		Host:    h.settings.Host,
 	}, nil
 }
--- a/internal/process/host/control.go
+++ b/internal/process/host/control.go
@@ -64,14 +64,15 @@
 		Order:  rollOrder,
 	}
 	plane := controlplane.Config{
-		Domain:  s.Domain,
-		AnyDisk: h.folder != nil,
-		Rules:   rulesOf(s),
-		Trail:   h.trail,
-		Clock:   time.Now,
-		Log:     log,
-		Force:   h.setBundle,
-		Fetch:   h.fetchEntries,
+		Domain:     s.Domain,
+		Neighbours: s.Neighbours(),
+		AnyDisk:    h.folder != nil,
+		Rules:      rulesOf(s),
+		Trail:      h.trail,
+		Clock:      time.Now,
+		Log:        log,
+		Force:      h.setBundle,
+		Fetch:      h.fetchEntries,
 	}
 	for _, p := range s.Peers {
 		config.Peers = append(config.Peers, controller.Peer{
@@ -84,9 +85,6 @@
 			plane.AnyDisk = true
 			plane.Disks = append(plane.Disks, p.Host)
 		}
-		if p.Domain == s.Domain {
-			plane.Neighbours = append(plane.Neighbours, p.Host)
-		}
 	}
 	var err error
 	if plane.Controller, err = controller.NewController(config); err != nil {
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -126,7 +126,7 @@
 	config := dispatchConfig(h.policy.current().Bundle, h.settings)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	core := dispatch.NewCore(config, random)
-	core.SetPeers(time.Now(), h.domainPeers())
+	core.SetPeers(time.Now(), h.settings.Neighbours())
 	links := targetlink.NewLinks(targetlink.Config{
 		Origin:      h.settings.Host + "." + strconv.FormatUint(h.incarnation, 36),
 		DialTimeout: h.settings.Timing.DialTimeout,
--- a/internal/process/host/hosts.go
+++ b/internal/process/host/hosts.go
@@ -41,9 +41,9 @@
 	config := membership.HostsConfig{
 		Self:        membership.HostName{Host: s.Host, Domain: s.Domain},
 		Incarnation: incarnation,
-		Exchange:    s.Timing.Exchange,
+		Exchange:    s.ExchangeInterval(),
 		Probe:       probeExchanges * s.Timing.Exchange,
-		Suspect:     suspectExchanges * s.Timing.Exchange,
+		Suspect:     suspectExchanges * s.ExchangeInterval(),
 		Silent:      silentAfter,
 	}
 	regions := make(map[string]string, len(s.Peers))
--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -56,7 +56,7 @@
 func dispatchConfig(b bundle.Bundle, s settings.Settings) dispatch.Config {
 	c := dispatch.DefaultConfig()
 	c.Host = s.Host
-	c.PeerLease = leaseExchanges * s.Timing.Exchange
+	c.PeerLease = leaseExchanges * s.ExchangeInterval()
 	c.QueuedTasks = s.Limits.QueuedTasks
 	c.QueuedBytes = s.Limits.QueuedBytes
 	c.AttemptTimeout = b.AttemptTimeout
--- a/internal/process/host/slots.go
+++ b/internal/process/host/slots.go
@@ -8,17 +8,6 @@
 	"wasabifield.example/wasabifield/internal/process/slots"
 )
 
-// domainPeers returns the other entry hosts of this host's failure domain.
-func (h *Host) domainPeers() []string {
-	var names []string
-	for _, p := range h.settings.Peers {
-		if p.Domain == h.settings.Domain {
-			names = append(names, p.Host)
-		}
-	}
-	return names
-}
-
 // Tell implements dispatch.Teller.
 func (h *Host) Tell(ctx context.Context, to string, m dispatch.PeerMessage) (dispatch.PeerMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Timing.DialTimeout)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -64,7 +64,7 @@
 // Timing holds the host's own times.
 type Timing struct {
 	TargetLease time.Duration `yaml:"target_lease"` // a target without renewal gets no work after this
-	Exchange    time.Duration `yaml:"exchange"`     // between messages to a peer in the same domain
+	Exchange    time.Duration `yaml:"exchange"`     // between messages to a neighbour, with up to two of them
 	TicketLife  time.Duration `yaml:"ticket_life"`  // from a ticket's issue to its end
 	DrainNotice time.Duration `yaml:"drain_notice"` // from failing readiness to closing the listeners
 	DrainLimit  time.Duration `yaml:"drain_limit"`  // greatest time a graceful shutdown waits for requests
