Bound the starts tried for one task by the bundle's retry.attempts

Cause: the bundle had the setting and nothing used it; refused starts of a task were bounded by its job's deadline alone. Ruled out: taking the setting out; wasted messages weigh for one of the users. Change: a task refused as often as the bundle allows ends its job: refused as overloaded if nothing of it ran, else failed as 'not placed', a new kind. The default is 20, so that a lost rack does not use it up. Shown failing first: without the bound the test counts far more than 3 starts.

--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -20,6 +20,7 @@
 	AttemptTimeout    time.Duration // an attempt is given up after this
 	DefaultDeadline   time.Duration // for a job that states none
 	RefusalPause      time.Duration // a target that refused a start is avoided for this at first
+	Attempts          int           // starts tried for one task at most
 	RestartIdempotent bool          // start a task of an idempotent job again after an unknown outcome
 	Teams             map[string]Team
 	Host              string        // this host's name
@@ -36,6 +37,7 @@
 		QueuedBytes:     64 << 20,
 		AttemptTimeout:  30 * time.Second,
 		DefaultDeadline: 30 * time.Second,
+		Attempts:        20,
 		RefusalPause:    5 * time.Millisecond,
 		Host:            "self",
 		PeerLease:       2 * time.Second,
--- a/internal/process/dispatch/health_test.go
+++ b/internal/process/dispatch/health_test.go
@@ -196,3 +196,21 @@
 	}
 	g.Expect(len(b.started)).To(BeNumerically(">", 1), "old reports say nothing")
 }
+
+// TestRefusedStartsAreBounded lets every target refuse every start.
+func TestRefusedStartsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	config := dispatch.DefaultConfig()
+	config.Attempts = 3
+	b := newBench(config, 2, 8)
+	starts := 0
+	b.serve = func(dispatch.Start) (dispatch.Outcome, time.Duration) {
+		starts++
+		return dispatch.NotStarted, time.Millisecond
+	}
+	id, err := b.submit("a", "quote", 1, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	b.pass(5 * time.Second)
+	g.Expect(starts).To(Equal(3))
+	g.Expect(b.answers[id].Outcome).To(Equal(job.NotRun))
+}
--- a/internal/process/dispatch/jobstate.go
+++ b/internal/process/dispatch/jobstate.go
@@ -20,6 +20,7 @@
 	deadline time.Time
 	place    int // in the heap of deadlines
 	outputs  []json.RawMessage
+	attempts map[int]int      // starts that were not the last of their task, by task
 	left     int              // tasks without an output
 	open     map[StartID]bool // starts in progress
 	ran      bool             // a start ended otherwise than not started
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -56,10 +56,14 @@
 	switch r.Outcome {
 	case Done:
 		c.complete(now, s, r.Output)
+	case NotStarted:
+		if !c.mayRetry(s) {
+			c.giveUp(now, s.job, failure.Overloaded, failure.NotPlaced, taskMessage(s, r))
+		}
 	case TaskError:
 		c.fail(now, s.job, failure.TaskFailed, taskMessage(s, r))
 	case Lost:
-		if s.job.spec.Idempotent && c.config.RestartIdempotent {
+		if s.job.spec.Idempotent && c.config.RestartIdempotent && c.mayRetry(s) {
 			c.queue.Push(s.job.queueJob(), []queue.Task{s.ref.Task})
 			return
 		}
@@ -67,6 +71,15 @@
 	}
 }
 
+// mayRetry counts an attempt and reports whether its task may be started again.
+func (c *Core) mayRetry(s started) bool {
+	if s.job.attempts == nil {
+		s.job.attempts = make(map[int]int)
+	}
+	s.job.attempts[s.ref.Task.Index]++
+	return s.job.attempts[s.ref.Task.Index] < c.config.Attempts
+}
+
 func taskMessage(s started, r Result) string {
 	return fmt.Sprintf("task %s: %s", s.task().ID, r.Message)
 }
--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -61,6 +61,7 @@
 	c.QueuedBytes = s.Limits.QueuedBytes
 	c.AttemptTimeout = b.AttemptTimeout
 	c.DefaultDeadline = b.Deadlines.Default
+	c.Attempts = b.Retry.Attempts
 	c.RestartIdempotent = b.Retry.RestartIdempotent
 	c.Health.Failures = b.Ejection.Failures
 	c.Health.FirstPause = b.Ejection.Pause
--- a/internal/request/failure/kind.go
+++ b/internal/request/failure/kind.go
@@ -28,6 +28,7 @@
 	ExpiredQueued     Kind = "expired_queued"     // the deadline passed before any start
 	ExpiredRunning    Kind = "expired_running"    // the deadline passed after a start
 	TaskFailed        Kind = "task_failed"        // a target ran a task and reported failure
+	NotPlaced         Kind = "not_placed"         // no target took a task of a job that may have run
 	OutcomeUnknown    Kind = "outcome_unknown"    // a start was sent and its answer was lost
 	AnswerLost        Kind = "answer_lost"        // the holder got the job and its answer was lost on the way
 	StaleVersion      Kind = "stale_version"      // a change is based on an old version
--- a/internal/request/failure/table.go
+++ b/internal/request/failure/table.go
@@ -31,6 +31,7 @@
 	ExpiredQueued:     {http.StatusServiceUnavailable, No, No, soon},
 	ExpiredRunning:    {http.StatusGatewayTimeout, Unknown, Unknown, Never},
 	TaskFailed:        {http.StatusBadGateway, Yes, Yes, Never},
+	NotPlaced:         {http.StatusBadGateway, Unknown, Unknown, Never},
 	OutcomeUnknown:    {http.StatusGatewayTimeout, Unknown, Unknown, Never},
 	AnswerLost:        {http.StatusGatewayTimeout, Unknown, Unknown, soon},
 	StaleVersion:      {http.StatusConflict, No, No, Never},
--- a/internal/request/report/words.go
+++ b/internal/request/report/words.go
@@ -25,6 +25,7 @@
 	failure.ExpiredQueued:     "the time ran out before the work began",
 	failure.ExpiredRunning:    "the time ran out while the work was being done",
 	failure.TaskFailed:        "the work was begun and reported a fault",
+	failure.NotPlaced:         "a part of the work found no place to run",
 	failure.OutcomeUnknown:    "the work was handed out and no result came back",
 	failure.AnswerLost:        "the result was lost between two machines of the service",
 	failure.StaleVersion:      "a change was based on rules that are no longer in force",
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -101,7 +101,7 @@
 	return Bundle{
 		Limits:         Limits{TasksPerJob: 210, PayloadBytes: 256 << 10, OutputBytes: 1 << 20},
 		OtherTeams:     Quota{InProgress: 1_000, Queued: 10_000},
-		Retry:          Retry{Attempts: 4},
+		Retry:          Retry{Attempts: 20},
 		Routing:        Routing{SlotPolicy: Shares, Spill: Spill{After: 500 * time.Millisecond}},
 		Deadlines:      Deadlines{Default: 10 * time.Second, Greatest: time.Minute},
 		AttemptTimeout: 30 * time.Second,
