Heed the bundle's spill setting, pass on a job that would wait long

Cause: the bundle says whether and after which expected wait a job goes to another domain; jobs were passed on whatever it said, and only when refused. Ruled out: taking the setting out; a domain that queues beside free slots of another loses response time, and a message pair a job is what it costs. Change: with spill on, a job that its domain refuses, or whose team's learned work ahead takes longer than 'after', is passed once to a domain with free slots; if nobody takes it, it is admitted at home. Spill is on by default. Shown failing first: with the setting ignored 'refused here, not allowed' runs elsewhere; without the admission at home the submission is never answered.

--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -20,6 +20,8 @@
 	AttemptTimeout    time.Duration // an attempt is given up after this
 	DefaultDeadline   time.Duration // for a job that states none
 	RefusalPause      time.Duration // a target that refused a start is avoided for this at first
+	Spill             bool          // pass jobs to other domains
+	SpillAfter        time.Duration // expected wait for a slot above which a job is passed on
 	Attempts          int           // starts tried for one task at most
 	RestartIdempotent bool          // start a task of an idempotent job again after an unknown outcome
 	Teams             map[string]Team
@@ -37,6 +39,8 @@
 		QueuedBytes:     64 << 20,
 		AttemptTimeout:  30 * time.Second,
 		DefaultDeadline: 30 * time.Second,
+		Spill:           true,
+		SpillAfter:      500 * time.Millisecond,
 		Attempts:        20,
 		RefusalPause:    5 * time.Millisecond,
 		Host:            "self",
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -117,7 +117,7 @@
 		case r := <-l.results:
 			l.config.Core.Result(l.config.Clock(), r)
 		case r := <-l.spilled:
-			l.settleSpill(r)
+			l.settleSpill(l.config.Clock(), r)
 		case <-timer.C:
 			l.tick(l.config.Clock())
 			idle = len(l.jobs) == 0
--- a/internal/process/dispatch/loop_test.go
+++ b/internal/process/dispatch/loop_test.go
@@ -47,15 +47,21 @@
 }
 
 func startNode(t *testing.T, host string, sender dispatch.Sender) node {
+	t.Helper()
+	return startNodeWith(t, host, sender, dispatch.DefaultConfig(), nil)
+}
+
+func startNodeWith(t *testing.T, host string, sender dispatch.Sender, config dispatch.Config, spiller dispatch.Spiller) node {
 	t.Helper()
 	issuer := ticket.Issuer{Host: host, Incarnation: 1}
 	n := node{minter: ticket.NewMinter(issuer, []byte(host), time.Hour), copies: make(copier, 100)}
 	n.Loop = dispatch.NewLoop(dispatch.LoopConfig{
-		Core:    dispatch.NewCore(dispatch.DefaultConfig(), rand.New(rand.NewPCG(1, 1))),
+		Core:    dispatch.NewCore(config, rand.New(rand.NewPCG(1, 1))),
 		Records: record.Config{Answers: 100, AnswerBytes: 1 << 20},
 		Minter:  n.minter,
 		Sender:  sender,
 		Copier:  n.copies,
+		Spiller: spiller,
 		Ring:    64,
 		Clock:   time.Now,
 		Tick:    time.Hour,
@@ -159,3 +165,56 @@
 	g.Expect(kindOf(n.submit(t, spec))).To(Equal(failure.Cancelled))
 	g.Expect(sender.starts.Load()).To(BeZero())
 }
+
+// elsewhere is another domain that gives every job the same answer.
+type elsewhere struct {
+	answer *job.Answer
+	asked  *atomic.Int32
+}
+
+func (e elsewhere) Spill(context.Context, *job.Spec) *job.Answer {
+	e.asked.Add(1)
+	return e.answer
+}
+
+// TestWhereAJobRuns counts the starts here and the questions to another domain.
+func TestWhereAJobRuns(t *testing.T) {
+	complete, notRun := &job.Answer{Outcome: job.Complete}, &job.Answer{Outcome: job.NotRun}
+	const long, never = time.Duration(-1), time.Hour // an expected wait of 0 is over or under it
+	cases := map[string]struct {
+		spill         bool
+		after         time.Duration
+		answer        *job.Answer
+		accelerator   bool // which no target here has
+		starts, asked int32
+		kind          failure.Kind
+	}{
+		"runs here":                              {true, never, complete, false, 1, 0, ""},
+		"would wait: runs elsewhere":             {true, long, complete, false, 0, 1, ""},
+		"would wait, nobody takes it: runs here": {true, long, nil, false, 1, 1, ""},
+		"would wait, refused: runs here":         {true, long, notRun, false, 1, 1, ""},
+		"would wait, not allowed: runs here":     {false, long, complete, false, 1, 0, ""},
+		"refused here: runs elsewhere":           {true, never, complete, true, 0, 1, ""},
+		"refused here, nobody takes it":          {true, never, nil, true, 0, 1, failure.NeverRunnable},
+		"refused here, not allowed":              {false, never, complete, true, 0, 0, failure.NeverRunnable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			config := dispatch.DefaultConfig()
+			config.Spill, config.SpillAfter = c.spill, c.after
+			sender, other := echo{starts: new(atomic.Int32)}, elsewhere{c.answer, new(atomic.Int32)}
+			n := startNodeWith(t, "a1", sender, config, other)
+			spec := n.spec()
+			spec.Tasks[0].Accelerator = c.accelerator
+			answer := n.submit(t, spec)
+			g.Expect(kindOf(answer)).To(Equal(c.kind))
+			g.Expect(sender.starts.Load()).To(Equal(c.starts))
+			g.Expect(other.asked.Load()).To(Equal(c.asked))
+			if c.kind == "" {
+				g.Expect(n.submit(t, spec).Outcome).To(Equal(job.Complete))
+				g.Expect(sender.starts.Load() + other.asked.Load()).To(Equal(c.starts + c.asked))
+			}
+		})
+	}
+}
--- a/internal/process/dispatch/spill.go
+++ b/internal/process/dispatch/spill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
@@ -11,7 +12,7 @@
 type spillResult struct {
 	id      JobID
 	answer  *job.Answer // nil if no host took the job
-	refusal error       // why this domain did not run it
+	refusal error       // why this domain did not run it; nil if it may yet
 }
 
 // spillKinds are the refusals that another domain may not share.
@@ -22,11 +23,23 @@
 	failure.DeadlineTooShort: true,
 }
 
-func (l *Loop) maySpill(s submission, err error) bool {
-	return l.config.Spiller != nil && !s.spilt && spillKinds[failure.KindOf(err)]
+// maySpill reports whether a job may be passed to another domain at all.
+func (l *Loop) maySpill(s submission) bool {
+	return l.config.Spiller != nil && l.config.Core.config.Spill && !s.spilt
 }
 
-// spill runs a job in another domain on a goroutine of its own.
+// waitsLong reports whether a job is better passed on before it is refused.
+func (l *Loop) waitsLong(now time.Time, s submission) bool {
+	return l.maySpill(s) && l.config.Core.wait(now, s.spec) > l.config.Core.config.SpillAfter
+}
+
+// wait estimates how long a new job waits for its first slot.
+func (c *Core) wait(now time.Time, spec *job.Spec) time.Duration {
+	return c.queue.Wait(c.newJob(now, 0, spec).queueJob(), c.capacity(now))
+}
+
+// spill runs a job in another domain on a goroutine of its own. Refusal is nil
+// if this domain may run it too.
 func (l *Loop) spill(id JobID, spec *job.Spec, refusal error) {
 	ctx, cancel := context.WithCancel(l.running)
 	l.jobs[id].cancel = cancel
@@ -40,17 +53,26 @@
 	}()
 }
 
-// settleSpill answers a spilled job. A job that no domain ran is refused and
-// forgotten, so that a resubmission may start it.
-func (l *Loop) settleSpill(r spillResult) {
+// settleSpill answers a spilled job. One that no domain ran is admitted here
+// if this domain had not refused it; else it is refused and forgotten, so that
+// a resubmission may start it.
+func (l *Loop) settleSpill(now time.Time, r spillResult) {
 	if r.answer != nil && r.answer.Outcome != job.NotRun {
 		l.finish(Finish{Job: r.id, Answer: r.answer})
 		return
 	}
 	p := l.jobs[r.id]
+	p.cancel = nil
+	refusal := r.refusal
+	if refusal == nil {
+		refusal = l.config.Core.Submit(now, r.id, p.spec)
+	}
+	if refusal == nil {
+		return
+	}
 	l.drop(r.id)
 	p.book.Forget(p.key.Seq)
-	p.reply(job.Refuse(r.refusal))
+	p.reply(job.Refuse(refusal))
 }
 
 // Load is the free capacity that a host sees in its domain.
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -103,15 +103,15 @@
 	}
 }
 
+// admit starts a new job here or in another domain, or refuses it.
 func (l *Loop) admit(now time.Time, s submission, i *issuer) {
-	err := l.refuseDraining()
-	if err == nil && l.config.Allow != nil {
-		err = l.config.Allow(s.spec)
-	}
-	if err == nil {
+	err := l.allow(s)
+	spill := err == nil && l.waitsLong(now, s)
+	if err == nil && !spill {
 		err = l.config.Core.Submit(now, l.last+1, s.spec)
+		spill = err != nil && l.maySpill(s) && spillKinds[failure.KindOf(err)]
 	}
-	if err != nil && !l.maySpill(s, err) {
+	if err != nil && !spill {
 		i.book.Forget(s.ticket.Seq)
 		s.reply <- job.Refuse(err)
 		return
@@ -127,11 +127,19 @@
 	}
 	l.byKey[p.key] = l.last
 	l.jobs[l.last] = p
-	if err != nil {
+	if spill {
 		l.spill(l.last, s.spec, err)
 	}
 }
 
+// allow refuses a new job while the host drains or if the bundle forbids it.
+func (l *Loop) allow(s submission) error {
+	if err := l.refuseDraining(); err != nil || l.config.Allow == nil {
+		return err
+	}
+	return l.config.Allow(s.spec)
+}
+
 func (l *Loop) refuseDraining() error {
 	if !l.drain {
 		return nil
--- a/internal/process/host/policy.go
+++ b/internal/process/host/policy.go
@@ -62,6 +62,8 @@
 	c.AttemptTimeout = b.AttemptTimeout
 	c.DefaultDeadline = b.Deadlines.Default
 	c.Attempts = b.Retry.Attempts
+	c.Spill = b.Routing.Spill.Enabled
+	c.SpillAfter = b.Routing.Spill.After
 	c.RestartIdempotent = b.Retry.RestartIdempotent
 	c.Health.Failures = b.Ejection.Failures
 	c.Health.FirstPause = b.Ejection.Pause
--- a/internal/request/queue/admit.go
+++ b/internal/request/queue/admit.go
@@ -63,6 +63,17 @@
 	return failure.New(failure.DeadlineTooShort, "the work that waits ahead takes longer than the time left")
 }
 
+// Wait estimates how long a new job waits for its first slot: the learned work
+// of its team that waits ahead, at the team's share of the slots.
+func (q *Queue) Wait(j Job, slots int) time.Duration {
+	ahead := q.ahead(j)
+	if ahead == 0 {
+		return 0
+	}
+	share, _ := q.share(j.Team, slots)
+	return time.Duration(float64(ahead) / share)
+}
+
 // timeNeeded estimates when a job ends at a share of the slots: the work ahead
 // of it, half of what runs (it is in the middle on average), its own work and,
 // if it has to queue, half of its longest task, which starts anywhere in its
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -70,7 +70,8 @@
 	SlotPolicy SlotPolicy `yaml:"slot_policy" json:"slot_policy"`
 }
 
-// Spill says when a job goes to another failure domain.
+// Spill says when a job goes to another failure domain: if the own one refuses
+// it for want of targets or time, or lets it wait long.
 type Spill struct {
 	Enabled bool          `yaml:"enabled" json:"enabled"`
 	After   time.Duration `yaml:"after" json:"after"` // expected wait for a slot above which a job spills
@@ -102,7 +103,7 @@
 		Limits:         Limits{TasksPerJob: 210, PayloadBytes: 256 << 10, OutputBytes: 1 << 20},
 		OtherTeams:     Quota{InProgress: 1_000, Queued: 10_000},
 		Retry:          Retry{Attempts: 20},
-		Routing:        Routing{SlotPolicy: Shares, Spill: Spill{After: 500 * time.Millisecond}},
+		Routing:        Routing{SlotPolicy: Shares, Spill: Spill{Enabled: true, After: 500 * time.Millisecond}},
 		Deadlines:      Deadlines{Default: 10 * time.Second, Greatest: time.Minute},
 		AttemptTimeout: 30 * time.Second,
 		Ejection: Ejection{
