Prove that a task costs one message at light load

Cause: the count of wasted messages was measured and bounded by no test. Change: two hosts share a target, 50 jobs through one of them; the target's own history must hold 50 starts and no refusal.

--- a/internal/process/host/host_test.go
+++ b/internal/process/host/host_test.go
@@ -19,6 +19,7 @@
 	"wasabifield.example/wasabifield/internal/process/settings"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/standin/history"
 	"wasabifield.example/wasabifield/internal/standin/launch"
 	"wasabifield.example/wasabifield/internal/standin/target"
 )
@@ -116,6 +117,11 @@
 
 // target starts one target of a domain and waits until the named hosts use it.
 func (f *fleet) target(domain string, hosts ...string) {
+	f.targetWith(history.NewWriter(io.Discard), domain, hosts...)
+}
+
+// targetWith is target with a history of what the target is asked.
+func (f *fleet) targetWith(writer *history.Writer, domain string, hosts ...string) {
 	g := NewWithT(f.t)
 	service, err := target.ParseService("fixed:1ms", 1)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -127,6 +133,7 @@
 		Connections: 64,
 		Entries:     []string{f.hosts[hosts[0]].HTTP},
 		Service:     service,
+		History:     writer,
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/process/host/messages_test.go
@@ -0,0 +1,38 @@
+package host_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/request/job"
+	"wasabifield.example/wasabifield/internal/standin/history"
+)
+
+// TestATaskCostsOneMessageAtLightLoad submits jobs through one of two hosts that
+// share a target, and counts what the target was asked.
+func TestATaskCostsOneMessageAtLightLoad(t *testing.T) {
+	const jobs = 50
+	g := NewWithT(t)
+	file := filepath.Join(t.TempDir(), "history")
+	out, err := os.Create(file) // stays open: the target writes to it until the test's end
+	g.Expect(err).NotTo(HaveOccurred())
+	f := startFleet(t, "a1", "a2")
+	f.targetWith(history.NewWriter(out), "a", "a1", "a2")
+	for range jobs {
+		g.Expect(f.submit("a1", f.ticket("a1")).Outcome).To(Equal(job.Complete))
+	}
+	text, err := os.Open(file)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = text.Close() }()
+	events, err := history.Read(text)
+	g.Expect(err).NotTo(HaveOccurred())
+	count := map[history.What]int{}
+	for _, e := range events {
+		count[e.What]++
+	}
+	g.Expect(count[history.Start]).To(Equal(jobs))
+	g.Expect(count[history.Refuse]).To(BeZero())
+}
