--- a/internal/standin/cmd/bench/main.go
+++ b/internal/standin/cmd/bench/main.go
@@ -5,41 +5,27 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
+	"io"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"wasabifield.example/wasabifield/internal/standin/measure"
 )
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "bench:", err)
-		os.Exit(1)
-	}
-}
-
-func newCommand() *cobra.Command {
 	var b bench
-	c := &cobra.Command{
-		Use:           "bench",
-		Short:         "Measure response times, messages and processor time beside baselines",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE: func(c *cobra.Command, _ []string) error {
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
-			b.out = c.OutOrStdout()
+	measure.Command{
+		Name:  "bench",
+		Short: "Measure response times, messages and processor time beside baselines",
+		Flags: func(flags *pflag.FlagSet) {
+			b.programs.AddFlags(flags)
+			flags.DurationVar(&b.duration, "duration", 8*time.Second, "length of each load")
+			flags.Uint64Var(&b.seed, "seed", 1, "seed of the arrivals")
+		},
+		Run: func(ctx context.Context, out io.Writer) error {
+			b.out = out
 			return b.run(ctx)
 		},
-	}
-	flags := c.Flags()
-	flags.StringVar(&b.programs.Daemon, "daemon", "bin/wasabifieldd", "program of the entry host")
-	flags.StringVar(&b.programs.Standin, "standin", "bin/standin", "program of the stand-ins")
-	flags.DurationVar(&b.duration, "duration", 8*time.Second, "length of each load")
-	flags.Uint64Var(&b.seed, "seed", 1, "seed of the arrivals")
-	return c
+	}.Main()
 }
--- a/internal/standin/cmd/capacity/main.go
+++ b/internal/standin/cmd/capacity/main.go
@@ -5,47 +5,34 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
+	"io"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"wasabifield.example/wasabifield/internal/standin/measure"
 )
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "capacity:", err)
-		os.Exit(1)
-	}
-}
-
-func newCommand() *cobra.Command {
 	var s suite
 	var page string
-	c := &cobra.Command{
-		Use:           "capacity",
-		Short:         "Measure costs at several sizes and fit slopes",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE: func(c *cobra.Command, _ []string) error {
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
+	measure.Command{
+		Name:  "capacity",
+		Short: "Measure costs at several sizes and fit slopes",
+		Flags: func(flags *pflag.FlagSet) {
+			s.programs.AddFlags(flags)
+			flags.DurationVar(&s.duration, "duration", 8*time.Second, "length of each measurement")
+			flags.StringSliceVar(&s.only, "only", nil, "experiments to run; all if not given")
+			flags.DurationVar(&s.exchange, "exchange", 0, "time between exchanges of entry hosts; 0 is the default setting")
+			flags.StringVar(&page, "write", "", "page whose table is replaced")
+		},
+		Run: func(ctx context.Context, out io.Writer) error {
 			report, err := s.run(ctx)
-			fmt.Fprint(c.OutOrStdout(), report)
+			fmt.Fprint(out, report)
 			if err != nil || page == "" {
 				return err
 			}
 			return writePage(page, report)
 		},
-	}
-	flags := c.Flags()
-	flags.StringVar(&s.programs.Daemon, "daemon", "bin/wasabifieldd", "program of the entry host")
-	flags.StringVar(&s.programs.Standin, "standin", "bin/standin", "program of the stand-ins")
-	flags.DurationVar(&s.duration, "duration", 8*time.Second, "length of each measurement")
-	flags.StringSliceVar(&s.only, "only", nil, "experiments to run; all if not given")
-	flags.DurationVar(&s.exchange, "exchange", 0, "time between exchanges of entry hosts; 0 is the default setting")
-	flags.StringVar(&page, "write", "", "page whose table is replaced")
-	return c
+	}.Main()
 }
--- a/internal/standin/cmd/rollout/main.go
+++ b/internal/standin/cmd/rollout/main.go
@@ -5,41 +5,25 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
+	"io"
 
-	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"wasabifield.example/wasabifield/internal/standin/measure"
 )
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "rollout:", err)
-		os.Exit(1)
-	}
-}
-
-func newCommand() *cobra.Command {
 	var r run
-	c := &cobra.Command{
-		Use:           "rollout",
-		Short:         "Measure changes of the bundle",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE: func(c *cobra.Command, _ []string) error {
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
-			return r.measure(ctx, c.OutOrStdout())
+	measure.Command{
+		Name:  "rollout",
+		Short: "Measure changes of the bundle",
+		Flags: func(flags *pflag.FlagSet) {
+			r.fleet.Programs.AddFlags(flags)
+			flags.IntVar(&r.fleet.Domains, "domains", 3, "failure domains")
+			flags.IntVar(&r.fleet.HostsPerDomain, "hosts", 2, "entry hosts of each domain")
+			flags.IntVar(&r.fleet.Disks, "disks", 3, "domains whose first host has a disk")
+			flags.IntVar(&r.changes, "changes", 100, "changes to make")
 		},
-	}
-	flags := c.Flags()
-	flags.StringVar(&r.fleet.Daemon, "daemon", "bin/wasabifieldd", "program of the entry host")
-	flags.StringVar(&r.fleet.Standin, "standin", "bin/standin", "program of the stand-ins")
-	flags.IntVar(&r.fleet.Domains, "domains", 3, "failure domains")
-	flags.IntVar(&r.fleet.HostsPerDomain, "hosts", 2, "entry hosts of each domain")
-	flags.IntVar(&r.fleet.Disks, "disks", 3, "domains whose first host has a disk")
-	flags.IntVar(&r.changes, "changes", 100, "changes to make")
-	return c
+		Run: func(ctx context.Context, out io.Writer) error { return r.measure(ctx, out) },
+	}.Main()
 }
