--- a/internal/connection/callerapi/api.go
+++ b/internal/connection/callerapi/api.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -108,7 +107,7 @@
 		status = failure.Lookup(failure.Kind(e.Kind)).Status
 		setRetryAfter(w, e)
 	}
-	a.write(w, status, stamped)
+	wire.Write(w, a.config.Log, status, stamped)
 }
 
 // setRetryAfter rounds up to the whole seconds that the header can state.
@@ -120,23 +119,9 @@
 	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 }
 
-func (a *API) write(w http.ResponseWriter, status int, document any) {
-	text, err := json.Marshal(document)
-	if err != nil {
-		a.config.Log.Error("Could not encode an answer.", "error", err)
-		status = http.StatusInternalServerError
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(status)
-	if _, err := w.Write(text); err != nil {
-		a.config.Log.Debug("Could not write an answer.", "error", err)
-	}
-}
-
 // fail writes err as the answer to a request that is not a submission.
 func (a *API) fail(w http.ResponseWriter, err error) {
 	refused := job.Refuse(err)
 	setRetryAfter(w, refused.Error)
-	a.write(w, failure.Lookup(failure.KindOf(err)).Status, refused)
+	wire.Write(w, a.config.Log, failure.Lookup(failure.KindOf(err)).Status, refused)
 }
--- a/internal/connection/callerapi/handlers.go
+++ b/internal/connection/callerapi/handlers.go
@@ -21,7 +21,7 @@
 }
 
 func (a *API) grant(w http.ResponseWriter, _ *http.Request) {
-	a.write(w, http.StatusOK, wire.TicketGrant{
+	wire.Write(w, a.config.Log, http.StatusOK, wire.TicketGrant{
 		Ticket:      a.config.Minter.Issue(a.config.Clock()),
 		ExpiresInMS: a.config.Minter.Life().Milliseconds(),
 	})
@@ -43,7 +43,7 @@
 		a.fail(w, err)
 		return
 	}
-	a.write(w, http.StatusOK, lease)
+	wire.Write(w, a.config.Log, http.StatusOK, lease)
 }
 
 const (
@@ -83,7 +83,7 @@
 		a.fail(w, err)
 		return
 	}
-	a.write(w, http.StatusOK, list)
+	wire.Write(w, a.config.Log, http.StatusOK, list)
 }
 
 func (a *API) hosts(w http.ResponseWriter, r *http.Request) {
@@ -92,7 +92,7 @@
 		a.fail(w, err)
 		return
 	}
-	a.write(w, http.StatusOK, list)
+	wire.Write(w, a.config.Log, http.StatusOK, list)
 }
 
 func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/connection/operatorapi/answer.go
+++ b/internal/connection/operatorapi/answer.go
@@ -1,7 +1,6 @@
 package operatorapi
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,7 +15,7 @@
 // to come back.
 func (a *API) answer(w http.ResponseWriter, answer control.Answer) {
 	if answer.Done() {
-		a.write(w, http.StatusOK, answer)
+		wire.Write(w, a.config.Log, http.StatusOK, answer)
 		return
 	}
 	row := failure.Lookup(answer.Kind)
@@ -25,7 +24,7 @@
 		seconds := (row.ComeBack + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	a.write(w, row.Status, answer)
+	wire.Write(w, a.config.Log, row.Status, answer)
 }
 
 // fail writes err as an answer.
@@ -36,17 +35,3 @@
 	}
 	a.answer(w, control.Refusal(f))
 }
-
-func (a *API) write(w http.ResponseWriter, status int, document any) {
-	text, err := json.Marshal(document)
-	if err != nil {
-		a.config.Log.Error("Could not encode an answer.", "error", err)
-		status = http.StatusInternalServerError
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(status)
-	if _, err := w.Write(text); err != nil {
-		a.config.Log.Debug("Could not write an answer.", "error", err)
-	}
-}
--- a/internal/connection/operatorapi/read.go
+++ b/internal/connection/operatorapi/read.go
@@ -44,7 +44,7 @@
 			status.Open = append(status.Open, wire.NewVersionStatus(v))
 		}
 	}
-	a.write(w, http.StatusOK, status)
+	wire.Write(w, a.config.Log, http.StatusOK, status)
 }
 
 func (a *API) history(w http.ResponseWriter, r *http.Request) {
@@ -57,7 +57,7 @@
 	for i := len(s.Versions) - 1; i >= 0; i-- {
 		history.Versions = append(history.Versions, wire.NewVersionStatus(s.Versions[i]))
 	}
-	a.write(w, http.StatusOK, history)
+	wire.Write(w, a.config.Log, http.StatusOK, history)
 }
 
 func (a *API) version(w http.ResponseWriter, r *http.Request) {
@@ -71,7 +71,7 @@
 		a.fail(w, err)
 		return
 	}
-	a.write(w, http.StatusOK, wire.VersionDocument{
+	wire.Write(w, a.config.Log, http.StatusOK, wire.VersionDocument{
 		Reading:       reading,
 		VersionStatus: wire.NewVersionStatus(v),
 		Document:      []byte(v.Document),
@@ -117,7 +117,7 @@
 		return
 	}
 	lines := bundle.Diff([]byte(from.Document), []byte(to.Document))
-	a.write(w, http.StatusOK, wire.Diff{Reading: reading, From: from.Number, To: to.Number, Lines: lines})
+	wire.Write(w, a.config.Log, http.StatusOK, wire.Diff{Reading: reading, From: from.Number, To: to.Number, Lines: lines})
 }
 
 func (a *API) audit(w http.ResponseWriter, r *http.Request) {
@@ -139,7 +139,7 @@
 		a.fail(w, err)
 		return
 	}
-	a.write(w, http.StatusOK, wire.AuditPage{Reading: reading, Entries: entries, Head: s.Head})
+	wire.Write(w, a.config.Log, http.StatusOK, wire.AuditPage{Reading: reading, Entries: entries, Head: s.Head})
 }
 
 // entries returns a page of the trail that the host keeps, or of its end that
@@ -174,7 +174,7 @@
 		a.fail(w, failure.Invalid("from", "must be before to"))
 		return
 	}
-	a.write(w, http.StatusOK, a.config.Reporter.Report(from, to))
+	wire.Write(w, a.config.Log, http.StatusOK, a.config.Reporter.Report(from, to))
 }
 
 // instant reads a time in RFC 3339 from the query.
@@ -196,5 +196,5 @@
 		a.fail(w, err)
 		return
 	}
-	a.write(w, http.StatusOK, jobs)
+	wire.Write(w, a.config.Log, http.StatusOK, jobs)
 }
