--- a/internal/process/host/control.go
+++ b/internal/process/host/control.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"encoding/json"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -50,12 +51,45 @@
 	_ = h.folder.Close()
 }
 
-// newPlane returns the control path of this host.
-func (h *Host) newPlane() (*controlplane.Plane, error) {
-	s := h.settings
+// openPlane prepares the control path of this host.
+func (h *Host) openPlane() error {
 	log := logging.For(h.root, "control")
+	register, err := h.newController(log)
+	if err != nil {
+		return err
+	}
+	disks := h.otherDisks()
+	h.plane = controlplane.NewPlane(controlplane.Config{
+		Domain:     h.settings.Domain,
+		Neighbours: h.settings.Neighbours(),
+		Disks:      disks,
+		AnyDisk:    h.folder != nil || len(disks) > 0,
+		Rules:      rulesOf(h.settings),
+		Controller: register,
+		Trail:      h.trail,
+		Clock:      time.Now,
+		Log:        log,
+		Force:      h.setBundle,
+		Fetch:      h.fetchEntries,
+	})
+	return nil
+}
+
+// otherDisks returns the other hosts with a disk.
+func (h *Host) otherDisks() []string {
+	var names []string
+	for _, p := range h.settings.Peers {
+		if p.Disk {
+			names = append(names, p.Host)
+		}
+	}
+	return names
+}
+
+// newController returns this host's part of the register.
+func (h *Host) newController(log *slog.Logger) (*controller.Controller, error) {
 	config := controller.Config{
-		Host:   s.Host,
+		Host:   h.settings.Host,
 		Folder: h.folder,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Clock:  time.Now,
@@ -63,34 +97,15 @@
 		Timing: controller.DefaultTiming(),
 		Order:  rollOrder,
 	}
-	plane := controlplane.Config{
-		Domain:     s.Domain,
-		Neighbours: s.Neighbours(),
-		AnyDisk:    h.folder != nil,
-		Rules:      rulesOf(s),
-		Trail:      h.trail,
-		Clock:      time.Now,
-		Log:        log,
-		Force:      h.setBundle,
-		Fetch:      h.fetchEntries,
-	}
-	for _, p := range s.Peers {
+	for _, p := range h.settings.Peers {
 		config.Peers = append(config.Peers, controller.Peer{
 			Host:   p.Host,
 			Domain: p.Domain,
 			Disk:   p.Disk,
 			Conn:   h.client.Steady(p.Host),
 		})
-		if p.Disk {
-			plane.AnyDisk = true
-			plane.Disks = append(plane.Disks, p.Host)
-		}
-	}
-	var err error
-	if plane.Controller, err = controller.NewController(config); err != nil {
-		return nil, err
 	}
-	return controlplane.NewPlane(plane), nil
+	return controller.NewController(config)
 }
 
 // rulesOf returns who may change the control state. The settings are checked,
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -85,35 +85,40 @@
 		Domain: s.Domain,
 		Lease:  s.Timing.TargetLease,
 	})
+	h.running, h.stop = context.WithCancel(context.Background())
+	for _, step := range []func() error{h.openTickets, h.openLinks, h.openDisk, h.openPlane} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	h.loop = h.newLoop()
+	return h, nil
+}
+
+// openTickets draws the key of this incarnation's tickets.
+func (h *Host) openTickets() error {
 	key := make([]byte, macKeyBytes)
 	if _, err := crand.Read(key); err != nil {
-		return nil, err
+		return err
 	}
-	issuer := ticket.Issuer{Host: s.Host, Incarnation: h.incarnation}
-	h.minter = ticket.NewMinter(issuer, key, s.Timing.TicketLife)
-	security, err := peertls.Load(s.TLS)
-	if err != nil {
-		return nil, err
+	issuer := ticket.Issuer{Host: h.settings.Host, Incarnation: h.incarnation}
+	h.minter = ticket.NewMinter(issuer, key, h.settings.Timing.TicketLife)
+	return nil
+}
+
+// openLinks prepares the connections to the other entry hosts.
+func (h *Host) openLinks() error {
+	var err error
+	if h.security, err = peertls.Load(h.settings.TLS); err != nil {
+		return err
 	}
-	h.security = security
 	h.client, err = peer.NewClient(peer.ClientConfig{
-		Peers:       s.Peers,
-		Security:    security.Client,
-		DialTimeout: s.Timing.DialTimeout,
+		Peers:       h.settings.Peers,
+		Security:    h.security.Client,
+		DialTimeout: h.settings.Timing.DialTimeout,
 		Meter:       h.observer.meter(peerLinks),
 	})
-	if err != nil {
-		return nil, err
-	}
-	h.running, h.stop = context.WithCancel(context.Background())
-	if err := h.openDisk(); err != nil {
-		return nil, err
-	}
-	if h.plane, err = h.newPlane(); err != nil {
-		return nil, err
-	}
-	h.loop = h.newLoop()
-	return h, nil
+	return err
 }
 
 // newIncarnation is greater than that of an earlier start of the host unless
