--- a/internal/standin/cmd/rollout/main.go
+++ b/internal/standin/cmd/rollout/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/spf13/pflag"
 
@@ -23,6 +24,7 @@
 			flags.IntVar(&r.fleet.HostsPerDomain, "hosts", 2, "entry hosts of each domain")
 			flags.IntVar(&r.fleet.Disks, "disks", 3, "domains whose first host has a disk")
 			flags.IntVar(&r.changes, "changes", 100, "changes to make")
+			flags.DurationVar(&r.pause, "pause", 100*time.Millisecond, "time between two changes")
 		},
 		Run: func(ctx context.Context, out io.Writer) error { return r.measure(ctx, out) },
 	}.Main()
--- a/internal/standin/launch/host.go
+++ b/internal/standin/launch/host.go
@@ -28,10 +28,15 @@
 	if err != nil {
 		return "", err
 	}
-	file := filepath.Join(folder, s.Host+".yaml")
+	file := SettingsFile(folder, s)
 	return file, os.WriteFile(file, text, 0o600)
 }
 
+// SettingsFile returns the name of the file that WriteSettings writes.
+func SettingsFile(folder string, s settings.Settings) string {
+	return filepath.Join(folder, s.Host+".yaml")
+}
+
 // Peers makes each of hosts know the others, all with the address that peer
 // returns for the link.
 func Peers(hosts []settings.Settings, peer func(from, to settings.Settings) string) {
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -168,6 +168,24 @@
 	return list
 }
 
+// Restart stops an entry host gracefully and starts it again. It returns the
+// time from the start to the host's readiness.
+func (f *Fleet) Restart(ctx context.Context, i int) (time.Duration, error) {
+	if err := f.processes[i].Stop(stopLimit); err != nil {
+		return 0, err
+	}
+	s := f.Hosts[i]
+	begun := time.Now()
+	file := launch.SettingsFile(f.folder, s)
+	p, err := launch.Start(s.Host, f.log, f.config.Daemon, "--config", file)
+	if err != nil {
+		return 0, err
+	}
+	f.processes[i] = p
+	err = launch.WaitReady(ctx, s.HTTP)
+	return time.Since(begun), err
+}
+
 // Stop ends every process, targets first, and removes the fleet's files.
 func (f *Fleet) Stop() error {
 	var faults []error
