Let one piece serve where the change had written two

Cause: a reading of the whole change found twins and work done where it need not be: announcements were checked in the callers' API and again in the target table, with other bounds; the deadline of a job was worked out in three places; the state of one host was found by building the view of all, for each forward and exchange; a test package held its own copy of the fixed seed; two methods said whether a target is alive; a gauge compared a text. Change: the target table's check alone, with the narrower of the two bounds in each field; Spec.Deadline; Hosts.ViewOf; fixedseed.Main; Target.Alive; dispatch.InUse. Left: the checkers of settings and bundle share ten lines, but gather faults of different types.

--- a/internal/connection/callerapi/handlers.go
+++ b/internal/connection/callerapi/handlers.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
-	"net/netip"
 
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -46,12 +45,8 @@
 	wire.Write(w, a.config.Log, http.StatusOK, lease)
 }
 
-const (
-	maxNameBytes   = 128
-	maxSlots       = 1024
-	maxConnections = 65_536
-)
-
+// parseAnnouncement reads an announcement. Its values are checked where the
+// targets are kept.
 func parseAnnouncement(body []byte) (wire.Announcement, error) {
 	var n wire.Announcement
 	decoder := json.NewDecoder(bytes.NewReader(body))
@@ -59,21 +54,6 @@
 	if err := decoder.Decode(&n); err != nil {
 		return n, failure.Invalid("body", "not a valid announcement: "+err.Error())
 	}
-	if n.Target == "" || len(n.Target) > maxNameBytes {
-		return n, failure.Invalid("target", "must be 1 to 128 bytes")
-	}
-	if _, err := netip.ParseAddrPort(n.Address); err != nil {
-		return n, failure.Invalid("address", "must be an IP number and port")
-	}
-	if n.Slots < 1 || n.Slots > maxSlots {
-		return n, failure.Invalid("slots", "must be from 1 to 1024")
-	}
-	if n.Connections < 0 || n.Connections > maxConnections {
-		return n, failure.Invalid("connections", "must be from 0 to 65536")
-	}
-	if n.Accelerators < 0 || n.Accelerators > maxSlots {
-		return n, failure.Invalid("accelerators", "must be from 0 to 1024")
-	}
 	return n, nil
 }
 
--- a/internal/connection/callerapi/usage.go
+++ b/internal/connection/callerapi/usage.go
@@ -10,6 +10,8 @@
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
 
+const maxNameBytes = 128 // of a worker's name
+
 const maxWorkers = 4096 // in one report
 
 func (a *API) reportUsage(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -146,15 +146,11 @@
 }
 
 func (c *Core) newJob(now time.Time, id JobID, spec *job.Spec) *jobState {
-	deadline := c.config.DefaultDeadline
-	if spec.DeadlineMS > 0 {
-		deadline = time.Duration(spec.DeadlineMS) * time.Millisecond
-	}
 	return &jobState{
 		id:       id,
 		spec:     spec,
 		team:     c.teamOf(spec.Team),
-		deadline: now.Add(deadline),
+		deadline: now.Add(spec.Deadline(c.config.DefaultDeadline)),
 		outputs:  newOutputs(spec),
 		left:     len(spec.Tasks),
 		open:     make(map[StartID]bool),
@@ -165,7 +161,7 @@
 func (c *Core) checkRunnable(now time.Time, spec *job.Spec) error {
 	alive, accelerators := 0, 0
 	for _, t := range c.order {
-		if !t.alive(now) {
+		if !t.Alive(now) {
 			continue
 		}
 		alive++
--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -11,7 +11,7 @@
 
 // usable reports whether a target may get another task now.
 func (c *Core) usable(now time.Time, t *Target) bool {
-	return t.alive(now) && c.health.Usable(now, t.Target, t.busy) && !c.workers.Lost(now, t.Target)
+	return t.Alive(now) && c.health.Usable(now, t.Target, t.busy) && !c.workers.Lost(now, t.Target)
 }
 
 // State returns whether a target is healthy, ejected or on trial.
--- a/internal/process/dispatch/pools.go
+++ b/internal/process/dispatch/pools.go
@@ -57,7 +57,7 @@
 func (c *Core) refreshTargets(now time.Time) {
 	var live [poolCount][]sharing.Target
 	for _, t := range c.order {
-		if t.alive(now) {
+		if t.Alive(now) {
 			live[poolOf(t)] = append(live[poolOf(t)], sharing.Target{Name: t.Target, Slots: t.Slots})
 		}
 	}
--- a/internal/process/dispatch/target.go
+++ b/internal/process/dispatch/target.go
@@ -17,16 +17,16 @@
 	lost  bool // its worker or rack is taken as lost
 }
 
-// alive reports whether the target may get new work.
-func (t *Target) alive(now time.Time) bool {
+// Alive reports whether the target may get new work.
+func (t *Target) Alive(now time.Time) bool {
 	return !t.Leaving && now.Before(t.LeaseEnd)
 }
 
-// Alive reports whether the target may get new work.
-func (t *Target) Alive(now time.Time) bool { return t.alive(now) }
+// InUse is the Use of a target that gets work.
+const InUse = "in use"
 
 // Use returns why the target gets no or little work from this host: "ejected",
-// "on trial", "worker lost", or "in use".
+// "on trial", "worker lost", or InUse.
 func (t *Target) Use() string {
 	switch {
 	case t.lost:
@@ -34,7 +34,7 @@
 	case t.state != health.Healthy:
 		return t.state.String()
 	}
-	return "in use"
+	return InUse
 }
 
 // Busy returns the number of starts in progress from this host.
--- a/internal/process/host/forward.go
+++ b/internal/process/host/forward.go
@@ -17,11 +17,12 @@
 	if h.hosts.suspect(time.Now(), host) {
 		return nil, failure.New(failure.HolderUnreachable, "host "+host+" holds the record and does not answer")
 	}
-	limit := h.defaultDeadline()
-	if spec.DeadlineMS > 0 {
-		limit = time.Duration(spec.DeadlineMS) * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit+forwardMargin)
+	ctx, cancel := context.WithTimeout(ctx, h.forwardLimit(spec))
 	defer cancel()
 	return h.client.Forward(ctx, host, body)
 }
+
+// forwardLimit is how long another host may take to answer a job.
+func (h *Host) forwardLimit(spec *job.Spec) time.Duration {
+	return spec.Deadline(h.policy.current().Deadlines.Default) + forwardMargin
+}
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -200,9 +200,6 @@
 	return group.Wait()
 }
 
-// defaultDeadline is for a job that states none.
-func (h *Host) defaultDeadline() time.Duration { return h.policy.current().Deadlines.Default }
-
 // serveHTTP serves until the server is shut down, with the certificate of the
 // settings if there is one.
 func (h *Host) serveHTTP(server *http.Server, web net.Listener) error {
--- a/internal/process/host/hosts.go
+++ b/internal/process/host/hosts.go
@@ -148,24 +148,16 @@
 func (t *hostTable) suspect(now time.Time, host string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, v := range t.table.View(now) {
-		if v.Host == host {
-			return !v.Heard.IsZero() && v.State != membership.HostAlive
-		}
-	}
-	return false
+	v, ok := t.table.ViewOf(now, host)
+	return ok && !v.Heard.IsZero() && v.State != membership.HostAlive
 }
 
 // domainOf returns the failure domain of host, empty if it is not known.
 func (t *hostTable) domainOf(now time.Time, host string) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, v := range t.table.View(now) {
-		if v.Host == host {
-			return v.Domain
-		}
-	}
-	return ""
+	v, _ := t.table.ViewOf(now, host)
+	return v.Domain
 }
 
 // list returns the state of every other host.
--- a/internal/process/host/observer.go
+++ b/internal/process/host/observer.go
@@ -119,7 +119,7 @@
 func outOfUse(targets []dispatch.Target) int {
 	n := 0
 	for _, t := range targets {
-		if t.Use() != "in use" {
+		if t.Use() != dispatch.InUse {
 			n++
 		}
 	}
--- a/internal/process/host/spill.go
+++ b/internal/process/host/spill.go
@@ -28,11 +28,7 @@
 	if err != nil {
 		return nil
 	}
-	limit := s.host.defaultDeadline()
-	if spec.DeadlineMS > 0 {
-		limit = time.Duration(spec.DeadlineMS) * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit+forwardMargin)
+	ctx, cancel := context.WithTimeout(ctx, s.host.forwardLimit(spec))
 	defer cancel()
 	answer, err := s.host.client.Spill(ctx, target, body)
 	switch {
--- a/internal/process/membership/announcement.go
+++ b/internal/process/membership/announcement.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	maxNameBytes = 128
-	maxSlots     = 4096
+	maxNameBytes   = 128
+	maxSlots       = 1024
+	maxConnections = 4096
 )
 
 // checkAnnouncement returns the first fault of a as an InvalidRequest error.
@@ -31,13 +32,13 @@
 		return failure.Invalid("domain", "must be this host's failure domain, "+domain)
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
-		return failure.Invalid("slots", "must be from 1 to 4096")
+		return failure.Invalid("slots", "must be from 1 to 1024")
 	}
-	if a.Connections < 1 || a.Connections > maxSlots {
+	if a.Connections < 1 || a.Connections > maxConnections {
 		return failure.Invalid("connections", "must be from 1 to 4096")
 	}
 	if a.Accelerators < 0 || a.Accelerators > maxSlots {
-		return failure.Invalid("accelerators", "must be from 0 to 4096")
+		return failure.Invalid("accelerators", "must be from 0 to 1024")
 	}
 	return nil
 }
--- a/internal/process/membership/hosts.go
+++ b/internal/process/membership/hosts.go
@@ -218,11 +218,24 @@
 	return rumours
 }
 
+// ViewOf returns the view of one other host at now, false if it is not known.
+func (h *Hosts) ViewOf(now time.Time, host string) (HostView, bool) {
+	p, ok := h.byName[host]
+	if !ok {
+		return HostView{}, false
+	}
+	return h.view(now, p), true
+}
+
+func (h *Hosts) view(now time.Time, p *peer) HostView {
+	return HostView{p.HostName, p.incarnation, h.state(now, p), p.heard}
+}
+
 // View returns the view of every other host at now, in the order of names.
 func (h *Hosts) View(now time.Time) []HostView {
 	views := make([]HostView, len(h.peers))
 	for i, p := range h.peers {
-		views[i] = HostView{p.HostName, p.incarnation, h.state(now, p), p.heard}
+		views[i] = h.view(now, p)
 	}
 	return views
 }
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -1,6 +1,9 @@
 package job
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // MaxTasks is the greatest number of tasks in one job.
 const MaxTasks = 210
@@ -14,6 +17,15 @@
 	Tasks      []Task `json:"tasks"`
 }
 
+// Deadline returns the time to the whole answer, otherwise where the job states
+// none.
+func (s *Spec) Deadline(otherwise time.Duration) time.Duration {
+	if s.DeadlineMS > 0 {
+		return time.Duration(s.DeadlineMS) * time.Millisecond
+	}
+	return otherwise
+}
+
 // Task is one short task of a job.
 type Task struct {
 	ID          string          `json:"id"`                    // unique within the job
--- a/internal/version/control/fixture_test.go
+++ b/internal/version/control/fixture_test.go
@@ -2,24 +2,16 @@
 
 import (
 	"crypto/ed25519"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/standin/fixedseed"
 	"wasabifield.example/wasabifield/internal/version/bundle"
 	"wasabifield.example/wasabifield/internal/version/control"
 )
 
-// TestMain fixes the seed of the property tests unless a flag gives one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m) }
 
 var (
 	names = []string{"linh", "mere", "sione", "tuan"}
