--- a/internal/connection/peer/link.go
+++ b/internal/connection/hostlink/link.go
@@ -1,4 +1,6 @@
-package peer
+// Package hostlink holds the connection from one host to another, and replaces
+// one that has gone silent.
+package hostlink
 
 import (
 	"context"
@@ -16,10 +18,10 @@
 // connection is taken for silent.
 const missedExchanges = 2
 
-// link holds the connection to one host. A connection that something between
+// Link holds the connection to one host. A connection that something between
 // the hosts has lost track of stays open and silent, while a new one would
 // work, so a connection that does not answer in time is replaced.
-type link struct {
+type Link struct {
 	connect func() (*grpc.ClientConn, error)
 	timeout time.Duration // for a connection to be made or to answer
 
@@ -29,28 +31,31 @@
 	closed bool
 }
 
-func newLink(timeout time.Duration, connect func() (*grpc.ClientConn, error)) (*link, error) {
+// New returns a Link. Connect makes a connection; timeout is for it to be made or
+// to answer.
+func New(timeout time.Duration, connect func() (*grpc.ClientConn, error)) (*Link, error) {
 	conn, err := connect()
-	return &link{connect: connect, timeout: timeout, conn: conn}, err
+	return &Link{connect: connect, timeout: timeout, conn: conn}, err
 }
 
-// current returns the connection in use.
-func (l *link) current() *grpc.ClientConn {
+// Current returns the connection in use.
+func (l *Link) Current() *grpc.ClientConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.conn
 }
 
-func (l *link) close() {
+// Close ends the link.
+func (l *Link) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
 	_ = l.conn.Close()
 }
 
-// replace closes conn and makes a new connection, unless another call did.
+// Replace closes conn and makes a new connection, unless another call did.
 // Calls in progress on conn end with an error.
-func (l *link) replace(conn *grpc.ClientConn) {
+func (l *Link) Replace(conn *grpc.ClientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || l.conn != conn {
@@ -64,8 +69,8 @@
 	_ = conn.Close()
 }
 
-// exchanged takes in how an exchange over conn ended.
-func (l *link) exchanged(conn *grpc.ClientConn, err error) {
+// Exchanged takes in how an exchange over conn ended.
+func (l *Link) Exchanged(conn *grpc.ClientConn, err error) {
 	l.mu.Lock()
 	if status.Code(err) == codes.DeadlineExceeded {
 		l.missed++
@@ -75,22 +80,22 @@
 	silent := l.missed >= missedExchanges
 	l.mu.Unlock()
 	if silent {
-		l.replace(conn)
+		l.Replace(conn)
 	}
 }
 
-// attend calls f and probes conn until f returns. If a probe gets no answer,
+// Attend calls f and probes conn until f returns. If a probe gets no answer,
 // conn is replaced and f's context is cancelled. Hence f waits for a silent
 // connection or a frozen host at most twice the link's timeout, and for a slow
 // answer as long as ctx allows.
-func (l *link) attend(ctx context.Context, conn *grpc.ClientConn, f func(context.Context) error) error {
+func (l *Link) Attend(ctx context.Context, conn *grpc.ClientConn, f func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go l.probe(ctx, cancel, conn)
 	return f(ctx)
 }
 
-func (l *link) probe(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn) {
+func (l *Link) probe(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn) {
 	ticker := time.NewTicker(l.timeout)
 	defer ticker.Stop()
 	for {
@@ -100,7 +105,7 @@
 		case <-ticker.C:
 		}
 		if !l.answers(ctx, conn) && ctx.Err() == nil {
-			l.replace(conn)
+			l.Replace(conn)
 			cancel()
 			return
 		}
@@ -108,16 +113,16 @@
 }
 
 // answers reports whether conn answers within the timeout, be it by an error.
-func (l *link) answers(ctx context.Context, conn *grpc.ClientConn) bool {
+func (l *Link) answers(ctx context.Context, conn *grpc.ClientConn) bool {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
 	_, err := healthpb.NewHealthClient(conn).Check(ctx, &healthpb.HealthCheckRequest{})
 	return status.Code(err) != codes.DeadlineExceeded
 }
 
-// connected waits up to the timeout for conn to be made. Nothing of a request
+// Connected waits up to the timeout for conn to be made. Nothing of a request
 // is sent before it is there, so its absence proves a request unsent.
-func (l *link) connected(ctx context.Context, conn *grpc.ClientConn) bool {
+func (l *Link) Connected(ctx context.Context, conn *grpc.ClientConn) bool {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
 	for {
@@ -134,3 +139,14 @@
 		}
 	}
 }
+
+// Invoke implements grpc.ClientConnInterface. Each call uses the connection of
+// that moment, so a silent one that was replaced does not matter.
+func (l *Link) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
+	return l.Current().Invoke(ctx, method, args, reply, opts...)
+}
+
+// NewStream implements grpc.ClientConnInterface.
+func (l *Link) NewStream(ctx context.Context, desc *grpc.StreamDesc, method string, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	return l.Current().NewStream(ctx, desc, method, opts...)
+}
--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 
+	"wasabifield.example/wasabifield/internal/connection/hostlink"
 	"wasabifield.example/wasabifield/internal/connection/peerpb"
 	"wasabifield.example/wasabifield/internal/connection/traffic"
 	"wasabifield.example/wasabifield/internal/process/settings"
@@ -31,7 +32,7 @@
 
 // Client reaches the other entry hosts.
 type Client struct {
-	links map[string]*link // by host
+	links map[string]*hostlink.Link // by host
 }
 
 // ClientConfig configures a Client.
@@ -44,9 +45,9 @@
 
 // NewClient returns a Client for the given hosts. It connects when first used.
 func NewClient(config ClientConfig) (*Client, error) {
-	c := &Client{links: make(map[string]*link, len(config.Peers))}
+	c := &Client{links: make(map[string]*hostlink.Link, len(config.Peers))}
 	for _, p := range config.Peers {
-		l, err := newLink(config.DialTimeout, func() (*grpc.ClientConn, error) {
+		l, err := hostlink.New(config.DialTimeout, func() (*grpc.ClientConn, error) {
 			return grpc.NewClient("passthrough:///"+p.Peer, dialOptions(config)...)
 		})
 		if err != nil {
@@ -73,7 +74,7 @@
 // Close ends all connections.
 func (c *Client) Close() {
 	for _, l := range c.links {
-		l.close()
+		l.Close()
 	}
 }
 
@@ -81,7 +82,7 @@
 // be replaced by another, so it is not to be kept.
 func (c *Client) Conn(host string) *grpc.ClientConn {
 	if l, ok := c.links[host]; ok {
-		return l.current()
+		return l.Current()
 	}
 	return nil
 }
@@ -117,11 +118,11 @@
 	if !ok {
 		return &failure.Error{Kind: failure.TicketInvalid, Field: "ticket", Message: "its issuer is not known"}
 	}
-	conn := l.current()
-	if !l.connected(ctx, conn) {
+	conn := l.Current()
+	if !l.Connected(ctx, conn) {
 		return failure.New(failure.HolderUnreachable, "host "+host+" holds the record and cannot be reached")
 	}
-	return l.attend(ctx, conn, func(ctx context.Context) error {
+	return l.Attend(ctx, conn, func(ctx context.Context) error {
 		return f(ctx, peerpb.NewPeerClient(conn))
 	})
 }
@@ -191,8 +192,8 @@
 // Exchange sends what this host knows and returns what the other knows.
 func (c *Client) Exchange(ctx context.Context, host string, m *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	l := c.links[host]
-	conn := l.current()
+	conn := l.Current()
 	answer, err := peerpb.NewPeerClient(conn).Exchange(ctx, m)
-	l.exchanged(conn, err)
+	l.Exchanged(conn, err)
 	return answer, err
 }
--- a/internal/process/controller/config.go
+++ b/internal/process/controller/config.go
@@ -32,6 +32,16 @@
 	Log    *slog.Logger
 	Timing Timing
 
+	// Founders are the hosts whose empty disks together found the register;
+	// nil means all hosts with a disk in Peers, and this one.
+	Founders []string
+	// Founded says that the register was founded before: an empty disk then
+	// joins the others and never founds.
+	Founded bool
+	// Lost reports whether a host has been silent for long. A voter on such a
+	// host makes room for a new disk. Nil means that none is taken for lost.
+	Lost func(host string) bool
+
 	// Order returns the failure domains in the order in which a chosen value
 	// is pushed to them; domains that it leaves out come last. It may be nil.
 	Order func(content []byte) []string
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io/fs"
 	"log/slog"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,13 +25,17 @@
 	log        *slog.Logger
 	self       register.Member
 	copy       *localCopy
-	links      []*peerLink
-	byHost     map[string]*peerLink
 	events     chan event
+	added      chan Peer
 	operations chan *operation
 	stopped    chan struct{}
 
+	mu     sync.Mutex
+	byHost map[string]*peerLink // guarded by mu; written by the owner
+
 	// Owned by the goroutine of own.
+	links    []*peerLink
+	runLink  func(*peerLink)
 	state    register.State
 	proposer *register.Proposer
 	current  *operation // in progress; nil if none
@@ -72,6 +77,7 @@
 		copy:       newLocalCopy(),
 		byHost:     make(map[string]*peerLink, len(config.Peers)),
 		events:     make(chan event, eventRing),
+		added:      make(chan Peer, peerRing),
 		operations: make(chan *operation, operationRing),
 		stopped:    make(chan struct{}),
 		state:      state,
@@ -125,24 +131,58 @@
 	if c.config.Folder != nil {
 		hosts = append(hosts, c.config.Host)
 	}
-	for _, p := range c.config.Peers {
-		if p.Disk {
-			hosts = append(hosts, p.Host)
+	for _, l := range c.links {
+		if l.Disk {
+			hosts = append(hosts, l.Host)
 		}
 	}
 	return hosts
 }
 
+// AddPeer makes another host known. A host that is known already stays as it
+// is. It must not be called after Run has returned.
+func (c *Controller) AddPeer(p Peer) {
+	select {
+	case c.added <- p:
+	case <-c.stopped:
+	}
+}
+
+// link returns the link to a host.
+func (c *Controller) link(host string) (*peerLink, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.byHost[host]
+	return l, ok
+}
+
+// addPeer starts the link to a host that was not known.
+func (c *Controller) addPeer(p Peer) {
+	if _, ok := c.link(p.Host); ok {
+		return
+	}
+	l := newPeerLink(p, c.config.Timing.Attempt)
+	c.links = append(c.links, l)
+	c.mu.Lock()
+	c.byHost[p.Host] = l
+	c.mu.Unlock()
+	c.proposer.SetSeeds(c.disks())
+	c.runLink(l)
+}
+
 // Run works until ctx is cancelled. It is called once.
 func (c *Controller) Run(ctx context.Context) error {
 	defer close(c.stopped)
 	group, ctx := errgroup.WithContext(ctx)
-	for _, l := range c.links {
+	c.runLink = func(l *peerLink) {
 		group.Go(func() error {
 			l.run(ctx, c.events)
 			return nil
 		})
 	}
+	for _, l := range c.links {
+		c.runLink(l)
+	}
 	group.Go(func() error {
 		c.own(ctx)
 		return nil
@@ -269,7 +309,7 @@
 	if version <= own {
 		return nil
 	}
-	link, ok := c.byHost[peer]
+	link, ok := c.link(peer)
 	if !ok {
 		return failure.New(failure.NotFound, "host "+peer+" is not in the settings")
 	}
--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"wasabifield.example/wasabifield/internal/version/register"
 )
@@ -49,10 +50,49 @@
 		if v.Has(self) {
 			return v, nil
 		}
-		return v.WithMember(self), nil
+		return c.makeRoom(v).WithMember(self), nil
 	}
 }
 
+// makeRoom drops one voter whose host is lost, unless this disk replaces an
+// earlier disk of this host. Otherwise hosts that are gone for good would count
+// in every later quorum.
+func (c *Controller) makeRoom(v register.Value) register.Value {
+	replaced := slices.ContainsFunc(v.Members, func(m register.Member) bool { return m.Host == c.self.Host })
+	if replaced || c.config.Lost == nil {
+		return v
+	}
+	for _, m := range v.Members {
+		if c.config.Lost(m.Host) {
+			c.log.Warn("A lost host gives up its vote.", "host", m.Host)
+			return v.WithoutHost(m.Host)
+		}
+	}
+	return v
+}
+
+// founders returns the hosts whose disks found the register.
+func (c *Controller) founders() []string {
+	if c.config.Founders != nil {
+		return c.config.Founders
+	}
+	return c.disks()
+}
+
+// founderReports leaves out the identities of disks that do not found.
+func (c *Controller) founderReports() []register.Report {
+	if c.config.Founders == nil {
+		return c.survey.reports
+	}
+	reports := slices.Clone(c.survey.reports)
+	for i := range reports {
+		if !slices.Contains(c.config.Founders, reports[i].From.Host) {
+			reports[i].From.Identity = 0
+		}
+	}
+	return reports
+}
+
 // isFresh reports whether the host has a disk that may not vote yet.
 func (c *Controller) isFresh() bool { return c.config.Folder != nil && !c.state.Whole }
 
@@ -81,7 +121,10 @@
 	if c.survey.ballot == (register.Ballot{}) {
 		return
 	}
-	step, entry := register.PlanJoin(c.self, c.disks(), c.survey.reports)
+	step, entry := register.PlanJoin(c.self, c.founders(), c.founderReports())
+	if step == register.Establish && c.config.Founded {
+		step = register.Wait
+	}
 	switch step {
 	case register.Establish:
 		if atEnd {
--- a/internal/process/controller/own.go
+++ b/internal/process/controller/own.go
@@ -27,6 +27,8 @@
 			return
 		case e := <-c.events:
 			c.onEvent(e)
+		case p := <-c.added:
+			c.addPeer(p)
 		case o := <-waiting:
 			if o.taken.CompareAndSwap(false, true) {
 				c.start(o)
@@ -118,7 +120,7 @@
 }
 
 func (c *Controller) send(host string, r register.Request) {
-	link, ok := c.byHost[host]
+	link, ok := c.link(host)
 	if !ok || !link.send(r) {
 		c.log.Debug("A message was dropped.", "peer", host)
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"wasabifield.example/wasabifield/internal/process/host"
 	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/process/settings"
+	"wasabifield.example/wasabifield/platform"
 )
 
 // Exit codes of wasabifieldd.
@@ -59,6 +60,7 @@
 	if err := command.MarkFlagRequired("config"); err != nil {
 		panic(err)
 	}
+	command.AddCommand(platform.NewCommand(code))
 	return command
 }
 
--- /dev/null
+++ b/internal/process/fleet/beats.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+)
+
+const (
+	// forgetTarget is how long a target without announcements is remembered:
+	// several of its intervals, as an unreachable one may come back.
+	forgetTarget = 30 * time.Second
+	// passOnTimeout bounds the passing on of an announcement; the next one
+	// makes good a lost one.
+	passOnTimeout = 500 * time.Millisecond
+)
+
+// beats remembers the newest announcement of each target.
+type beats struct {
+	mu   sync.Mutex
+	byID map[string]Announcement
+}
+
+func newBeats() *beats { return &beats{byID: map[string]Announcement{}} }
+
+// learn takes an announcement in and reports whether it is news.
+func (b *beats) learn(a Announcement) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.byID[a.Target.ID]
+	if ok && !a.newer(known) {
+		return false
+	}
+	b.byID[a.Target.ID] = a
+	return true
+}
+
+// list returns what was announced within the last seconds, and forgets the rest.
+func (b *beats) list(now time.Time) []Announcement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Announcement
+	for id, a := range b.byID {
+		if now.Sub(a.Received) > forgetTarget {
+			delete(b.byID, id)
+			continue
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+func (b *beats) get(id string) (Announcement, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, ok := b.byID[id]
+	return a, ok
+}
+
+// Announce takes in what a target said of itself to this host, and passes it on
+// to the entry hosts of the target's domain.
+func (n *Node) Announce(a Announcement) {
+	if known, ok := n.beats.get(a.Target.ID); !n.beats.learn(a) {
+		n.log.Info("An outdated announcement was ignored.", "target", a.Target.ID, "born", a.Target.Born, "sequence", a.Sequence)
+		return
+	} else if !ok || known.Target.Draining != a.Target.Draining || known.Target.Born != a.Target.Born || a.Gone {
+		n.log.Info("A target announced itself.", "target", a.Target.ID, "domain", a.Target.Domain, "born", a.Target.Born,
+			"sequence", a.Sequence, "draining", a.Target.Draining, "gone", a.Gone)
+	}
+	message := &fleetpb.Announcements{Announcements: []*fleetpb.Announcement{announcementMessage(a, time.Now())}}
+	for _, h := range n.Hosts() {
+		if !h.Entry || h.Domain != a.Target.Domain {
+			continue
+		}
+		if link, ok := n.link(h.Address); ok {
+			n.group.Go(func() error {
+				ctx, cancel := context.WithTimeout(n.running, passOnTimeout)
+				defer cancel()
+				if _, err := fleetpb.NewFleetClient(link).Announce(ctx, message); err != nil {
+					n.log.Warn("An announcement was not passed on.", "target", a.Target.ID, "host", h.Address, "error", err)
+				}
+				return nil
+			})
+		}
+	}
+}
+
+// Forget takes in that a target deregistered.
+func (n *Node) Forget(id string) {
+	a, ok := n.beats.get(id)
+	if !ok || a.Gone {
+		return
+	}
+	a.Gone = true
+	a.Received = time.Now()
+	n.Announce(a)
+}
--- /dev/null
+++ b/internal/process/fleet/config.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/metrics"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/version/catalog"
+	"wasabifield.example/wasabifield/internal/version/store"
+)
+
+// Timings between hosts. A round trip takes a few milliseconds at most, so they
+// bound detection, not delivery.
+const (
+	greetEntry   = 250 * time.Millisecond // between greetings to another entry host
+	greetControl = time.Second            // between greetings to or among hosts with a disk
+	greetTimeout = 400 * time.Millisecond // of one greeting; two lost ones replace the connection
+	aliveFor     = 900 * time.Millisecond // three greetings; below the 1 s of a lease
+	lostAfter    = 5 * time.Second        // a voter silent for so long makes room for a new disk
+	confirmEvery = time.Second            // mean time between reads that confirm the catalog
+	settleFor    = 700 * time.Millisecond // a new host listens before it claims a pool
+	trustAfter   = 3 * time.Second        // an unconfirmed catalog is served with after this
+	tickEvery    = 20 * time.Millisecond  // of the scheduler
+	eventRing    = 1024                   // events that wait for the pool's owner
+	dialTimeout  = 500 * time.Millisecond // to connect to another host
+)
+
+// Config configures a Node.
+type Config struct {
+	Self     discovery.Host
+	Seeds    []string      // addresses of hosts to ask first
+	Folder   *store.Folder // the data folder; nil on a host without a disk
+	Founders []string      // hosts whose empty disks found the register
+	Founded  bool          // the system was started before
+	MaxLease time.Duration // longest lease that a target grants
+	Orders   Orders        // reaches targets; nil on a host that takes no jobs
+	// Parse decodes and checks an operator's document.
+	Parse   func(document []byte) (catalog.Catalog, error)
+	Log     *slog.Logger
+	Metrics *metrics.Metrics
+}
+
+// TargetRef says which incarnation of a target an order is for, and where.
+type TargetRef struct {
+	ID      string
+	Address string
+}
+
+// StartOrder orders a target to start a run.
+type StartOrder struct {
+	Run        scheduler.Run
+	Spec       string
+	LeaseUntil int64 // milliseconds on the target's clock
+	Token      uint64
+}
+
+// Renewal extends the lease of all runs on a target, acknowledges ends and
+// asks for what runs.
+type Renewal struct {
+	Token      uint64
+	Acked      uint64        // ends up to this one may be forgotten
+	LeaseUntil int64         // milliseconds on the target's clock; 0 extends nothing
+	Wait       time.Duration // the target may wait so long for an end
+}
+
+// EndedRun is a run that a target lists as ended.
+type EndedRun struct {
+	Number uint64 // of the end, rising from 1
+	Run    scheduler.Run
+	End    scheduler.End
+}
+
+// TargetReport is a target's answer to a renewal.
+type TargetReport struct {
+	Clock   int64  // milliseconds on the target's clock
+	Born    uint64 // Unix milliseconds of the target's start; 0 if it did not say
+	Running []scheduler.Run
+	Ended   []EndedRun
+}
+
+// Errors of Orders. Any other error leaves open whether the order was carried
+// out or will be.
+var (
+	ErrFenced      = errors.New("another holder orders the target")
+	ErrWrongTarget = errors.New("another incarnation has the address")
+	ErrUnhealthy   = errors.New("the target refuses orders")
+)
+
+// Orders reaches targets.
+type Orders interface {
+	// Start returns the result and the target's clock, 0 if unknown.
+	Start(ctx context.Context, t TargetRef, o StartOrder) (scheduler.StartResult, int64)
+	// Stop returns nil once the run is gone and can no longer start.
+	Stop(ctx context.Context, t TargetRef, r scheduler.Run, token uint64) error
+	Renew(ctx context.Context, t TargetRef, r Renewal) (TargetReport, error)
+}
--- /dev/null
+++ b/internal/process/fleet/convert.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+)
+
+func hostMessage(h discovery.Host, age time.Duration) *fleetpb.Host {
+	return &fleetpb.Host{
+		Address: h.Address, Name: h.Name, Domain: h.Domain, Disk: h.Disk, Entry: h.Entry,
+		Incarnation: h.Incarnation, Leaving: h.Leaving, AgeMs: uint32(age.Milliseconds()),
+	}
+}
+
+func hostFrom(m *fleetpb.Host) (discovery.Host, time.Duration) {
+	return discovery.Host{
+		Address: m.GetAddress(), Name: m.GetName(), Domain: m.GetDomain(), Disk: m.GetDisk(), Entry: m.GetEntry(),
+		Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
+	}, time.Duration(m.GetAgeMs()) * time.Millisecond
+}
+
+// Announcement is what a target said of itself, with what the host that
+// received it adds.
+type Announcement struct {
+	Target   scheduler.Target
+	Sequence uint64 // rises with each announcement of one start of the target
+	Gone     bool   // the target deregistered
+	Clock    int64  // milliseconds on the target's clock
+	Received time.Time
+}
+
+// newer reports whether a was said after o.
+func (a Announcement) newer(o Announcement) bool {
+	if a.Target.Born != o.Target.Born {
+		return a.Target.Born > o.Target.Born
+	}
+	if a.Gone != o.Gone {
+		return a.Gone
+	}
+	return a.Sequence > o.Sequence
+}
+
+func announcementMessage(a Announcement, now time.Time) *fleetpb.Announcement {
+	t := a.Target
+	return &fleetpb.Announcement{
+		Id: t.ID, Service: t.Service, Address: t.Address, Domain: t.Domain, Born: t.Born, Sequence: a.Sequence,
+		Draining: t.Draining, Gone: a.Gone, CpuMilli: t.Capacity.CPUMilli, MemoryMb: t.Capacity.MemoryMB,
+		Gpus: t.Capacity.GPUs, Labels: t.Labels, ClockMs: a.Clock, AgeMs: uint32(now.Sub(a.Received).Milliseconds()),
+	}
+}
+
+func announcementFrom(m *fleetpb.Announcement, now time.Time) Announcement {
+	return Announcement{
+		Target: scheduler.Target{
+			ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), Domain: m.GetDomain(), Born: m.GetBorn(),
+			Capacity: scheduler.Resources{CPUMilli: m.GetCpuMilli(), MemoryMB: m.GetMemoryMb(), GPUs: m.GetGpus()},
+			Labels:   m.GetLabels(), Draining: m.GetDraining(),
+		},
+		Sequence: m.GetSequence(), Gone: m.GetGone(), Clock: m.GetClockMs(),
+		Received: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+	}
+}
+
+func jobMessage(j scheduler.Job, now time.Time) *fleetpb.JobRequest {
+	m := &fleetpb.JobRequest{
+		Id: j.ID, Queue: j.Queue, Service: j.Service, Priority: int32(j.Priority), Attempts: uint32(j.MaxAttempts),
+		TargetLatencyMs: uint32(j.TargetLatency.Milliseconds()), SlackFactor: j.SlackFactor, Spec: j.Spec,
+		RemainingMs: uint32(max(0, j.Deadline.Sub(now).Milliseconds())), AgeMs: uint32(max(0, now.Sub(j.Arrived).Milliseconds())),
+		Spilled: j.Spilled,
+	}
+	for _, s := range j.Steps {
+		m.Steps = append(m.Steps, stepMessage(s))
+	}
+	return m
+}
+
+func stepMessage(s scheduler.Step) *fleetpb.Step {
+	m := &fleetpb.Step{
+		Count: uint32(s.Count), CpuMilli: s.Need.CPUMilli, MemoryMb: s.Need.MemoryMB, Gpus: s.Need.GPUs,
+		EstimateMs: uint32(s.Estimate.Milliseconds()), Label: s.Label, DataRack: s.DataRack, AntiAffinity: uint32(s.AntiAffinity),
+	}
+	for _, a := range s.After {
+		m.After = append(m.After, uint32(a))
+	}
+	return m
+}
+
+func jobFrom(m *fleetpb.JobRequest, now time.Time) scheduler.Job {
+	j := scheduler.Job{
+		ID: m.GetId(), Queue: m.GetQueue(), Service: m.GetService(), Priority: int(m.GetPriority()),
+		MaxAttempts: int(m.GetAttempts()), SlackFactor: m.GetSlackFactor(), Spec: m.GetSpec(), Spilled: m.GetSpilled(),
+		TargetLatency: time.Duration(m.GetTargetLatencyMs()) * time.Millisecond,
+		Arrived:       now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		Deadline:      now.Add(time.Duration(m.GetRemainingMs()) * time.Millisecond),
+	}
+	for _, s := range m.GetSteps() {
+		step := scheduler.Step{
+			Count:    int(s.GetCount()),
+			Need:     scheduler.Resources{CPUMilli: s.GetCpuMilli(), MemoryMB: s.GetMemoryMb(), GPUs: s.GetGpus()},
+			Estimate: time.Duration(s.GetEstimateMs()) * time.Millisecond,
+			Label:    s.GetLabel(), DataRack: s.GetDataRack(), AntiAffinity: int(s.GetAntiAffinity()),
+		}
+		for _, a := range s.GetAfter() {
+			step.After = append(step.After, int(a))
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
--- /dev/null
+++ b/internal/process/fleet/events.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/holder"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// submitEvent brings a job.
+type submitEvent struct {
+	id     uint64
+	job    scheduler.Job
+	waiter waiter
+}
+
+func (e submitEvent) apply(p *pool, now time.Time) {
+	if !p.held.Load() {
+		e.waiter.answer <- scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "this host does not hold the pool"}
+		return
+	}
+	p.waiters[e.id] = e.waiter
+	p.core.SetRoom(p.node.room())
+	p.apply(p.core.Submit(e.job, e.id, now), now)
+}
+
+// withdrawEvent says that a waiter has left.
+type withdrawEvent struct{ id uint64 }
+
+func (e withdrawEvent) apply(p *pool, now time.Time) {
+	w, ok := p.waiters[e.id]
+	if !ok {
+		return
+	}
+	delete(p.waiters, e.id)
+	p.log.Info("The caller of a job left.", "job", w.job, "waited", now.Sub(w.begun), "host", w.sender)
+	p.apply(p.core.Withdraw(w.job, e.id, now), now)
+}
+
+// announceEvent brings an announcement.
+type announceEvent struct{ announcement Announcement }
+
+func (e announceEvent) apply(p *pool, now time.Time) { p.announce(e.announcement, now) }
+
+// claimEvent brings another host's claim on the pool.
+type claimEvent struct{ claim holder.Claim }
+
+func (e claimEvent) apply(p *pool, now time.Time) {
+	if p.view.Hear(e.claim) == holder.Yielded {
+		p.yield(now, "another host claims it with a higher token")
+	}
+}
+
+// targetEvent is something that a session learned. It counts only while the
+// session is the one in use.
+type targetEvent struct {
+	session *session
+	what    func(p *pool, now time.Time)
+}
+
+func (e targetEvent) apply(p *pool, now time.Time) {
+	if p.sessions[e.session.ref.ID] == e.session {
+		e.what(p, now)
+	}
+}
+
+// onReport takes in what runs and what has ended on a target.
+func (p *pool) onReport(s *session, r TargetReport, now time.Time) {
+	id := s.ref.ID
+	for _, ended := range r.Ended {
+		p.apply(p.core.Ended(id, ended.Run, ended.End, now), now)
+	}
+	foreign := 0
+	for _, run := range r.Running {
+		if !p.core.Knows(id, run) {
+			foreign++
+			p.log.Info("An unknown run is stopped.", "job", run.Job, "task", run.Task(), "run", run.Number, "target", id)
+			s.stop(run)
+		}
+	}
+	if s.clearing.Load() && foreign == 0 {
+		s.clearing.Store(false)
+		p.apply(p.core.Clear(id, false, now), now)
+	}
+}
+
+// onFenced takes in that a target obeys another holder. Where none is known,
+// the token is raised.
+func (p *pool) onFenced(s *session, now time.Time) {
+	if now.Sub(p.raised) < settleFor {
+		return
+	}
+	p.raised = now
+	p.log.Warn("A target refused an order.", "target", s.ref.ID, "token", s.token, "reason", "it obeys a higher token")
+	p.apply(p.core.GiveUp(), now)
+	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+	p.view.Raise(now)
+	p.takeOver(now, "the token was too low")
+}
--- /dev/null
+++ b/internal/process/fleet/greet.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/connection/hostlink"
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/holder"
+)
+
+// greet exchanges with one host until ctx is cancelled.
+func (n *Node) greet(ctx context.Context, address string, link *hostlink.Link) {
+	heard := true
+	for {
+		ok := n.greetOnce(ctx, address, link)
+		if ok != heard && ctx.Err() == nil {
+			heard = ok
+			n.logReach(address, ok)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(n.greetPause(address)):
+		}
+	}
+}
+
+func (n *Node) logReach(address string, reached bool) {
+	if reached {
+		n.log.Info("A host answers again.", "host", address)
+	} else {
+		n.log.Warn("A host does not answer.", "host", address)
+	}
+}
+
+// greetPause returns the time until the next greeting. Hosts with a disk do not
+// greet entry hosts, which greet them, once they are known.
+func (n *Node) greetPause(address string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, age, ok := n.table.Get(address, time.Now())
+	switch {
+	case !ok:
+		return greetEntry
+	case h.Entry && n.config.Self.Entry:
+		return greetEntry
+	case h.Entry && age < 2*greetControl:
+		return 2 * greetControl
+	}
+	return greetControl
+}
+
+func (n *Node) greetOnce(ctx context.Context, address string, link *hostlink.Link) bool {
+	limited, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	conn := link.Current()
+	reply, err := fleetpb.NewFleetClient(conn).Exchange(limited, n.greeting(0))
+	link.Exchanged(conn, err)
+	if err != nil {
+		return false
+	}
+	n.hear(reply)
+	n.catchUp(ctx, address, reply.GetRegisterVersion())
+	return true
+}
+
+// greeting returns what this host says of itself. The list of hosts goes along
+// where the other's digest differs.
+func (n *Node) greeting(digest uint64) *fleetpb.Greeting {
+	self := n.Self()
+	g := &fleetpb.Greeting{
+		From:            hostMessage(self, 0),
+		RegisterVersion: n.controller.Version(),
+	}
+	if n.pool != nil {
+		g.Claims = n.pool.claimMessages()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	g.HostsDigest = n.table.Digest(self)
+	if digest != 0 && digest != g.HostsDigest {
+		for _, h := range n.table.All(now) {
+			_, age, _ := n.table.Get(h.Address, now)
+			g.Hosts = append(g.Hosts, hostMessage(h, age))
+		}
+	}
+	return g
+}
+
+// hear takes in a greeting.
+func (n *Node) hear(g *fleetpb.Greeting) {
+	now := time.Now()
+	var fresh []discovery.Host
+	learn := func(m *fleetpb.Host) {
+		h, age := hostFrom(m)
+		if n.table.Learn(h, age, now) {
+			fresh = append(fresh, h)
+		}
+	}
+	n.mu.Lock()
+	learn(g.GetFrom())
+	for _, h := range g.GetHosts() {
+		learn(h)
+	}
+	for _, c := range g.GetClaims() {
+		n.hearClaim(c, now)
+	}
+	n.mu.Unlock()
+	for _, h := range fresh {
+		n.meet(h.Address, h)
+		if h.Disk && n.pool != nil {
+			n.group.Go(func() error { n.fetchTargets(h.Address); return nil })
+		}
+	}
+	if n.pool != nil {
+		n.pool.hearClaims(g.GetClaims())
+	}
+}
+
+// hearClaim keeps the best claim on each pool, and the latest word of its
+// holder. The caller holds the lock.
+func (n *Node) hearClaim(m *fleetpb.Claim, now time.Time) {
+	c := holder.Claim{Holder: m.GetHolder(), Token: m.GetFencingToken()}
+	known, ok := n.claims[m.GetPool()]
+	if ok && known.claim != c && known.claim.Beats(c) {
+		return
+	}
+	n.claims[m.GetPool()] = claimHeard{claim: c, free: int(m.GetFreeSlots()), heard: now}
+}
+
+// catchUp fetches the catalog from a host that holds a newer one.
+func (n *Node) catchUp(ctx context.Context, address string, version uint64) {
+	if version <= n.controller.Version() {
+		return
+	}
+	if err := n.controller.Catch(ctx, address, version); err != nil {
+		n.log.Warn("The newer catalog of a host was not fetched.", "host", address, "version", version, "error", err)
+	}
+}
+
+// fetchTargets asks a host with a disk for the targets that it knows, which
+// otherwise become known with their next announcements.
+func (n *Node) fetchTargets(address string) {
+	link, ok := n.link(address)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.running, greetTimeout)
+	defer cancel()
+	m, err := fleetpb.NewFleetClient(link).Targets(ctx, &fleetpb.Empty{})
+	if err != nil {
+		n.log.Warn("The targets that a host knows were not fetched.", "host", address, "error", err)
+		return
+	}
+	now := time.Now()
+	for _, a := range m.GetAnnouncements() {
+		n.takeIn(announcementFrom(a, now))
+	}
+}
--- /dev/null
+++ b/internal/process/fleet/node.go
@@ -0,0 +1,280 @@
+package fleet
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/connection/hostlink"
+	"wasabifield.example/wasabifield/internal/process/controller"
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/holder"
+	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/version/catalog"
+)
+
+// Node is one host.
+type Node struct {
+	config     Config
+	log        *slog.Logger
+	controller *controller.Controller
+	catalogs   *catalogs
+	beats      *beats // what targets announced here or through other hosts
+	pool       *pool  // nil on a host that takes no jobs
+	leaving    atomic.Bool
+	running    context.Context
+	group      *errgroup.Group
+
+	mu     sync.Mutex
+	table  *discovery.Table
+	links  map[string]*hostlink.Link
+	claims map[string]claimHeard // by pool
+}
+
+// claimHeard is another host's claim with what it said of the pool's load.
+type claimHeard struct {
+	claim holder.Claim
+	free  int
+	heard time.Time
+}
+
+// New returns a Node.
+func New(config Config) (*Node, error) {
+	n := &Node{
+		config: config,
+		log:    logging.For(config.Log, "fleet"),
+		table:  discovery.NewTable(config.Self.Address),
+		links:  map[string]*hostlink.Link{},
+		claims: map[string]claimHeard{},
+		beats:  newBeats(),
+	}
+	timing := controller.DefaultTiming()
+	timing.Confirm = confirmEvery
+	c, err := controller.NewController(controller.Config{
+		Host:     config.Self.Address,
+		Folder:   config.Folder,
+		Random:   newRandom(),
+		Clock:    time.Now,
+		Log:      logging.For(config.Log, "controller"),
+		Timing:   timing,
+		Founders: config.Founders,
+		Founded:  config.Founded,
+		Lost:     n.lost,
+	})
+	if err != nil {
+		return nil, failure.Wrap(failure.Internal, "fleet", err)
+	}
+	n.controller = c
+	n.catalogs = &catalogs{controller: c, parse: config.Parse, log: n.log, started: time.Now()}
+	if config.Self.Entry {
+		n.pool = newPool(n)
+	}
+	return n, nil
+}
+
+func newRandom() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:]) // never fails on the platforms that are supported
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// Run serves other hosts on the listener until ctx is cancelled.
+func (n *Node) Run(ctx context.Context, listener net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	n.running, n.group = ctx, group
+	server := grpc.NewServer(
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 2 * time.Second, Timeout: time.Second}),
+		grpc.MaxRecvMsgSize(controller.MaxContent+1<<20),
+	)
+	fleetpb.RegisterFleetServer(server, &service{node: n})
+	n.controller.Register(server)
+	healthpb.RegisterHealthServer(server, health.NewServer())
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		server.Stop()
+		n.closeLinks()
+		return nil
+	})
+	group.Go(func() error { return n.controller.Run(ctx) })
+	group.Go(func() error { return n.catalogs.follow(ctx) })
+	if n.pool != nil {
+		group.Go(func() error { return n.pool.run(ctx) })
+	}
+	n.Meet(n.config.Seeds)
+	return group.Wait()
+}
+
+// Meet makes hosts with a disk known by their addresses. It is called while
+// Run works.
+func (n *Node) Meet(seeds []string) {
+	for _, seed := range seeds {
+		n.meet(seed, discovery.Host{Address: seed, Disk: true})
+	}
+}
+
+// meet starts the link to a host that was not known.
+func (n *Node) meet(address string, h discovery.Host) {
+	if address == n.config.Self.Address {
+		return
+	}
+	n.mu.Lock()
+	_, known := n.links[address]
+	if known {
+		n.mu.Unlock()
+		return
+	}
+	link, err := hostlink.New(dialTimeout, func() (*grpc.ClientConn, error) { return dial(address) })
+	if err != nil {
+		n.mu.Unlock()
+		n.log.Error("A host cannot be reached by its address.", "host", address, "error", err)
+		return
+	}
+	n.links[address] = link
+	n.mu.Unlock()
+	n.log.Info("A host became known.", "host", address, "name", h.Name, "domain", h.Domain, "disk", h.Disk, "entry", h.Entry)
+	n.controller.AddPeer(controller.Peer{Host: address, Domain: h.Domain, Disk: h.Disk, Conn: link})
+	n.group.Go(func() error { n.greet(n.running, address, link); return nil })
+}
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(controller.MaxContent+1<<20)),
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0))
+}
+
+func (n *Node) closeLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		l.Close()
+	}
+}
+
+// link returns the link to a host.
+func (n *Node) link(address string) (*hostlink.Link, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.links[address]
+	return l, ok
+}
+
+// lost reports whether a host has been silent for long. A host that was never
+// heard counts as lost only once this one has run for as long.
+func (n *Node) lost(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	_, age, ok := n.table.Get(address, now)
+	if !ok {
+		return now.Sub(n.catalogs.started) > lostAfter
+	}
+	return age > lostAfter
+}
+
+// alive reports whether a host was heard just now.
+func (n *Node) alive(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, age, ok := n.table.Get(address, time.Now())
+	return ok && age <= aliveFor
+}
+
+// Self returns this host as it tells others of itself.
+func (n *Node) Self() discovery.Host {
+	h := n.config.Self
+	h.Leaving = n.leaving.Load()
+	return h
+}
+
+// Hosts returns the other hosts heard within the last seconds.
+func (n *Node) Hosts() []discovery.Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Alive(2*greetControl, time.Now())
+}
+
+// Catalog returns the catalog that requests are served with.
+func (n *Node) Catalog() (*catalog.Catalog, error) { return n.catalogs.current(time.Now()) }
+
+// PutCatalog offers a document and returns the version that is replicated.
+func (n *Node) PutCatalog(ctx context.Context, document []byte) (uint64, error) {
+	return n.catalogs.put(ctx, document)
+}
+
+// ReadCatalog returns the newest document as a quorum confirms it.
+func (n *Node) ReadCatalog(ctx context.Context) (catalog.Stored, error) { return n.catalogs.read(ctx) }
+
+// Ready reports whether new work may come here, and why not.
+func (n *Node) Ready() (bool, string) {
+	if n.leaving.Load() {
+		return false, "stopping"
+	}
+	if _, err := n.Catalog(); err != nil {
+		return false, err.Error()
+	}
+	if _, ok := n.holderOf(n.config.Self.Domain); !ok {
+		return false, "no host holds the targets of the domain"
+	}
+	return true, ""
+}
+
+// Leave announces that the host stops, and hands its pool to another host of
+// the domain, if there is one.
+func (n *Node) Leave(ctx context.Context) {
+	n.leaving.Store(true)
+	if n.pool != nil {
+		n.pool.leave(ctx)
+	}
+}
+
+// holderOf returns the address of the host that holds a pool.
+func (n *Node) holderOf(pool string) (string, bool) {
+	if n.pool != nil && pool == n.config.Self.Domain && n.pool.held.Load() {
+		return n.config.Self.Address, true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	heard, ok := n.claims[pool]
+	if !ok || heard.claim.Holder == n.config.Self.Address {
+		return "", false
+	}
+	_, age, known := n.table.Get(heard.claim.Holder, time.Now())
+	return heard.claim.Holder, known && age <= aliveFor
+}
+
+// room returns what the pools of other domains could take at once.
+func (n *Node) room() []scheduler.Room {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []scheduler.Room
+	now := time.Now()
+	for name, c := range n.claims {
+		if name != n.config.Self.Domain && now.Sub(c.heard) < aliveFor && c.free > 0 {
+			out = append(out, scheduler.Room{Pool: name, Tasks: c.free})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/fleet/pool.go
@@ -0,0 +1,310 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/holder"
+	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// pool is the duty that owns the scheduler of this host's domain. All its state
+// belongs to the goroutine of run, but for what is marked otherwise.
+type pool struct {
+	node   *Node
+	name   string
+	log    *slog.Logger
+	events chan event
+	ended  chan struct{}
+
+	held   atomic.Bool // read by any goroutine
+	claims atomic.Pointer[[]*fleetpb.Claim]
+	ids    atomic.Uint64 // of waiters
+
+	view     *holder.Pool
+	core     *scheduler.Core
+	sessions map[string]*session
+	waiters  map[uint64]waiter
+	raised   time.Time // when the token was raised last
+	watch    *watch
+}
+
+// waiter is a caller, or the host that passed its job on.
+type waiter struct {
+	job    string
+	sender string // the host that passed the job on; empty for this one
+	begun  time.Time
+	answer chan<- scheduler.Answer // takes one
+}
+
+// event is a message for the pool's owner.
+type event interface{ apply(p *pool, now time.Time) }
+
+func newPool(n *Node) *pool {
+	p := &pool{
+		node:     n,
+		name:     n.config.Self.Domain,
+		log:      logging.For(n.config.Log, "pool"),
+		events:   make(chan event, eventRing),
+		ended:    make(chan struct{}),
+		view:     holder.NewPool(n.config.Self.Address, settleFor, time.Now()),
+		sessions: map[string]*session{},
+		waiters:  map[uint64]waiter{},
+		watch:    newWatch(n.config.Metrics),
+	}
+	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+	p.claims.Store(&[]*fleetpb.Claim{})
+	return p
+}
+
+// run works until ctx is cancelled.
+func (p *pool) run(ctx context.Context) error {
+	defer close(p.ended)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closeSessions()
+			return nil
+		case e := <-p.events:
+			e.apply(p, time.Now())
+		case <-ticker.C:
+			p.tick(time.Now())
+		}
+	}
+}
+
+// offer hands an event over, or refuses it if too many wait.
+func (p *pool) offer(e event) error {
+	select {
+	case p.events <- e:
+		return nil
+	default:
+		return failure.New(failure.Overloaded, "too many events wait for the pool's owner")
+	}
+}
+
+// tell hands an event over that must not be lost.
+func (p *pool) tell(e event) {
+	select {
+	case p.events <- e:
+	case <-p.ended:
+	}
+}
+
+// submit runs a job in this pool and returns its answer.
+func (p *pool) submit(ctx context.Context, j scheduler.Job, sender string) scheduler.Answer {
+	answer := make(chan scheduler.Answer, 1)
+	id := p.ids.Add(1)
+	e := submitEvent{id: id, job: j, waiter: waiter{job: j.ID, sender: sender, begun: time.Now(), answer: answer}}
+	if err := p.offer(e); err != nil {
+		return refusedBy(err)
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-p.ended:
+		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.OutcomeUnknown, Reason: "the host stopped"}
+	case <-ctx.Done():
+		p.tell(withdrawEvent{id: id})
+		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.CancelledRunning, Reason: "the caller left"}
+	}
+}
+
+// refusedBy turns the error of a step before any start into an answer.
+func refusedBy(err error) scheduler.Answer {
+	kind := failure.KindOf(err)
+	return scheduler.Answer{
+		Outcome: scheduler.Refused, Kind: kind, Reason: err.Error(), RetryAfter: max(0, failure.Lookup(kind).ComeBack),
+	}
+}
+
+// tick decides on the claim and lets the scheduler look at the time.
+func (p *pool) tick(now time.Time) {
+	p.decide(now)
+	if p.held.Load() {
+		p.core.SetRoom(p.node.room())
+		p.apply(p.core.Tick(now), now)
+		p.withdrawLostSenders(now)
+	}
+	p.publish(now)
+}
+
+func (p *pool) decide(now time.Time) {
+	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.alive(host) }
+	if p.view.Decide(alive, p.node.candidates(), now) == holder.Taken {
+		p.takeOver(now, "nobody holds the pool")
+	}
+}
+
+// candidates returns the entry hosts of this domain that may hold its pool,
+// ordered by address.
+func (n *Node) candidates() []string {
+	self := n.Self()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	placed := self.Leaving
+	for _, h := range n.table.Alive(aliveFor, time.Now()) {
+		if !h.Entry || h.Domain != self.Domain || h.Leaving {
+			continue
+		}
+		if !placed && self.Address < h.Address {
+			out = append(out, self.Address)
+			placed = true
+		}
+		out = append(out, h.Address)
+	}
+	if !placed {
+		out = append(out, self.Address)
+	}
+	return out
+}
+
+// takeOver begins to order the pool's targets under the claim's token.
+func (p *pool) takeOver(now time.Time, reason string) {
+	claim := p.view.Claim()
+	p.log.Info("This host holds the pool.", "pool", p.name, "token", claim.Token, "reason", reason)
+	p.held.Store(true)
+	for _, s := range p.sessions {
+		s.close()
+	}
+	p.sessions = map[string]*session{}
+	for _, a := range p.node.beats.list(now) {
+		p.announce(a, now)
+	}
+	p.publish(now)
+}
+
+// yield stops ordering targets. Jobs that have not run go to the new holder;
+// the others' runs are stopped by it, so their end is unknown.
+func (p *pool) yield(now time.Time, reason string) {
+	claim := p.view.Claim()
+	p.log.Warn("This host no longer holds the pool.", "pool", p.name, "holder", claim.Holder, "token", claim.Token, "reason", reason)
+	p.held.Store(false)
+	p.closeSessions()
+	p.apply(p.core.GiveUp(), now)
+	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+	p.publish(now)
+}
+
+func (p *pool) closeSessions() {
+	for _, s := range p.sessions {
+		s.close()
+	}
+	p.sessions = map[string]*session{}
+}
+
+// publish makes the claim known to the greeting goroutines.
+func (p *pool) publish(now time.Time) {
+	if !p.held.Load() {
+		p.claims.Store(&[]*fleetpb.Claim{})
+		return
+	}
+	free, queued := p.core.Load(now)
+	claim := p.view.Claim()
+	p.watch.load(free, queued)
+	p.claims.Store(&[]*fleetpb.Claim{{
+		Pool: p.name, Holder: claim.Holder, FencingToken: claim.Token, FreeSlots: uint32(free), Queued: uint32(queued),
+	}})
+}
+
+func (p *pool) claimMessages() []*fleetpb.Claim { return *p.claims.Load() }
+
+// hearClaims passes claims on this pool to the owner.
+func (p *pool) hearClaims(claims []*fleetpb.Claim) {
+	for _, c := range claims {
+		if c.GetPool() == p.name {
+			p.tell(claimEvent{holder.Claim{Holder: c.GetHolder(), Token: c.GetFencingToken()}})
+		}
+	}
+}
+
+// announce takes in what a target of the pool said.
+func (p *pool) announce(a Announcement, now time.Time) {
+	if !p.held.Load() || a.Target.Domain != p.name {
+		return
+	}
+	id := a.Target.ID
+	if a.Gone {
+		p.removeTarget(id, now)
+		return
+	}
+	s, ok := p.sessions[id]
+	if ok && (s.born != a.Target.Born || s.ref.Address != a.Target.Address) {
+		s.close()
+		ok = false
+	}
+	if !ok {
+		s = newSession(p, a)
+		p.sessions[id] = s
+		p.apply(p.core.Announce(a.Target, now), now)
+		p.apply(p.core.Clear(id, true, now), now)
+		s.begin(p.node.running)
+		return
+	}
+	p.apply(p.core.Announce(a.Target, now), now)
+}
+
+func (p *pool) removeTarget(id string, now time.Time) {
+	if s, ok := p.sessions[id]; ok {
+		s.close()
+		delete(p.sessions, id)
+	}
+	p.apply(p.core.Remove(id, now), now)
+}
+
+// withdrawLostSenders drops the jobs of hosts that are no longer heard: their
+// callers send them again elsewhere.
+func (p *pool) withdrawLostSenders(now time.Time) {
+	for id, w := range p.waiters {
+		if w.sender != "" && !p.node.alive(w.sender) && now.Sub(w.begun) > aliveFor {
+			p.log.Warn("A job was withdrawn.", "job", w.job, "reason", "the host that sent it is not heard", "host", w.sender)
+			withdrawEvent{id: id}.apply(p, now)
+		}
+	}
+}
+
+// apply carries out the scheduler's effects.
+func (p *pool) apply(effects []scheduler.Effect, now time.Time) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case scheduler.Start:
+			p.log.Debug("A start was ordered.", "job", e.Run.Job, "task", e.Run.Task(), "run", e.Run.Number, "target", e.Target)
+			if s, ok := p.sessions[e.Target]; ok {
+				s.start(e)
+			}
+		case scheduler.Stop:
+			p.log.Info("A stop was ordered.", "job", e.Run.Job, "task", e.Run.Task(), "run", e.Run.Number, "target", e.Target, "reason", e.Reason)
+			if s, ok := p.sessions[e.Target]; ok {
+				s.stop(e.Run)
+			}
+		case scheduler.Reply:
+			p.reply(e, now)
+		case scheduler.Note:
+			p.log.Info(e.Message, "job", e.Job, "target", e.Target, "reason", e.Reason, "age", e.Age)
+		}
+	}
+	for id, s := range p.sessions {
+		s.setActive(p.core.RunsAt(id))
+	}
+}
+
+func (p *pool) reply(r scheduler.Reply, now time.Time) {
+	w, ok := p.waiters[r.Waiter]
+	if !ok {
+		return
+	}
+	delete(p.waiters, r.Waiter)
+	p.watch.job(r.Answer, now.Sub(w.begun))
+	w.answer <- r.Answer
+}
+
+// leave hands the pool over before the host stops.
+func (p *pool) leave(context.Context) {}
--- /dev/null
+++ b/internal/process/fleet/service.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// service answers other hosts.
+type service struct {
+	fleetpb.UnimplementedFleetServer
+	node *Node
+}
+
+// Exchange implements fleetpb.FleetServer.
+func (s *service) Exchange(ctx context.Context, g *fleetpb.Greeting) (*fleetpb.Greeting, error) {
+	s.node.hear(g)
+	return s.node.greeting(max(1, g.GetHostsDigest())), nil
+}
+
+// Announce implements fleetpb.FleetServer.
+func (s *service) Announce(_ context.Context, m *fleetpb.Announcements) (*fleetpb.Empty, error) {
+	now := time.Now()
+	for _, a := range m.GetAnnouncements() {
+		s.node.takeIn(announcementFrom(a, now))
+	}
+	return &fleetpb.Empty{}, nil
+}
+
+// takeIn remembers an announcement that another host passed on.
+func (n *Node) takeIn(a Announcement) {
+	if n.beats.learn(a) && n.pool != nil {
+		n.pool.tell(announceEvent{a})
+	}
+}
+
+// Targets implements fleetpb.FleetServer.
+func (s *service) Targets(context.Context, *fleetpb.Empty) (*fleetpb.Announcements, error) {
+	now := time.Now()
+	m := &fleetpb.Announcements{}
+	for _, a := range s.node.beats.list(now) {
+		m.Announcements = append(m.Announcements, announcementMessage(a, now))
+	}
+	return m, nil
+}
+
+// Submit implements fleetpb.FleetServer.
+func (s *service) Submit(ctx context.Context, m *fleetpb.JobRequest) (*fleetpb.JobReply, error) {
+	if s.node.pool == nil {
+		return replyMessage(refusedBy(failure.New(failure.NotReady, "this host takes no jobs"))), nil
+	}
+	a := s.node.pool.submit(ctx, jobFrom(m, time.Now()), m.GetSender())
+	return replyMessage(a), nil
+}
+
+func replyMessage(a scheduler.Answer) *fleetpb.JobReply {
+	return &fleetpb.JobReply{
+		Outcome: uint32(a.Outcome), Kind: string(a.Kind), Reason: a.Reason,
+		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Pool: a.Pool,
+	}
+}
+
+func answerFrom(m *fleetpb.JobReply) scheduler.Answer {
+	return scheduler.Answer{
+		Outcome: scheduler.Outcome(m.GetOutcome()), Kind: failure.Kind(m.GetKind()), Reason: m.GetReason(),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Pool: m.GetPool(),
+	}
+}
--- /dev/null
+++ b/internal/process/fleet/submit.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+const (
+	holderPause = 20 * time.Millisecond // between two looks for a pool's holder
+	holderTries = 5                     // looks for a holder before a job is refused; below a tenth of a second
+)
+
+// Submit runs a job and returns its answer. The job is withdrawn when ctx ends.
+func (n *Node) Submit(ctx context.Context, j scheduler.Job) scheduler.Answer {
+	a := n.submitTo(ctx, n.config.Self.Domain, j)
+	if a.Outcome != scheduler.Spill {
+		return a
+	}
+	n.log.Info("A job goes to another pool.", "job", j.ID, "pool", a.Pool, "reason", a.Reason, "age", time.Since(j.Arrived))
+	j.Spilled = true
+	first := a
+	a = n.submitTo(ctx, first.Pool, j)
+	if a.Outcome == scheduler.Refused && a.Kind != failure.NeverRunnable {
+		return n.submitTo(ctx, n.config.Self.Domain, j)
+	}
+	return a
+}
+
+// submitTo runs a job in a pool, asking its holder of the moment.
+func (n *Node) submitTo(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
+	answer := refusedBy(failure.New(failure.NotReady, "no host holds the targets of "+pool))
+	for range holderTries {
+		if address, ok := n.holderOf(pool); ok {
+			answer = n.submitAt(ctx, address, pool, j)
+			if answer.Outcome != scheduler.Moved {
+				return answer
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return answer
+		case <-time.After(holderPause):
+		}
+	}
+	answer.Outcome = scheduler.Refused
+	answer.RetryAfter = failure.Lookup(failure.NotReady).ComeBack
+	return answer
+}
+
+func (n *Node) submitAt(ctx context.Context, address, pool string, j scheduler.Job) scheduler.Answer {
+	if address == n.config.Self.Address {
+		return n.pool.submit(ctx, j, "")
+	}
+	link, ok := n.link(address)
+	if !ok {
+		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "the pool's holder is not known"}
+	}
+	conn := link.Current()
+	if !link.Connected(ctx, conn) {
+		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "the pool's holder cannot be reached"}
+	}
+	message := jobMessage(j, time.Now())
+	message.Pool = pool
+	message.Sender = n.config.Self.Address
+	var reply *fleetpb.JobReply
+	err := link.Attend(ctx, conn, func(ctx context.Context) error {
+		var err error
+		reply, err = fleetpb.NewFleetClient(conn).Submit(ctx, message)
+		return err
+	})
+	if err != nil {
+		n.log.Warn("The answer to a job was lost.", "job", j.ID, "host", address, "pool", pool, "error", err, "age", time.Since(j.Arrived))
+		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.AnswerLost, Reason: "the pool's holder did not answer"}
+	}
+	return answerFrom(reply)
+}
--- /dev/null
+++ b/internal/process/holder/pool.go
@@ -0,0 +1,111 @@
+package holder
+
+import (
+	"time"
+)
+
+// Claim says that a host holds a pool.
+type Claim struct {
+	Holder string // address of the host
+	Token  uint64 // fencing token
+}
+
+// Beats reports whether c goes before o.
+func (c Claim) Beats(o Claim) bool {
+	if c.Token != o.Token {
+		return c.Token > o.Token
+	}
+	return c.Holder < o.Holder
+}
+
+// Verdict is what a Pool decided.
+type Verdict int
+
+// The verdicts.
+const (
+	Unchanged Verdict = iota
+	Taken             // this host holds the pool from now on
+	Yielded           // another host holds it
+)
+
+// Pool is one host's view of who holds a pool.
+type Pool struct {
+	self    string
+	claim   Claim // the best claim known; no holder if none
+	highest uint64
+	since   time.Time // when this host began to look for a holder
+	settle  time.Duration
+}
+
+// NewPool returns a Pool whose host listens for the time settle before it
+// claims what nobody seems to hold.
+func NewPool(self string, settle time.Duration, now time.Time) *Pool {
+	return &Pool{self: self, settle: settle, since: now}
+}
+
+// Claim returns the best claim known.
+func (p *Pool) Claim() Claim { return p.claim }
+
+// Held reports whether this host holds the pool.
+func (p *Pool) Held() bool { return p.claim.Holder == p.self }
+
+// Hear takes in another host's claim.
+func (p *Pool) Hear(c Claim) Verdict {
+	p.highest = max(p.highest, c.Token)
+	if c.Holder == "" || c.Holder == p.self || !c.Beats(p.claim) {
+		return Unchanged
+	}
+	held := p.Held()
+	p.claim = c
+	if held {
+		return Yielded
+	}
+	return Unchanged
+}
+
+// Decide claims the pool if its holder is gone and this host comes first among
+// the candidates, which are alive and ordered. The token is at least the time in
+// milliseconds, so it grows also over a restart that forgot the last one.
+func (p *Pool) Decide(alive func(host string) bool, candidates []string, now time.Time) Verdict {
+	if p.Held() {
+		return Unchanged
+	}
+	if p.claim.Holder != "" && alive(p.claim.Holder) {
+		p.since = now
+		return Unchanged
+	}
+	first := len(candidates) > 0 && candidates[0] == p.self
+	if !first || now.Sub(p.since) < p.settle {
+		return Unchanged
+	}
+	p.take(now)
+	return Taken
+}
+
+// Release forgets the holder, who said that it gives the pool up.
+func (p *Pool) Release(now time.Time) {
+	p.claim = Claim{}
+	p.since = now.Add(-p.settle)
+}
+
+// Receive takes the pool over from a holder that handed it on.
+func (p *Pool) Receive(token uint64, now time.Time) {
+	p.highest = max(p.highest, token)
+	p.take(now)
+}
+
+// Raise takes a higher token, after a target refused the present one while no
+// other holder is known.
+func (p *Pool) Raise(now time.Time) {
+	p.highest = max(p.highest, p.claim.Token) + raiseBy
+	p.take(now)
+}
+
+// raiseBy passes a token that was drawn from a clock 10 s ahead of this one.
+const raiseBy = 10_000
+
+func (p *Pool) take(now time.Time) {
+	token := max(p.highest+1, uint64(now.UnixMilli()))
+	p.highest = token
+	p.claim = Claim{Holder: p.self, Token: token}
+}
--- /dev/null
+++ b/internal/process/scheduler/admit.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+const (
+	// usualWeight is the weight of the newest task in the usual need.
+	usualWeight = 0.02
+	// leastRetry and mostRetry bound the time after which a refused caller is
+	// told to come back: a task's usual length, and the longest deadline.
+	leastRetry = 100 * time.Millisecond
+	mostRetry  = 2 * time.Second
+)
+
+// usual is the average need of a task.
+type usual struct {
+	cpuMilli float64
+}
+
+func (u *usual) see(r Resources, count int) {
+	for range min(count, 8) {
+		if u.cpuMilli == 0 {
+			u.cpuMilli = float64(r.CPUMilli)
+		}
+		u.cpuMilli += usualWeight * (float64(r.CPUMilli) - u.cpuMilli)
+	}
+}
+
+// SetRoom takes in what other pools could take at once.
+func (c *Core) SetRoom(room []Room) { c.room = room }
+
+// admit decides on a new job: run or wait here, go to another pool, or refusal.
+func (c *Core) admit(s *jobState, now time.Time) (Answer, bool) {
+	if a, ok := c.possible(s); !ok {
+		return a, false
+	}
+	wait := c.expectedWait(s, now)
+	if wait == 0 {
+		return Answer{}, true
+	}
+	if pool, ok := c.spillTo(s); ok {
+		return Answer{Outcome: Spill, Pool: pool, Reason: "this pool has no room at once, that one has"}, false
+	}
+	if now.Add(wait).After(s.startBy) {
+		return c.refusal(failure.DeadlineTooShort, "the work that waits before it ends after its latest start", now), false
+	}
+	return Answer{}, true
+}
+
+// possible refuses a job with a task that no known target could run.
+func (c *Core) possible(s *jobState) (Answer, bool) {
+	served := false
+	for _, step := range s.Steps {
+		suits := false
+		for _, t := range c.targets {
+			if t.Service == s.Service && !t.Draining {
+				served = true
+				suits = suits || t.suits(step)
+			}
+		}
+		if !suits {
+			kind, reason := failure.NeverRunnable, "no target has the room or label that a task needs"
+			if !served {
+				kind, reason = failure.NoTargets, "no target of the service is known"
+			}
+			return c.refusal(kind, reason, time.Time{}), false
+		}
+	}
+	return Answer{}, true
+}
+
+// expectedWait estimates when the job's tasks start: 0 if they fit at once,
+// else the time in which the pool does the work that goes before it and a
+// half of the job's own.
+func (c *Core) expectedWait(s *jobState, now time.Time) time.Duration {
+	ahead, capacity := int64(0), int64(0)
+	for _, q := range c.queue {
+		if compareJobs(q, s) <= 0 {
+			ahead += q.work()
+		}
+	}
+	for _, t := range c.targets {
+		if t.Service == s.Service && t.usable(now) {
+			capacity += t.Capacity.CPUMilli
+		}
+	}
+	if ahead == 0 && c.freeTasks(s.Service, now) >= s.pending {
+		return 0
+	}
+	if capacity == 0 {
+		return mostRetry
+	}
+	// Tasks do not fill a target to the last core: about a seventh is lost.
+	const packing = 0.85
+	return max(time.Millisecond, time.Duration(float64(ahead)*1000/(float64(capacity)*packing)*float64(time.Millisecond)))
+}
+
+// freeTasks returns how many tasks of usual size would start at once.
+func (c *Core) freeTasks(service string, now time.Time) int {
+	if c.need.cpuMilli == 0 {
+		c.need.cpuMilli = 1000
+	}
+	n := 0
+	for _, t := range c.targets {
+		if (service == "" || t.Service == service) && t.usable(now) {
+			n += int(float64(t.free().CPUMilli) / c.need.cpuMilli)
+		}
+	}
+	return n
+}
+
+// Load returns what the pool could take at once and how many tasks wait.
+func (c *Core) Load(now time.Time) (free, queued int) {
+	for _, s := range c.queue {
+		queued += s.pending
+	}
+	return max(0, c.freeTasks("", now)-queued), queued
+}
+
+// spillTo returns another pool with room for the whole job. What is sent there
+// is taken off until the next report.
+func (c *Core) spillTo(s *jobState) (string, bool) {
+	if s.Spilled {
+		return "", false
+	}
+	best := -1
+	for i, r := range c.room {
+		if r.Tasks >= s.pending && (best < 0 || r.Tasks > c.room[best].Tasks) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	c.room[best].Tasks -= s.pending
+	return c.room[best].Pool, true
+}
+
+// refusal answers a job of which nothing ran, and says when the work that
+// waits now will be done.
+func (c *Core) refusal(kind failure.Kind, reason string, now time.Time) Answer {
+	var work, capacity int64
+	for _, q := range c.queue {
+		work += q.work()
+	}
+	for _, t := range c.targets {
+		capacity += t.Capacity.CPUMilli
+	}
+	retry := leastRetry
+	if capacity > 0 {
+		retry += time.Duration(work*1000/capacity) * time.Millisecond
+	}
+	return Answer{Outcome: Refused, Kind: kind, Reason: reason, RetryAfter: min(retry, mostRetry)}
+}
--- /dev/null
+++ b/internal/process/scheduler/core.go
@@ -0,0 +1,375 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// Config configures a Core.
+type Config struct {
+	Pool string
+	// StopAfter is the factor of its estimate, and StopMargin the time beyond,
+	// after which a run counts as hung and is stopped.
+	StopAfter  float64
+	StopMargin time.Duration
+	// LeaseEnd is how long after a lost order its run may still be at work.
+	LeaseEnd time.Duration
+}
+
+// DefaultConfig returns the values for tasks whose estimates are off by up to
+// two fifths and whose run times spread as much again.
+func DefaultConfig(pool string) Config {
+	return Config{Pool: pool, StopAfter: 3, StopMargin: 100 * time.Millisecond, LeaseEnd: 1100 * time.Millisecond}
+}
+
+// Room is what another pool could take at once.
+type Room struct {
+	Pool  string
+	Tasks int // of usual size
+}
+
+// Core schedules the jobs of one pool.
+type Core struct {
+	config  Config
+	jobs    map[string]*jobState
+	queue   []*jobState // with waiting tasks, by latest start
+	targets map[string]*target
+	order   []string // target ids, sorted
+	effects []Effect
+	room    []Room // of other pools
+	need    usual  // of a task
+}
+
+// NewCore returns a Core without targets.
+func NewCore(config Config) *Core {
+	return &Core{config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}}
+}
+
+// take returns the effects since the last call.
+func (c *Core) take() []Effect {
+	out := c.effects
+	c.effects = nil
+	return out
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+// Submit takes in a job. The waiter is named in the Reply that answers it.
+func (c *Core) Submit(j Job, waiter uint64, now time.Time) []Effect {
+	if s, ok := c.jobs[j.ID]; ok {
+		s.waiters = append(s.waiters, waiter)
+		c.emit(Note{Message: "A job that is in progress was submitted again.", Job: j.ID})
+		return c.take()
+	}
+	s := newJobState(j)
+	s.waiters = []uint64{waiter}
+	if answer, ok := c.admit(s, now); !ok {
+		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: answer})
+		return c.take()
+	}
+	for _, st := range j.Steps {
+		c.need.see(st.Need, st.Count)
+	}
+	c.jobs[j.ID] = s
+	c.enqueue(s)
+	c.place(now)
+	return c.take()
+}
+
+// Withdraw drops a waiter. A job without waiters is stopped.
+func (c *Core) Withdraw(id string, waiter uint64, now time.Time) []Effect {
+	s, ok := c.jobs[id]
+	if !ok {
+		return nil
+	}
+	s.waiters = slices.DeleteFunc(s.waiters, func(w uint64) bool { return w == waiter })
+	if len(s.waiters) == 0 {
+		c.drop(s, "the caller left")
+		c.place(now)
+	}
+	return c.take()
+}
+
+// Announce takes in what a target says of itself.
+func (c *Core) Announce(t Target, now time.Time) []Effect {
+	known, ok := c.targets[t.ID]
+	if ok && known.Born > t.Born {
+		return nil
+	}
+	if ok && (known.Born < t.Born || known.Address != t.Address) {
+		c.lose(known, "the target started anew", now)
+		ok = false
+	}
+	if !ok {
+		c.targets[t.ID] = newTarget(t)
+		c.order = append(c.order, t.ID)
+		slices.Sort(c.order)
+	} else {
+		known.Target = t
+	}
+	c.place(now)
+	return c.take()
+}
+
+// Remove forgets a target that left.
+func (c *Core) Remove(id string, now time.Time) []Effect {
+	if t, ok := c.targets[id]; ok {
+		c.lose(t, "the target left", now)
+		c.place(now)
+	}
+	return c.take()
+}
+
+// lose drops a target; what ran there waits again.
+func (c *Core) lose(t *target, reason string, now time.Time) {
+	for _, r := range t.runs {
+		c.release(r)
+	}
+	delete(c.targets, t.ID)
+	c.order = slices.DeleteFunc(c.order, func(id string) bool { return id == t.ID })
+	c.emit(Note{Message: "A target is no longer used.", Target: t.ID, Reason: reason})
+}
+
+// Clear says whether runs of a former holder may still be on a target, which
+// gets no work until they are gone.
+func (c *Core) Clear(id string, clearing bool, now time.Time) []Effect {
+	if t, ok := c.targets[id]; ok && t.clearing != clearing {
+		t.clearing = clearing
+		if !clearing {
+			c.place(now)
+		}
+	}
+	return c.take()
+}
+
+// Silent says that a target does not answer: it gets no work for a while.
+func (c *Core) Silent(id string, now time.Time) []Effect {
+	if t, ok := c.targets[id]; ok && t.usable(now) {
+		t.eject(now)
+		c.emit(Note{Message: "A target is left alone.", Target: id, Reason: "it does not answer"})
+	}
+	return c.take()
+}
+
+// Lapsed says that every lease of a target's runs has ended.
+func (c *Core) Lapsed(id string, now time.Time) []Effect {
+	t, ok := c.targets[id]
+	if !ok || len(t.runs) == 0 {
+		return nil
+	}
+	for _, r := range t.runs {
+		c.release(r)
+	}
+	c.emit(Note{Message: "The leases of a target ended.", Target: id})
+	c.place(now)
+	return c.take()
+}
+
+// StartAnswered takes in a target's answer to a start.
+func (c *Core) StartAnswered(id string, r Run, result StartResult, now time.Time) []Effect {
+	t, ru := c.find(id, r)
+	if ru == nil {
+		return nil
+	}
+	switch result {
+	case Started:
+		if ru.state == starting {
+			ru.state = running
+		}
+	case Unanswered:
+		t.pause(now.Add(ejectFirst))
+		c.stop(ru, "the start was not answered")
+	case NoRoom:
+		t.pause(now.Add(roomPause))
+		c.notStarted(t, ru, now)
+	case Unhealthy:
+		t.eject(now)
+		c.notStarted(t, ru, now)
+	case NotAccepted:
+		c.notStarted(t, ru, now)
+		c.fail(r, now)
+	default:
+		c.notStarted(t, ru, now)
+	}
+	c.place(now)
+	return c.take()
+}
+
+// notStarted takes a run back that was refused.
+func (c *Core) notStarted(t *target, r *run, now time.Time) {
+	c.emit(Note{Message: "A start was refused.", Job: r.id.Job, Target: t.ID, Age: now.Sub(r.ordered)})
+	c.release(r)
+}
+
+// Stopped says that a target confirmed the stop of a run: it is gone, and will
+// not start there later.
+func (c *Core) Stopped(id string, r Run, now time.Time) []Effect {
+	if _, ru := c.find(id, r); ru != nil {
+		c.release(ru)
+		c.place(now)
+	}
+	return c.take()
+}
+
+// Ended takes in the end of a run.
+func (c *Core) Ended(id string, r Run, end End, now time.Time) []Effect {
+	t, ru := c.find(id, r)
+	if ru == nil {
+		return nil
+	}
+	stopped := ru.state == stopping
+	c.release(ru)
+	switch {
+	case end == EndDone:
+		t.succeed(now.Sub(ru.ordered), ru.estimate)
+		c.done(r)
+	case end == EndFailed && !stopped:
+		if t.fail(now) {
+			c.emit(Note{Message: "A target is left alone.", Target: id, Reason: "its tasks fail"})
+		}
+		c.fail(r, now)
+	}
+	c.place(now)
+	return c.take()
+}
+
+// GiveUp ends all jobs, since another host holds the pool: those of which
+// nothing has run may go there, the end of the others is unknown.
+func (c *Core) GiveUp() []Effect {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		s := c.jobs[id]
+		answer := Answer{Outcome: Moved, Kind: failure.NotReady, Reason: "another host holds the pool"}
+		if s.everRan {
+			answer = Answer{Outcome: Broken, Kind: failure.OutcomeUnknown, Reason: "another host took the pool over"}
+		}
+		for _, w := range s.waiters {
+			c.emit(Reply{Waiter: w, Job: id, Answer: answer})
+		}
+	}
+	c.jobs = map[string]*jobState{}
+	c.queue = nil
+	return c.take()
+}
+
+// Knows reports whether a run is one that the core ordered there.
+func (c *Core) Knows(id string, r Run) bool {
+	_, ru := c.find(id, r)
+	return ru != nil
+}
+
+// RunsAt counts the runs on a target.
+func (c *Core) RunsAt(id string) int {
+	t, ok := c.targets[id]
+	if !ok {
+		return 0
+	}
+	return len(t.runs)
+}
+
+func (c *Core) find(id string, r Run) (*target, *run) {
+	t, ok := c.targets[id]
+	if !ok {
+		return nil, nil
+	}
+	return t, t.runs[r]
+}
+
+// release frees a run's room; its task waits again.
+func (c *Core) release(r *run) {
+	if t, ok := c.targets[r.target]; ok {
+		t.remove(r)
+	}
+	s, ok := c.jobs[r.id.Job]
+	if !ok {
+		return
+	}
+	t := s.taskOf(r.id)
+	if t == nil || t.run != r {
+		return
+	}
+	t.run = nil
+	t.avoid = r.target
+	s.pending++
+	if s.pending == 1 {
+		c.enqueue(s)
+	}
+}
+
+// done marks a task as done, and answers its job with the last one.
+func (c *Core) done(r Run) {
+	s, ok := c.jobs[r.Job]
+	if !ok {
+		return
+	}
+	t := s.taskOf(r)
+	if t == nil || t.done {
+		return
+	}
+	t.done = true
+	s.pending--
+	s.left--
+	if s.left == 0 {
+		c.answer(s, Answer{Outcome: Completed})
+	}
+}
+
+// fail counts a failed run, and ends the job with too many.
+func (c *Core) fail(r Run, _ time.Time) {
+	s, ok := c.jobs[r.Job]
+	if !ok {
+		return
+	}
+	t := s.taskOf(r)
+	if t == nil {
+		return
+	}
+	t.failures++
+	if t.failures >= s.MaxAttempts {
+		c.answer(s, Answer{Outcome: Failed, Kind: failure.TaskFailed, Reason: "a task failed as often as its queue allows"})
+	}
+}
+
+// answer ends a job and stops what is left of it.
+func (c *Core) answer(s *jobState, a Answer) {
+	for _, w := range s.waiters {
+		c.emit(Reply{Waiter: w, Job: s.ID, Answer: a})
+	}
+	s.waiters = nil
+	c.drop(s, "the job was answered")
+}
+
+// drop forgets a job and stops its runs.
+func (c *Core) drop(s *jobState, reason string) {
+	delete(c.jobs, s.ID)
+	c.queue = slices.DeleteFunc(c.queue, func(q *jobState) bool { return q == s })
+	for _, t := range s.tasks {
+		if t.run != nil {
+			c.stop(t.run, reason)
+		}
+	}
+}
+
+func (c *Core) stop(r *run, reason string) {
+	if r.state == stopping {
+		return
+	}
+	r.state = stopping
+	c.emit(Stop{Target: r.target, Run: r.id, Reason: reason})
+}
+
+// enqueue puts a job with waiting tasks in its place.
+func (c *Core) enqueue(s *jobState) {
+	i, _ := slices.BinarySearchFunc(c.queue, s, compareJobs)
+	c.queue = slices.Insert(c.queue, i, s)
+}
+
+// compareJobs orders jobs by their latest start.
+func compareJobs(a, b *jobState) int {
+	if d := a.startBy.Compare(b.startBy); d != 0 {
+		return d
+	}
+	return a.Arrived.Compare(b.Arrived)
+}
--- /dev/null
+++ b/internal/process/scheduler/place.go
@@ -0,0 +1,127 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// tryAtMost bounds the waiting jobs that are looked at in one round, so that a
+// long queue costs no more than a short one.
+const tryAtMost = 64
+
+// place starts waiting tasks in the order of the queue while targets have room.
+func (c *Core) place(now time.Time) {
+	tried := 0
+	for _, s := range slices.Clone(c.queue) {
+		if tried++; tried > tryAtMost {
+			break
+		}
+		c.placeJob(s, now)
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(s *jobState) bool { return s.pending == 0 })
+}
+
+func (c *Core) placeJob(s *jobState, now time.Time) {
+	for _, t := range s.tasks {
+		if t.done || t.run != nil || !s.ready(t) {
+			continue
+		}
+		best := c.best(s, t, now)
+		if best == nil {
+			return
+		}
+		c.start(s, t, best, now)
+	}
+}
+
+// best returns the target for a task, or nil if none has room.
+func (c *Core) best(s *jobState, t *task, now time.Time) *target {
+	step := s.Steps[t.step]
+	var best, avoided *target
+	for _, id := range c.order {
+		candidate := c.targets[id]
+		if candidate.Service != s.Service || !candidate.fits(step, now) {
+			continue
+		}
+		if step.AntiAffinity > 0 && s.runsAt(t.step, id) >= step.AntiAffinity {
+			continue
+		}
+		if id == t.avoid {
+			avoided = candidate
+			continue
+		}
+		if best == nil || better(candidate, best, step) {
+			best = candidate
+		}
+	}
+	if best == nil {
+		return avoided
+	}
+	return best
+}
+
+func better(a, b *target, s Step) bool {
+	rackA, paceA, leftA := a.grade(s)
+	rackB, paceB, leftB := b.grade(s)
+	if rackA != rackB {
+		return rackA < rackB
+	}
+	if paceA != paceB {
+		return paceA < paceB
+	}
+	return leftA < leftB
+}
+
+func (c *Core) start(s *jobState, t *task, to *target, now time.Time) {
+	step := s.Steps[t.step]
+	t.started++
+	r := &run{
+		id:       Run{Job: s.ID, Step: t.step, Index: t.index, Number: t.started},
+		need:     step.Need,
+		target:   to.ID,
+		ordered:  now,
+		estimate: step.Estimate,
+	}
+	t.run = r
+	s.pending--
+	s.everRan = true
+	to.add(r)
+	c.emit(Start{Target: to.ID, Run: r.id, Spec: s.Spec})
+}
+
+// Tick refuses jobs that can no longer be done in time, and stops runs that
+// hang.
+func (c *Core) Tick(now time.Time) []Effect {
+	for _, s := range slices.Clone(c.queue) {
+		c.review(s, now)
+	}
+	for _, id := range c.order {
+		c.stopHung(c.targets[id], now)
+	}
+	c.place(now)
+	return c.take()
+}
+
+// review refuses a waiting job of which nothing has run and which can no
+// longer be done in time.
+func (c *Core) review(s *jobState, now time.Time) {
+	if s.everRan || now.Before(s.startBy) {
+		return
+	}
+	c.answer(s, c.refusal(failure.DeadlineTooShort, "no room came free before the latest start", now))
+}
+
+// stopHung stops the runs that take far longer than estimated.
+func (c *Core) stopHung(t *target, now time.Time) {
+	for _, r := range t.runs {
+		limit := time.Duration(c.config.StopAfter*float64(r.estimate)) + c.config.StopMargin
+		if r.state != running || now.Sub(r.ordered) <= limit {
+			continue
+		}
+		t.eject(now)
+		c.emit(Note{Message: "A run hangs.", Job: r.id.Job, Target: t.ID, Age: now.Sub(r.ordered)})
+		c.stop(r, "it takes far longer than estimated")
+	}
+}
--- /dev/null
+++ b/internal/process/scheduler/target.go
@@ -0,0 +1,140 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// ejectFirst and ejectMost bound the time for which a target that failed
+	// tasks gets no work; it doubles with each ejection in a row. They are the
+	// times of a short fault and of a long one in the users' letter.
+	ejectFirst = 1 * time.Second
+	ejectMost  = 8 * time.Second
+	// ejectAfter is the number of failures in a row that eject a target. Single
+	// failures are the tasks' own: about one in 500 by the users' sheet.
+	ejectAfter = 2
+	// roomPause is how long a target is left alone after it refused a task
+	// for want of room: the time for its own ends to be listed.
+	roomPause = 30 * time.Millisecond
+	// paceWeight is the weight of the newest run in a target's pace.
+	paceWeight = 0.15
+	// paceGrain is the difference in pace that counts in placing: below it
+	// the estimates, off by up to two fifths, hide it.
+	paceGrain = 0.25
+)
+
+// target is what the core knows of a target.
+type target struct {
+	Target
+	used      Resources
+	runs      map[Run]*run
+	failures  int // in a row
+	ejections int // in a row
+	pausedTo  time.Time
+	pace      float64 // run time over estimate, averaged
+	clearing  bool    // runs of a former holder may still be there
+}
+
+// run is one start of a task in progress.
+type run struct {
+	id       Run
+	need     Resources
+	target   string
+	ordered  time.Time
+	state    runState
+	estimate time.Duration
+}
+
+type runState int
+
+const (
+	starting runState = iota // ordered, not answered
+	running
+	stopping
+)
+
+func newTarget(t Target) *target {
+	return &target{Target: t, runs: map[Run]*run{}, pace: 1}
+}
+
+func (t *target) free() Resources { return t.Capacity.Minus(t.used) }
+
+// usable reports whether new work may go to the target.
+func (t *target) usable(now time.Time) bool {
+	return !t.Draining && !t.clearing && !now.Before(t.pausedTo)
+}
+
+// probing reports whether the target was ejected and has not proved itself.
+func (t *target) probing() bool { return t.ejections > 0 }
+
+func (t *target) add(r *run) {
+	t.runs[r.id] = r
+	t.used = t.used.Plus(r.need)
+}
+
+func (t *target) remove(r *run) {
+	if _, ok := t.runs[r.id]; ok {
+		delete(t.runs, r.id)
+		t.used = t.used.Minus(r.need)
+	}
+}
+
+// succeed takes in a run that ended well.
+func (t *target) succeed(took, estimate time.Duration) {
+	t.failures = 0
+	t.ejections = 0
+	if estimate > 0 {
+		ratio := min(float64(took)/float64(estimate), 10)
+		t.pace += paceWeight * (ratio - t.pace)
+	}
+}
+
+// fail takes in a failure and reports whether it ejects the target.
+func (t *target) fail(now time.Time) bool {
+	t.failures++
+	if t.failures < ejectAfter && !t.probing() {
+		return false
+	}
+	t.eject(now)
+	return true
+}
+
+func (t *target) eject(now time.Time) {
+	pause := min(ejectFirst<<min(t.ejections, 4), ejectMost)
+	t.ejections++
+	t.failures = 0
+	t.pause(now.Add(pause))
+}
+
+func (t *target) pause(until time.Time) {
+	if until.After(t.pausedTo) {
+		t.pausedTo = until
+	}
+}
+
+// fits reports whether a task of the step may start here now.
+func (t *target) fits(s Step, now time.Time) bool {
+	if !t.usable(now) || !t.free().Holds(s.Need) {
+		return false
+	}
+	if t.probing() && len(t.runs) > 0 {
+		return false
+	}
+	return t.suits(s)
+}
+
+// suits reports whether the empty target could ever run a task of the step.
+func (t *target) suits(s Step) bool {
+	return t.Capacity.Holds(s.Need) && (s.Label == "" || slices.Contains(t.Labels, s.Label))
+}
+
+// grade orders targets for a step: smaller is better. Faster targets come
+// first, then the one that is left with the least room, so that large tasks
+// find room elsewhere.
+func (t *target) grade(s Step) (rack int, pace int, left int64) {
+	if s.DataRack != "" && !slices.Contains(t.Labels, s.DataRack) {
+		rack = 1
+	}
+	return rack, int(t.pace / paceGrain), t.free().CPUMilli - s.Need.CPUMilli
+}
--- a/internal/request/failure/kind.go
+++ b/internal/request/failure/kind.go
@@ -18,6 +18,7 @@
 	HolderUnreachable Kind = "holder_unreachable" // the host that holds the record cannot be reached
 	NotReady          Kind = "not_ready"          // the host has no bundle yet
 	Draining          Kind = "draining"           // the host is stopping
+	NotSupported      Kind = "not_supported"      // this release does not serve such jobs
 	NeverRunnable     Kind = "never_runnable"     // no target could ever run the job
 	NoTargets         Kind = "no_targets"         // no target is alive at the moment
 	OverQuota         Kind = "over_quota"         // the team's quota is used up
--- a/internal/request/failure/table.go
+++ b/internal/request/failure/table.go
@@ -21,6 +21,7 @@
 	HolderUnreachable: {http.StatusServiceUnavailable, No, Unknown, later},
 	NotReady:          {http.StatusServiceUnavailable, No, No, later},
 	Draining:          {http.StatusServiceUnavailable, No, No, soon},
+	NotSupported:      {http.StatusNotImplemented, No, No, Never},
 	NeverRunnable:     {http.StatusUnprocessableEntity, No, No, Never},
 	NoTargets:         {http.StatusServiceUnavailable, No, No, later},
 	OverQuota:         {http.StatusTooManyRequests, No, No, soon},
--- a/internal/version/register/proposer.go
+++ b/internal/version/register/proposer.go
@@ -70,6 +70,9 @@
 	return &Proposer{id: id, seeds: seeds}
 }
 
+// SetSeeds replaces the hosts to ask while the voters are unknown.
+func (p *Proposer) SetSeeds(seeds []string) { p.seeds = seeds }
+
 // Learn tells the proposer of an entry known to be chosen.
 func (p *Proposer) Learn(e Entry) {
 	if e.newerThan(p.known) {
--- a/internal/version/register/value.go
+++ b/internal/version/register/value.go
@@ -108,13 +108,10 @@
 	return out
 }
 
-// isOneStep reports whether the members differ by one host at most.
+// isOneStep reports whether at most one member is added and one removed. They
+// may be on different hosts: a quorum of both sets of voters decides.
 func isOneStep(from, to []Member) bool {
-	added, removed := missing(to, from), missing(from, to)
-	if len(to) == 0 || len(added) > 1 || len(removed) > 1 {
-		return false
-	}
-	return len(added) == 0 || len(removed) == 0 || added[0].Host == removed[0].Host
+	return len(to) > 0 && len(missing(to, from)) <= 1 && len(missing(from, to)) <= 1
 }
 
 func compareHosts(a, b Member) int { return strings.Compare(a.Host, b.Host) }
