--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -64,7 +64,7 @@
 	}
 	for _, m := range v.Members {
 		if c.config.Lost(m.Host) {
-			c.log.Warn("A lost host gives up its vote.", "host", m.Host)
+			c.log.Warn("A lost host gives up its vote.", "peer", m.Host)
 			return v.WithoutHost(m.Host)
 		}
 	}
--- a/internal/process/fleet/beats.go
+++ b/internal/process/fleet/beats.go
@@ -79,7 +79,7 @@
 				ctx, cancel := context.WithTimeout(n.running, passOnTimeout)
 				defer cancel()
 				if _, err := fleetpb.NewFleetClient(link).Announce(ctx, message); err != nil {
-					n.log.Warn("An announcement was not passed on.", "target", a.Target.ID, "host", h.Address, "error", err)
+					n.log.Warn("An announcement was not passed on.", "target", a.Target.ID, "peer", h.Address, "error", err)
 				}
 				return nil
 			})
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -34,7 +34,7 @@
 		return
 	}
 	delete(p.waiters, e.id)
-	p.log.Info("The caller of a job left.", "job", w.job, "waited", now.Sub(w.begun), "host", w.sender)
+	p.log.Info("The caller of a job left.", "job", w.job, "waited", now.Sub(w.begun), "peer", w.sender)
 	p.apply(p.core.Withdraw(w.job, e.id, now), now)
 }
 
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -29,9 +29,9 @@
 
 func (n *Node) logReach(address string, reached bool) {
 	if reached {
-		n.log.Info("A host answers again.", "host", address)
+		n.log.Info("A host answers again.", "peer", address)
 	} else {
-		n.log.Warn("A host does not answer.", "host", address)
+		n.log.Warn("A host does not answer.", "peer", address)
 	}
 }
 
@@ -137,7 +137,7 @@
 		return
 	}
 	if err := n.controller.Catch(ctx, address, version); err != nil {
-		n.log.Warn("The newer catalog of a host was not fetched.", "host", address, "version", version, "error", err)
+		n.log.Warn("The newer catalog of a host was not fetched.", "peer", address, "version", version, "error", err)
 	}
 }
 
@@ -152,7 +152,7 @@
 	defer cancel()
 	m, err := fleetpb.NewFleetClient(link).Targets(ctx, &fleetpb.Empty{})
 	if err != nil {
-		n.log.Warn("The targets that a host knows were not fetched.", "host", address, "error", err)
+		n.log.Warn("The targets that a host knows were not fetched.", "peer", address, "error", err)
 		return
 	}
 	now := time.Now()
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -144,12 +144,12 @@
 	link, err := hostlink.New(dialTimeout, func() (*grpc.ClientConn, error) { return dial(address) })
 	if err != nil {
 		n.mu.Unlock()
-		n.log.Error("A host cannot be reached by its address.", "host", address, "error", err)
+		n.log.Error("A host cannot be reached by its address.", "peer", address, "error", err)
 		return
 	}
 	n.links[address] = link
 	n.mu.Unlock()
-	n.log.Info("A host became known.", "host", address, "name", h.Name, "domain", h.Domain, "disk", h.Disk, "entry", h.Entry)
+	n.log.Info("A host became known.", "peer", address, "name", h.Name, "domain", h.Domain, "disk", h.Disk, "entry", h.Entry)
 	n.controller.AddPeer(controller.Peer{Host: address, Domain: h.Domain, Disk: h.Disk, Conn: link})
 	n.group.Go(func() error { n.greet(n.running, address, link); return nil })
 }
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -265,7 +265,7 @@
 func (p *pool) withdrawLostSenders(now time.Time) {
 	for id, w := range p.waiters {
 		if w.sender != "" && !p.node.alive(w.sender) && now.Sub(w.begun) > aliveFor {
-			p.log.Warn("A job was withdrawn.", "job", w.job, "reason", "the host that sent it is not heard", "host", w.sender)
+			p.log.Warn("A job was withdrawn.", "job", w.job, "reason", "the host that sent it is not heard", "peer", w.sender)
 			withdrawEvent{id: id}.apply(p, now)
 		}
 	}
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -73,7 +73,7 @@
 		return err
 	})
 	if err != nil {
-		n.log.Warn("The answer to a job was lost.", "job", j.ID, "host", address, "pool", pool, "error", err, "age", time.Since(j.Arrived))
+		n.log.Warn("The answer to a job was lost.", "job", j.ID, "peer", address, "pool", pool, "error", err, "age", time.Since(j.Arrived))
 		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.AnswerLost, Reason: "the pool's holder did not answer"}
 	}
 	return answerFrom(reply)
