--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -44,7 +44,7 @@
 	if pool, ok := c.spillTo(s); ok {
 		return Answer{Outcome: Spill, Pool: pool, Reason: "this pool has no room at once, that one has"}, false
 	}
-	if now.Add(wait).After(s.startBy) {
+	if slack := s.startBy.Sub(now); float64(wait) > c.config.AdmitMargin*float64(slack) {
 		return c.refusal(failure.DeadlineTooShort, "the work that waits before it ends after its latest start", now), false
 	}
 	return Answer{}, true
@@ -78,7 +78,7 @@
 func (c *Core) expectedWait(s *jobState, now time.Time) time.Duration {
 	ahead, capacity := int64(0), int64(0)
 	for _, q := range c.queue {
-		if compareJobs(q, s) <= 0 {
+		if c.compare(q, s) <= 0 {
 			ahead += q.work()
 		}
 	}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -13,8 +14,13 @@
 	Pool string
 	// StopAfter is the factor of its estimate, and StopMargin the time beyond,
 	// after which a run counts as hung and is stopped.
-	StopAfter  float64
-	StopMargin time.Duration
+	StopAfter   float64
+	StopMargin  time.Duration
+	Order       Order
+	Whole       float64 // share of a job's tasks that must fit before the first starts
+	UsualWeight float64 // of a queue's usual run time beside the declared one
+	AdmitMargin float64 // share of a job's slack that the expected wait may take
+	LateLast    bool    // jobs that cannot be in time come after all others
 	// LeaseEnd is how long after a lost order its run may still be at work.
 	LeaseEnd time.Duration
 }
@@ -22,7 +28,7 @@
 // DefaultConfig returns the values for tasks whose estimates are off by up to
 // two fifths and whose run times spread as much again.
 func DefaultConfig(pool string) Config {
-	return Config{Pool: pool, StopAfter: 3, StopMargin: 100 * time.Millisecond, LeaseEnd: 1100 * time.Millisecond}
+	return Config{Pool: pool, StopAfter: 3, StopMargin: 100 * time.Millisecond, AdmitMargin: 1, LeaseEnd: 1100 * time.Millisecond}
 }
 
 // Room is what another pool could take at once.
@@ -41,11 +47,23 @@
 	effects []Effect
 	room    []Room // of other pools
 	need    usual  // of a task
+	times   runTimes
 }
 
+// Order is the order of waiting jobs.
+type Order int
+
+// The orders.
+const (
+	ByLatestStart Order = iota
+	ByArrival
+	ByLength
+	ByPriority
+)
+
 // NewCore returns a Core without targets.
 func NewCore(config Config) *Core {
-	return &Core{config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}}
+	return &Core{config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, times: newRunTimes()}
 }
 
 // take returns the effects since the last call.
@@ -64,7 +82,7 @@
 		c.emit(Note{Message: "A job that is in progress was submitted again.", Job: j.ID})
 		return c.take()
 	}
-	s := newJobState(j)
+	s := newJobState(c.refine(j))
 	s.waiters = []uint64{waiter}
 	if answer, ok := c.admit(s, now); !ok {
 		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: answer})
@@ -224,7 +242,7 @@
 	c.release(ru)
 	switch {
 	case end == EndDone:
-		t.succeed(now.Sub(ru.ordered), ru.estimate)
+		c.learn(t, ru, now)
 		c.done(r)
 	case end == EndFailed && !stopped:
 		if t.fail(now) {
@@ -269,6 +287,15 @@
 	return len(t.runs)
 }
 
+// learn takes in how long a run took.
+func (c *Core) learn(t *target, r *run, now time.Time) {
+	took := now.Sub(r.ordered)
+	t.succeed(took, r.estimate)
+	if s, ok := c.jobs[r.id.Job]; ok {
+		c.times.see(s.Queue, took, t.pace)
+	}
+}
+
 func (c *Core) find(id string, r Run) (*target, *run) {
 	t, ok := c.targets[id]
 	if !ok {
@@ -362,12 +389,39 @@
 
 // enqueue puts a job with waiting tasks in its place.
 func (c *Core) enqueue(s *jobState) {
-	i, _ := slices.BinarySearchFunc(c.queue, s, compareJobs)
+	i, _ := slices.BinarySearchFunc(c.queue, s, c.compare)
 	c.queue = slices.Insert(c.queue, i, s)
 }
 
-// compareJobs orders jobs by their latest start.
-func compareJobs(a, b *jobState) int {
+// refine puts what is known of the queue's run times into a job's estimates.
+func (c *Core) refine(j Job) Job {
+	j.Steps = slices.Clone(j.Steps)
+	for i := range j.Steps {
+		j.Steps[i].Estimate = c.times.estimate(j.Queue, j.Steps[i].Estimate, c.config.UsualWeight)
+	}
+	return j
+}
+
+// compare orders waiting jobs.
+func (c *Core) compare(a, b *jobState) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+		return -1
+	}
+	switch c.config.Order {
+	case ByArrival:
+		return a.Arrived.Compare(b.Arrived)
+	case ByLength:
+		if d := cmp.Compare(a.chain(), b.chain()); d != 0 {
+			return d
+		}
+	case ByPriority:
+		if d := cmp.Compare(a.Priority, b.Priority); d != 0 {
+			return d
+		}
+	}
 	if d := a.startBy.Compare(b.startBy); d != 0 {
 		return d
 	}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -17,14 +17,14 @@
 // jobState is a job in progress.
 type jobState struct {
 	Job
-	tasks     []*task
-	pending   int // tasks that wait
-	left      int // tasks that are not done
-	everRan   bool
-	due       time.Time
-	startBy   time.Time // latest start that meets the due time
-	waiters   []uint64
-	cancelled bool
+	tasks   []*task
+	pending int // tasks that wait
+	left    int // tasks that are not done
+	everRan bool
+	due     time.Time
+	startBy time.Time // latest start that meets the due time
+	waiters []uint64
+	late    bool // cannot be in time any more
 }
 
 func newJobState(j Job) *jobState {
--- /dev/null
+++ b/internal/process/scheduler/load_test.go
@@ -0,0 +1,395 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// The tests below play the load of the users' sheets against one or several
+// pools in virtual time, and count what callers get.
+
+// class is one kind of job on the users' sheet for tt-hutops.
+type class struct {
+	name     string
+	perSec   float64
+	width    float64
+	widthMax float64
+	work     time.Duration
+	workMax  time.Duration
+	worth    float64
+	priority int
+	attempts int
+}
+
+var hutClasses = []class{
+	{"avail", 34.4, 8, 32, 60 * time.Millisecond, 240 * time.Millisecond, 0.0291, 0, 4},
+	{"quote", 6.25, 4, 16, 900 * time.Millisecond, 3600 * time.Millisecond, 0.16, 2, 2},
+	{"release", 100, 2, 8, 200 * time.Millisecond, 800 * time.Millisecond, 0.01, 1, 3},
+}
+
+// played is what callers got of one class.
+type played struct {
+	asked, inAim, late, refused int
+	earned, owed                float64
+}
+
+func (p played) share() float64 { return p.earned / p.owed }
+
+// player plays a load against pools.
+type player struct {
+	random   *rand.Rand
+	now      time.Time
+	pools    []*Core
+	events   timeline
+	sequence int
+	waiters  map[uint64]*playedJob
+	runs     map[string]*playedRun
+	results  map[string]*played
+	speed    map[string]float64
+	lost     map[string]bool // targets that answer nothing
+	windows  map[int]*played // by two seconds
+	zones    map[int]*played
+	begun    time.Time
+}
+
+type playedJob struct {
+	class   class
+	pool    int // that it was submitted to first
+	job     Job
+	works   []time.Duration // of each task
+	arrived time.Time
+	aim     time.Duration
+	value   float64
+}
+
+type playedRun struct {
+	ended bool
+}
+
+type timedEvent struct {
+	at       time.Time
+	sequence int
+	do       func()
+}
+
+type timeline []timedEvent
+
+func (t timeline) Len() int { return len(t) }
+func (t timeline) Less(i, j int) bool {
+	if !t[i].at.Equal(t[j].at) {
+		return t[i].at.Before(t[j].at)
+	}
+	return t[i].sequence < t[j].sequence
+}
+func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timeline) Push(x any)   { *t = append(*t, x.(timedEvent)) }
+func (t *timeline) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+const (
+	hop         = 3 * time.Millisecond // an order or an end on its way, with the target's own delay
+	clientDelay = 6 * time.Millisecond
+)
+
+// newPlayer returns pools of twelve targets each: two of three with 16 cores,
+// the third with 24 and a pace of its own.
+func newPlayer(seed uint64, pools int) *player {
+	p := &player{
+		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), waiters: map[uint64]*playedJob{},
+		runs: map[string]*playedRun{}, results: map[string]*played{}, speed: map[string]float64{}, lost: map[string]bool{},
+		windows: map[int]*played{}, zones: map[int]*played{},
+	}
+	p.begun = p.now
+	for z := range pools {
+		config := DefaultConfig(fmt.Sprintf("z%d", z))
+		tweak(&config)
+		core := NewCore(config)
+		p.pools = append(p.pools, core)
+		for i := range 12 {
+			id := fmt.Sprintf("z%d-t%02d", z, i)
+			capacity, speed := int64(16000), 1.0
+			if i%3 == 2 {
+				capacity, speed = 24000, 1/1.3
+			}
+			p.speed[id] = speed
+			core.Announce(Target{ID: id, Service: "desk", Capacity: Resources{CPUMilli: capacity, MemoryMB: 32768}}, p.now)
+		}
+	}
+	return p
+}
+
+func (p *player) at(d time.Duration, do func()) {
+	p.sequence++
+	heap.Push(&p.events, timedEvent{p.now.Add(d), p.sequence, do})
+}
+
+// spread draws around a mean with a relative deviation.
+func (p *player) spread(mean, deviation, most float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + deviation*deviation))
+	return math.Min(most, mean*math.Exp(p.random.NormFloat64()*sigma-sigma*sigma/2))
+}
+
+// arrivals schedules the jobs of a class at a pool. Load gives the factor on
+// the rate at a time.
+func (p *player) arrivals(pool int, c class, share float64, length time.Duration, load func(time.Duration) float64) {
+	var elapsed time.Duration
+	const highest = 3.0
+	for {
+		elapsed += time.Duration(p.random.ExpFloat64() / (c.perSec * share * highest) * float64(time.Second))
+		if elapsed > length {
+			return
+		}
+		if p.random.Float64() > load(elapsed)/highest {
+			continue
+		}
+		p.at(elapsed, func() { p.submit(pool, c) })
+	}
+}
+
+func (p *player) submit(pool int, c class) {
+	count := max(1, int(math.Round(p.spread(c.width, 0.4, c.widthMax))))
+	work := time.Duration(p.spread(float64(c.work), 0.4, float64(c.workMax)))
+	cpu := int64(p.spread(6800, 0.2, 10000))
+	estimate := time.Duration(float64(work) * math.Exp(0.4*p.random.NormFloat64()))
+	j := &playedJob{class: c, pool: pool, arrived: p.now}
+	var longest time.Duration
+	var coreSeconds float64
+	for range count {
+		w := time.Duration(float64(work) * (1 + 0.15*(2*p.random.Float64()-1)))
+		longest = max(longest, w)
+		j.works = append(j.works, w)
+		coreSeconds += w.Seconds()
+	}
+	j.aim = time.Duration(1.6*float64(longest)) + 60*time.Millisecond
+	j.value = c.worth * (0.3 + 0.7*math.Min(4, coreSeconds/(c.width*c.work.Seconds())))
+	p.sequence++
+	id := uint64(p.sequence)
+	p.waiters[id] = j
+	arrived := p.now.Add(clientDelay / 2)
+	j.job = Job{
+		ID: fmt.Sprintf("j%d", id), Queue: c.name, Service: "desk", Priority: c.priority, MaxAttempts: c.attempts, SlackFactor: 1.6,
+		TargetLatency: 60 * time.Millisecond, Arrived: arrived, Deadline: arrived.Add(5*j.aim + time.Second),
+		Steps: []Step{{Count: count, Need: Resources{CPUMilli: cpu, MemoryMB: 64}, Estimate: estimate}},
+	}
+	r := p.result(c.name)
+	for _, x := range []*played{r, p.window(), p.zone(pool)} {
+		x.asked++
+		x.owed += j.value
+	}
+	p.at(clientDelay/2, func() { p.apply(pool, p.pools[pool].Submit(j.job, id, p.now)) })
+}
+
+func (p *player) result(name string) *played {
+	if p.results[name] == nil {
+		p.results[name] = &played{}
+	}
+	return p.results[name]
+}
+
+func (p *player) window() *played {
+	w := int(p.now.Sub(p.begun) / (2 * time.Second))
+	if p.windows[w] == nil {
+		p.windows[w] = &played{}
+	}
+	return p.windows[w]
+}
+
+func (p *player) zone(pool int) *played {
+	if p.zones[pool] == nil {
+		p.zones[pool] = &played{}
+	}
+	return p.zones[pool]
+}
+
+func (p *player) apply(pool int, effects []Effect) {
+	core := p.pools[pool]
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Start:
+			p.start(pool, core, e)
+		case Stop:
+			key := e.Target + e.Run.Task() + fmt.Sprint(e.Run.Number)
+			if p.lost[e.Target] {
+				continue
+			}
+			if r := p.runs[key]; r != nil {
+				r.ended = true
+			}
+			p.at(2*hop+50*time.Millisecond, func() { p.apply(pool, core.Stopped(e.Target, e.Run, p.now)) })
+		case Reply:
+			p.reply(pool, e)
+		}
+	}
+}
+
+func (p *player) start(pool int, core *Core, e Start) {
+	var work time.Duration
+	for _, j := range p.waiters {
+		if j.job.ID == e.Run.Job {
+			work = j.works[e.Run.Index]
+			break
+		}
+	}
+	if p.lost[e.Target] {
+		p.at(250*time.Millisecond, func() { p.apply(pool, core.StartAnswered(e.Target, e.Run, Unanswered, p.now)) })
+		p.at(1100*time.Millisecond, func() { p.apply(pool, core.Lapsed(e.Target, p.now)) })
+		return
+	}
+	r := &playedRun{}
+	p.runs[e.Target+e.Run.Task()+fmt.Sprint(e.Run.Number)] = r
+	p.at(2*hop, func() { p.apply(pool, core.StartAnswered(e.Target, e.Run, Started, p.now)) })
+	took := time.Duration(float64(work) / p.speed[e.Target])
+	p.at(2*hop+took, func() {
+		if !r.ended && !p.lost[e.Target] {
+			r.ended = true
+			p.apply(pool, core.Ended(e.Target, e.Run, EndDone, p.now))
+		}
+	})
+}
+
+func (p *player) reply(pool int, e Reply) {
+	j := p.waiters[e.Waiter]
+	if e.Answer.Outcome == Spill {
+		var to int
+		_, _ = fmt.Sscanf(e.Answer.Pool, "z%d", &to)
+		j.job.Spilled = true
+		p.at(2*hop, func() { p.apply(to, p.pools[to].Submit(j.job, e.Waiter, p.now)) })
+		return
+	}
+	if e.Answer.Outcome == Refused && j.job.Spilled && pool != j.pool {
+		p.at(2*hop, func() { p.apply(j.pool, p.pools[j.pool].Submit(j.job, e.Waiter, p.now)) })
+		return
+	}
+	delete(p.waiters, e.Waiter)
+	took := p.now.Sub(j.arrived) + clientDelay/2
+	for _, x := range []*played{p.result(j.class.name), p.windowOf(j.arrived), p.zone(j.pool)} {
+		switch {
+		case e.Answer.Outcome == Completed && took <= j.aim:
+			x.inAim++
+			x.earned += j.value
+		case e.Answer.Outcome == Completed && took <= 3*j.aim:
+			x.late++
+			x.earned += 0.2 * j.value
+		default:
+			x.refused++
+		}
+	}
+}
+
+func (p *player) windowOf(t time.Time) *played {
+	return p.windows[int(t.Sub(p.begun)/(2*time.Second))]
+}
+
+// play runs to the end, with looks at the time every 20 ms and news of other
+// pools' room every 250 ms.
+func (p *player) play(length time.Duration) {
+	for d := time.Duration(0); d < length+5*time.Second; d += 20 * time.Millisecond {
+		p.at(d, func() {
+			for i, core := range p.pools {
+				p.apply(i, core.Tick(p.now))
+			}
+		})
+	}
+	for d := time.Duration(0); d < length; d += 250 * time.Millisecond {
+		p.at(d, func() { p.tellRoom() })
+	}
+	for p.events.Len() > 0 {
+		e := heap.Pop(&p.events).(timedEvent)
+		p.now = e.at
+		e.do()
+	}
+}
+
+func (p *player) tellRoom() {
+	var all []Room
+	for i, core := range p.pools {
+		free, _ := core.Load(p.now)
+		all = append(all, Room{Pool: fmt.Sprintf("z%d", i), Tasks: free})
+	}
+	for i, core := range p.pools {
+		core.SetRoom(slices.Delete(slices.Clone(all), i, i+1))
+	}
+}
+
+// total sums the results of all classes.
+func (p *player) total() played {
+	var sum played
+	for _, r := range p.results {
+		sum.asked += r.asked
+		sum.inAim += r.inAim
+		sum.late += r.late
+		sum.refused += r.refused
+		sum.earned += r.earned
+		sum.owed += r.owed
+	}
+	return sum
+}
+
+// hutShares are the zones' shares of the traffic on the users' sheet.
+var hutShares = []float64{29.4 / 140.6, 38.2 / 140.6, 39.3 / 140.6, 33.7 / 140.6}
+
+func playHuts(seed uint64, load func(time.Duration) float64, length time.Duration) *player {
+	p := newPlayer(seed, len(hutShares))
+	for zone, share := range hutShares {
+		for _, c := range hutClasses {
+			p.arrivals(zone, c, share, length, load)
+		}
+	}
+	p.play(length)
+	return p
+}
+
+func constant(x float64) func(time.Duration) float64 { return func(time.Duration) float64 { return x } }
+
+var tweak = func(*Config) {}
+
+func TestExperiment(t *testing.T) {
+	base := func(c *Config) { c.StopAfter = 20 }
+	variants := []struct {
+		name string
+		f    func(*Config)
+	}{
+		{"length admit.5", func(c *Config) { c.Order = ByLength; c.AdmitMargin = .5 }},
+		{"length admit.5 whole1", func(c *Config) { c.Order = ByLength; c.AdmitMargin = .5; c.Whole = 1 }},
+		{"length admit.5 whole.5", func(c *Config) { c.Order = ByLength; c.AdmitMargin = .5; c.Whole = .5 }},
+		{"length admit.5 whole.75", func(c *Config) { c.Order = ByLength; c.AdmitMargin = .5; c.Whole = .75 }},
+		{"length admit1 whole1", func(c *Config) { c.Order = ByLength; c.AdmitMargin = 1; c.Whole = 1 }},
+		{"edf admit.5 whole1", func(c *Config) { c.AdmitMargin = .5; c.Whole = 1 }},
+		{"arrival admit.5 whole1", func(c *Config) { c.Order = ByArrival; c.AdmitMargin = .5; c.Whole = 1 }},
+		{"priority admit.5 whole1", func(c *Config) { c.Order = ByPriority; c.AdmitMargin = .5; c.Whole = 1 }},
+		{"priority admit.25 whole1", func(c *Config) { c.Order = ByPriority; c.AdmitMargin = .25; c.Whole = 1 }},
+	}
+	for _, v := range variants {
+		tweak = func(c *Config) { base(c); c.UsualWeight = 0.5; c.LateLast = true; v.f(c) }
+		line := ""
+		for _, load := range []float64{0.9, 1.2, 1.5, 2} {
+			p := playHuts(1, constant(load), 20*time.Second)
+			sum := p.total()
+			line += fmt.Sprintf(" | %.3f (%.2f %.2f %.2f)", sum.share(), p.result("avail").share(), p.result("quote").share(), p.result("release").share())
+		}
+		t.Logf("%-24s %s", v.name, line)
+	}
+	tweak = func(*Config) {}
+}
+
+// TestPlayedLoads prints what callers get at several loads.
+func TestPlayedLoads(t *testing.T) {
+	for _, load := range []float64{0.6, 0.9, 1.0, 1.2, 1.5, 2} {
+		p := playHuts(1, constant(load), 20*time.Second)
+		sum := p.total()
+		t.Logf("load %.1f: worth %.3f, in aim %d, late %d, refused %d of %d", load, sum.share(), sum.inAim, sum.late, sum.refused, sum.asked)
+		for _, c := range hutClasses {
+			r := p.result(c.name)
+			t.Logf("   %-8s worth %.3f, in aim %d, late %d, refused %d of %d", c.name, r.share(), r.inAim, r.late, r.refused, r.asked)
+		}
+	}
+}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -24,6 +24,9 @@
 }
 
 func (c *Core) placeJob(s *jobState, now time.Time) {
+	if !s.everRan && c.config.Whole > 0 && float64(c.fitting(s, now)) < c.config.Whole*float64(s.pending) {
+		return
+	}
 	for _, t := range s.tasks {
 		if t.done || t.run != nil || !s.ready(t) {
 			continue
@@ -36,6 +39,19 @@
 	}
 }
 
+// fitting counts the tasks of a job that would start now.
+func (c *Core) fitting(s *jobState, now time.Time) int {
+	n := 0
+	step := s.Steps[0]
+	for _, t := range c.targets {
+		if t.Service != s.Service || !t.fits(step, now) {
+			continue
+		}
+		n += int(t.free().CPUMilli / max(1, step.Need.CPUMilli))
+	}
+	return n
+}
+
 // best returns the target for a task, or nil if none has room.
 func (c *Core) best(s *jobState, t *task, now time.Time) *target {
 	step := s.Steps[t.step]
@@ -107,7 +123,15 @@
 // review refuses a waiting job of which nothing has run and which can no
 // longer be done in time.
 func (c *Core) review(s *jobState, now time.Time) {
-	if s.everRan || now.Before(s.startBy) {
+	if now.Before(s.startBy) {
+		return
+	}
+	if s.everRan {
+		if c.config.LateLast && !s.late {
+			c.queue = slices.DeleteFunc(c.queue, func(q *jobState) bool { return q == s })
+			s.late = true
+			c.enqueue(s)
+		}
 		return
 	}
 	c.answer(s, c.refusal(failure.DeadlineTooShort, "no room came free before the latest start", now))
