Keep a fixed number of voters, hand a stopping voter's vote to a spare

Ruled out: removing every silent voter, which would leave two where three tolerate as much. Change: 2f+1 disks vote, the others are spares; a spare takes the vote of a host silent for 3 s; a host that stops gives its vote up where a spare is heard. Confirming reads come faster until the first one, as a host must not serve before it.

--- a/internal/process/controller/bus_test.go
+++ b/internal/process/controller/bus_test.go
@@ -144,18 +144,23 @@
 	nodes  map[string]*node
 	timing controller.Timing
 	seed   uint64
+	adjust func(*controller.Config) // changes a host's configuration; may be nil
 }
 
 var quick = controller.Timing{Attempt: 500 * time.Millisecond, Read: limit, Confirm: 50 * time.Millisecond}
 
 func newSite(t testing.TB, timing controller.Timing, disks, hosts int) *site {
+	return newAdjustedSite(t, timing, disks, hosts, nil)
+}
+
+func newAdjustedSite(t testing.TB, timing controller.Timing, disks, hosts int, adjust func(*controller.Config)) *site {
 	if p, ok := t.(*testing.T); ok {
 		p.Parallel()
 	}
 	s := &site{
 		t: t, g: NewWithT(t), timing: timing,
 		bus:   &bus{served: map[string]*served{}, cut: map[string]bool{}, calls: map[string]int{}, lost: map[string]int{}},
-		disks: map[string]*storetest.FS{}, nodes: map[string]*node{},
+		disks: map[string]*storetest.FS{}, nodes: map[string]*node{}, adjust: adjust,
 	}
 	for i := range hosts {
 		name := fmt.Sprintf("h%d", i)
@@ -194,6 +199,9 @@
 func (s *site) start(name string) {
 	s.t.Helper()
 	config := s.config(name)
+	if s.adjust != nil {
+		s.adjust(&config)
+	}
 	n := &node{}
 	if disk := s.disks[name]; disk != nil {
 		var err error
--- a/internal/process/controller/config.go
+++ b/internal/process/controller/config.go
@@ -38,8 +38,12 @@
 	// Founded says that the register was founded before: an empty disk then
 	// joins the others and never founds.
 	Founded bool
+	// Voters is the number of disks that vote; others stand by as spares. 0
+	// means that all vote. An odd number tolerates as many losses as the even
+	// one above it, with fewer answers to wait for.
+	Voters int
 	// Lost reports whether a host has been silent for long. A voter on such a
-	// host makes room for a new disk. Nil means that none is taken for lost.
+	// host makes room for a spare. Nil means that none is taken for lost.
 	Lost func(host string) bool
 
 	// Order returns the failure domains in the order in which a chosen value
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,6 +30,7 @@
 	added      chan Peer
 	operations chan *operation
 	stopped    chan struct{}
+	leaving    atomic.Bool
 
 	mu     sync.Mutex
 	byHost map[string]*peerLink // guarded by mu; written by the owner
--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -26,7 +26,7 @@
 		return
 	}
 	entry, confirmed := c.copy.get()
-	if c.config.Folder != nil && !confirmed.IsZero() && !entry.Value.Has(c.self) {
+	if c.config.Folder != nil && !confirmed.IsZero() && c.wantsVote(entry.Value) {
 		c.startOwn(ctx, c.joinVoters())
 		return
 	}
@@ -47,28 +47,66 @@
 	c.joining = true
 	c.log.Info("Joining the voters.", "identity", self.Identity)
 	return func(v register.Value) (register.Value, error) {
-		if v.Has(self) {
+		if !c.wantsVote(v) {
 			return v, nil
 		}
 		return c.makeRoom(v).WithMember(self), nil
 	}
 }
 
-// makeRoom drops one voter whose host is lost, unless this disk replaces an
-// earlier disk of this host. Otherwise hosts that are gone for good would count
-// in every later quorum.
-func (c *Controller) makeRoom(v register.Value) register.Value {
-	replaced := slices.ContainsFunc(v.Members, func(m register.Member) bool { return m.Host == c.self.Host })
-	if replaced || c.config.Lost == nil {
-		return v
+// wantsVote reports whether this host's disk should become a voter: in place of
+// its earlier disk, where a voter is missing, or in place of a lost one.
+func (c *Controller) wantsVote(v register.Value) bool {
+	if v.Has(c.self) || c.leaving.Load() {
+		return false
+	}
+	return c.config.Voters == 0 || len(v.Members) < c.config.Voters || c.hadVote(v) || c.lostVoter(v) != ""
+}
+
+// hadVote reports whether an earlier disk of this host is a voter.
+func (c *Controller) hadVote(v register.Value) bool {
+	return slices.ContainsFunc(v.Members, func(m register.Member) bool { return m.Host == c.self.Host })
+}
+
+// lostVoter returns a voter whose host is lost, or nothing.
+func (c *Controller) lostVoter(v register.Value) string {
+	if c.config.Lost == nil {
+		return ""
 	}
 	for _, m := range v.Members {
 		if c.config.Lost(m.Host) {
-			c.log.Warn("A lost host gives up its vote.", "peer", m.Host)
-			return v.WithoutHost(m.Host)
+			return m.Host
 		}
 	}
-	return v
+	return ""
+}
+
+// makeRoom drops a lost voter unless one is missing already, or this disk
+// replaces an earlier one of its host. Otherwise hosts that are gone for good
+// would count in every later quorum.
+func (c *Controller) makeRoom(v register.Value) register.Value {
+	if c.hadVote(v) || c.config.Voters > 0 && len(v.Members) < c.config.Voters {
+		return v
+	}
+	lost := c.lostVoter(v)
+	if lost == "" {
+		return v
+	}
+	c.log.Warn("A lost host gives up its vote.", "peer", lost)
+	return v.WithoutHost(lost)
+}
+
+// Leave gives up this host's vote before it stops, where the voters stay enough
+// without it: a spare takes it. The host does not become a voter again.
+func (c *Controller) Leave(ctx context.Context) error {
+	c.leaving.Store(true)
+	_, err := c.operate(ctx, func(v register.Value) (register.Value, error) {
+		if !v.Has(c.self) || len(v.Members) < 2 {
+			return v, nil
+		}
+		return v.WithoutHost(c.self.Host), nil
+	})
+	return err
 }
 
 // founders returns the hosts whose disks found the register.
--- a/internal/process/controller/own.go
+++ b/internal/process/controller/own.go
@@ -50,6 +50,9 @@
 	if c.isFresh() {
 		return c.config.Timing.Attempt / 2
 	}
+	if _, confirmed := c.copy.get(); confirmed.IsZero() {
+		return c.config.Timing.Attempt / 4 // nothing may be served before
+	}
 	mean := c.config.Timing.Confirm
 	return mean/2 + time.Duration(c.config.Random.Int64N(int64(mean)))
 }
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -18,11 +18,13 @@
 const (
 	greetEntry   = 250 * time.Millisecond // between greetings to another entry host
 	greetControl = time.Second            // between greetings to or among hosts with a disk
+	greetFirst   = 100 * time.Millisecond // between greetings to a host that was never heard
 	greetTimeout = 400 * time.Millisecond // of one greeting; two lost ones replace the connection
 	aliveFor     = 900 * time.Millisecond // three greetings; below the 1 s of a lease
-	lostAfter    = 5 * time.Second        // a voter silent for so long makes room for a new disk
+	lostAfter    = 3 * time.Second        // a voter silent for so long gives its vote to a spare
+	leaveTimeout = time.Second            // for a stopping host to give up its vote
 	confirmEvery = time.Second            // mean time between reads that confirm the catalog
-	settleFor    = 700 * time.Millisecond // a new host listens before it claims a pool
+	settleFor    = 500 * time.Millisecond // a new host listens before it claims a pool
 	trustAfter   = 3 * time.Second        // an unconfirmed catalog is served with after this
 	tickEvery    = 20 * time.Millisecond  // of the scheduler
 	eventRing    = 1024                   // events that wait for the pool's owner
@@ -36,6 +38,7 @@
 	Folder   *store.Folder // the data folder; nil on a host without a disk
 	Founders []string      // hosts whose empty disks found the register
 	Founded  bool          // the system was started before
+	Voters   int           // disks that vote on the catalog; others are spares
 	MaxLease time.Duration // longest lease that a target grants
 	Orders   Orders        // reaches targets; nil on a host that takes no jobs
 	// Parse decodes and checks an operator's document.
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -43,7 +43,7 @@
 	h, age, ok := n.table.Get(address, time.Now())
 	switch {
 	case !ok:
-		return greetEntry
+		return greetFirst
 	case h.Entry && n.config.Self.Entry:
 		return greetEntry
 	case h.Entry && age < 2*greetControl:
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/version/catalog"
+	"wasabifield.example/wasabifield/internal/version/register"
 )
 
 // Node is one host.
@@ -76,6 +78,7 @@
 		Timing:   timing,
 		Founders: config.Founders,
 		Founded:  config.Founded,
+		Voters:   config.Voters,
 		Lost:     n.lost,
 	})
 	if err != nil {
@@ -248,6 +251,21 @@
 	if n.pool != nil {
 		n.pool.leave(ctx)
 	}
+	if n.config.Folder != nil && n.hasSpare() {
+		limited, cancel := context.WithTimeout(ctx, leaveTimeout)
+		defer cancel()
+		err := n.controller.Leave(limited)
+		n.log.Info("The vote was given up.", "error", err)
+	}
+}
+
+// hasSpare reports whether a host with a disk that has no vote is heard.
+func (n *Node) hasSpare() bool {
+	voters := n.controller.Status().Members
+	return slices.ContainsFunc(n.Hosts(), func(h discovery.Host) bool {
+		votes := slices.ContainsFunc(voters, func(m register.Member) bool { return m.Host == h.Address })
+		return h.Disk && !h.Leaving && !votes
+	})
 }
 
 // holderOf returns the address of the host that holds a pool.
