Hand a pool with its jobs to another host at a planned stop, adopt orphaned pools

Change: the holder closes its sessions, takes in the reports that came and sends its jobs and runs to a successor, which finds the unacknowledged ends; waiting hosts are told to ask there. Domains without an entry host are held by another domain's once a target answers it, and returned. A fenced host that hears nobody gives up instead of raising its token. A run that a target does not list for 700 ms is stopped, whatever became of its order.

--- a/internal/process/fleet/beats.go
+++ b/internal/process/fleet/beats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/discovery"
 )
 
 const (
@@ -70,10 +71,7 @@
 			"sequence", a.Sequence, "draining", a.Target.Draining, "gone", a.Gone)
 	}
 	message := &fleetpb.Announcements{Announcements: []*fleetpb.Announcement{announcementMessage(a, time.Now())}}
-	for _, h := range n.Hosts() {
-		if !h.Entry || h.Domain != a.Target.Domain {
-			continue
-		}
+	for _, h := range n.announceTo(a.Target.Domain) {
 		if link, ok := n.link(h.Address); ok {
 			n.group.Go(func() error {
 				ctx, cancel := context.WithTimeout(n.running, passOnTimeout)
@@ -87,6 +85,26 @@
 	}
 }
 
+// announceTo returns the hosts to tell of a target: the entry hosts of its domain
+// and the holder of the domain's pool, or all entry hosts if there is none.
+func (n *Node) announceTo(domain string) []discovery.Host {
+	var own, all []discovery.Host
+	holder, _ := n.holderOf(domain)
+	for _, h := range n.Hosts() {
+		if !h.Entry {
+			continue
+		}
+		all = append(all, h)
+		if h.Domain == domain || h.Address == holder {
+			own = append(own, h)
+		}
+	}
+	if len(own) > 0 {
+		return own
+	}
+	return all
+}
+
 // Forget takes in that a target deregistered.
 func (n *Node) Forget(id string) {
 	a, ok := n.beats.get(id)
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -26,6 +26,9 @@
 	confirmEvery = time.Second            // mean time between reads that confirm the catalog
 	settleFor    = 500 * time.Millisecond // a new host listens before it claims a pool
 	trustAfter   = 3 * time.Second        // an unconfirmed catalog is served with after this
+	fencedPause  = 5 * time.Second        // a host that was fenced and hears nobody claims nothing for so long
+	homeAfter    = time.Second            // an entry host is heard for so long before its domain's pool returns to it
+	handTimeout  = 500 * time.Millisecond // for another host to take a pool over
 	tickEvery    = 20 * time.Millisecond  // of the scheduler
 	eventRing    = 1024                   // events that wait for the pool's owner
 	dialTimeout  = 500 * time.Millisecond // to connect to another host
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -16,12 +16,18 @@
 }
 
 func (e submitEvent) apply(p *pool, now time.Time) {
+	if p.handing {
+		p.parked = append(p.parked, e)
+		return
+	}
 	if !p.held.Load() {
-		e.waiter.answer <- scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "this host does not hold the pool"}
+		e.waiter.answer <- scheduler.Answer{
+			Outcome: scheduler.Moved, Kind: failure.NotReady, Holder: p.view.Claim().Holder, Reason: "this host does not hold the pool",
+		}
 		return
 	}
 	p.waiters[e.id] = e.waiter
-	p.core.SetRoom(p.node.room())
+	p.core.SetRoom(p.node.room(p.name))
 	p.apply(p.core.Submit(e.job, e.id, now), now)
 }
 
@@ -47,6 +53,9 @@
 type claimEvent struct{ claim holder.Claim }
 
 func (e claimEvent) apply(p *pool, now time.Time) {
+	if p.handing {
+		return // the claim is heard again after the hand-over
+	}
 	if p.view.Hear(e.claim) == holder.Yielded {
 		p.yield(now, "another host claims it with a higher token")
 	}
@@ -72,14 +81,17 @@
 		p.apply(p.core.Ended(id, ended.Run, ended.End, now), now)
 	}
 	foreign := 0
+	present := map[scheduler.Run]bool{}
 	for _, listed := range r.Running {
 		run := listed.Run
+		present[run] = true
 		if !p.core.Progress(id, run, listed.Percent, now) {
 			foreign++
 			p.log.Info("An unknown run is stopped.", "job", run.Job, "task", run.Task(), "run", run.Number, "target", id)
 			s.stop(run)
 		}
 	}
+	p.apply(p.core.Missing(id, present, now), now)
 	if s.clearing.Load() && foreign == 0 {
 		s.clearing.Store(false)
 		p.apply(p.core.Clear(id, false, now), now)
@@ -87,12 +99,19 @@
 }
 
 // onFenced takes in that a target obeys another holder. Where none is known,
-// the token is raised.
+// the token is raised, unless this host hears nobody: then it is cut off, and
+// the others hold the pool.
 func (p *pool) onFenced(s *session, now time.Time) {
 	if now.Sub(p.raised) < settleFor {
 		return
 	}
 	p.raised = now
+	if p.node.isolated() {
+		p.fenced = now
+		p.view.Release(now)
+		p.yield(now, "a target obeys another holder and no other host is heard")
+		return
+	}
 	p.log.Warn("A target refused an order.", "target", s.ref.ID, "token", s.token, "reason", "it obeys a higher token")
 	p.apply(p.core.GiveUp(), now)
 	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -74,9 +74,7 @@
 		From:            hostMessage(self, 0),
 		RegisterVersion: n.controller.Version(),
 	}
-	if n.pool != nil {
-		g.Claims = n.pool.claimMessages()
-	}
+	g.Claims = n.claimMessages()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
@@ -111,12 +109,14 @@
 	n.mu.Unlock()
 	for _, h := range fresh {
 		n.meet(h.Address, h)
-		if h.Disk && n.pool != nil {
+		if h.Disk && n.config.Self.Entry {
 			n.group.Go(func() error { n.fetchTargets(h.Address); return nil })
 		}
 	}
-	if n.pool != nil {
-		n.pool.hearClaims(g.GetClaims())
+	for _, c := range g.GetClaims() {
+		for _, p := range n.openPools() {
+			p.hearClaim(c)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/process/fleet/handover.go
@@ -0,0 +1,208 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/holder"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+)
+
+// A pool goes from one host to another with its jobs in progress: the old
+// holder closes its sessions with the targets, takes in every report that has
+// come, and sends its state. The new holder orders the targets under a higher
+// token and finds the ends that were not acknowledged. Hosts that wait for a
+// job's answer are told to ask the new holder.
+
+// handOver gives the pool to another host and waits for the outcome.
+func (p *pool) handOver(ctx context.Context, reason string) {
+	done := make(chan struct{})
+	p.tell(handOverEvent{reason: reason, done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-p.ended:
+	}
+}
+
+// handOverEvent begins a hand-over: after it, no target reports to the owner.
+type handOverEvent struct {
+	reason string
+	done   chan<- struct{}
+}
+
+func (e handOverEvent) apply(p *pool, now time.Time) {
+	to := ""
+	for _, c := range p.node.candidates(p.name) {
+		if c != p.node.config.Self.Address {
+			to = c
+			break
+		}
+	}
+	if !p.held.Load() || p.handing || to == "" {
+		close(e.done)
+		return
+	}
+	p.log.Info("The pool is handed over.", "pool", p.name, "peer", to, "token", p.view.Claim().Token, "reason", e.reason)
+	p.handing = true
+	for _, s := range p.sessions {
+		s.close()
+	}
+	// The reports that were sent before the sessions closed are in the ring.
+	go p.tell(sendStateEvent{to: to, done: e.done})
+}
+
+// sendStateEvent sends the pool's state once all reports are taken in.
+type sendStateEvent struct {
+	to   string
+	done chan<- struct{}
+}
+
+func (e sendStateEvent) apply(p *pool, now time.Time) {
+	message := p.stateMessage(now)
+	go func() {
+		defer close(e.done)
+		claim, err := p.sendState(e.to, message)
+		p.tell(handedOverEvent{to: e.to, claim: claim, err: err})
+	}()
+}
+
+func (p *pool) sendState(to string, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
+	link, ok := p.node.link(to)
+	if !ok {
+		return nil, status.Error(codes.Unavailable, "the host is not known")
+	}
+	ctx, cancel := context.WithTimeout(p.node.running, handTimeout)
+	defer cancel()
+	return fleetpb.NewFleetClient(link).HandOver(ctx, m)
+}
+
+// handedOverEvent brings the outcome.
+type handedOverEvent struct {
+	to    string
+	claim *fleetpb.Claim
+	err   error
+}
+
+func (e handedOverEvent) apply(p *pool, now time.Time) {
+	p.handing = false
+	parked := p.parked
+	p.parked = nil
+	if e.err != nil {
+		p.log.Warn("The pool was not handed over.", "pool", p.name, "peer", e.to, "error", e.err)
+		p.takeOver(now, "no other host took it")
+	} else {
+		p.view.Hear(holder.Claim{Holder: e.claim.GetHolder(), Token: e.claim.GetFencingToken()})
+		p.node.noteClaim(e.claim)
+		p.held.Store(false)
+		p.sessions = map[string]*session{}
+		p.apply(p.core.HandedOver(e.to), now)
+		p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+		p.log.Info("Another host holds the pool.", "pool", p.name, "peer", e.to, "token", e.claim.GetFencingToken())
+	}
+	p.publish(now)
+	for _, s := range parked {
+		s.apply(p, now)
+	}
+}
+
+// noteClaim takes in a claim that another host returned.
+func (n *Node) noteClaim(c *fleetpb.Claim) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hearClaim(c, time.Now())
+}
+
+// returnHome hands the pool of another domain back once an entry host of that
+// domain has been heard for a while.
+func (p *pool) returnHome(now time.Time) {
+	p.node.mu.Lock()
+	home := p.node.entryHosts(p.name, now)
+	p.node.mu.Unlock()
+	if len(home) == 0 {
+		p.home = time.Time{}
+		return
+	}
+	if p.home.IsZero() {
+		p.home = now
+	}
+	if now.Sub(p.home) > homeAfter {
+		p.home = now
+		handOverEvent{reason: "its domain has an entry host again", done: make(chan struct{})}.apply(p, now)
+	}
+}
+
+func (p *pool) stateMessage(now time.Time) *fleetpb.PoolState {
+	m := &fleetpb.PoolState{Pool: p.name, FencingToken: p.view.Claim().Token}
+	for _, a := range p.node.beats.list(now) {
+		if a.Target.Domain == p.name {
+			m.Targets = append(m.Targets, announcementMessage(a, now))
+		}
+	}
+	for _, j := range p.core.Export() {
+		m.Jobs = append(m.Jobs, runningJobMessage(j, now))
+	}
+	return m
+}
+
+// receive takes a pool over and returns the new claim.
+func (p *pool) receive(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
+	answer := make(chan *fleetpb.Claim, 1)
+	p.tell(receiveEvent{message: m, answer: answer})
+	select {
+	case c := <-answer:
+		return c, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case <-p.ended:
+		return nil, status.Error(codes.Unavailable, "the host is stopping")
+	}
+}
+
+// receiveEvent brings a pool with its jobs in progress.
+type receiveEvent struct {
+	message *fleetpb.PoolState
+	answer  chan<- *fleetpb.Claim // takes one
+}
+
+func (e receiveEvent) apply(p *pool, now time.Time) {
+	for _, a := range e.message.GetTargets() {
+		p.node.beats.learn(announcementFrom(a, now))
+	}
+	p.view.Receive(e.message.GetFencingToken(), now)
+	p.takeOver(now, "its holder handed it over")
+	var jobs []scheduler.HandedJob
+	for _, j := range e.message.GetJobs() {
+		jobs = append(jobs, runningJobFrom(j, now))
+	}
+	p.apply(p.core.Import(jobs, now), now)
+	p.log.Info("Jobs in progress were taken over.", "pool", p.name, "jobs", len(jobs))
+	claim := p.view.Claim()
+	e.answer <- &fleetpb.Claim{Pool: p.name, Holder: claim.Holder, FencingToken: claim.Token}
+}
+
+func runningJobMessage(j scheduler.HandedJob, now time.Time) *fleetpb.RunningJob {
+	m := &fleetpb.RunningJob{Request: jobMessage(j.Job, now), Ran: j.Ran}
+	for _, t := range j.Tasks {
+		m.Tasks = append(m.Tasks, &fleetpb.Task{
+			Step: uint32(t.Step), Index: uint32(t.Index), Started: uint32(t.Started), Failures: uint32(t.Failures),
+			Done: t.Done, Target: t.Target, Stopping: t.Stopping,
+		})
+	}
+	return m
+}
+
+func runningJobFrom(m *fleetpb.RunningJob, now time.Time) scheduler.HandedJob {
+	j := scheduler.HandedJob{Job: jobFrom(m.GetRequest(), now), Ran: m.GetRan()}
+	for _, t := range m.GetTasks() {
+		j.Tasks = append(j.Tasks, scheduler.HandedTask{
+			Step: int(t.GetStep()), Index: int(t.GetIndex()), Started: int(t.GetStarted()), Failures: int(t.GetFailures()),
+			Done: t.GetDone(), Target: t.GetTarget(), Stopping: t.GetStopping(),
+		})
+	}
+	return j
+}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -39,7 +39,6 @@
 	controller *controller.Controller
 	catalogs   *catalogs
 	beats      *beats // what targets announced here or through other hosts
-	pool       *pool  // nil on a host that takes no jobs
 	leaving    atomic.Bool
 	running    context.Context
 	group      *errgroup.Group
@@ -48,6 +47,7 @@
 	table  *discovery.Table
 	links  map[string]*hostlink.Link
 	claims map[string]claimHeard // by pool
+	pools  map[string]*pool      // by name, those that this host holds or may hold; none on a host that takes no jobs
 }
 
 // claimHeard is another host's claim with what it said of the pool's load.
@@ -65,6 +65,7 @@
 		table:  discovery.NewTable(config.Self.Address),
 		links:  map[string]*hostlink.Link{},
 		claims: map[string]claimHeard{},
+		pools:  map[string]*pool{},
 		beats:  newBeats(),
 	}
 	timing := controller.DefaultTiming()
@@ -86,9 +87,6 @@
 	}
 	n.controller = c
 	n.catalogs = &catalogs{controller: c, parse: config.Parse, log: n.log, started: time.Now()}
-	if config.Self.Entry {
-		n.pool = newPool(n)
-	}
 	return n, nil
 }
 
@@ -118,8 +116,8 @@
 	})
 	group.Go(func() error { return n.controller.Run(ctx) })
 	group.Go(func() error { return n.catalogs.follow(ctx) })
-	if n.pool != nil {
-		group.Go(func() error { return n.pool.run(ctx) })
+	if n.config.Self.Entry {
+		n.openPool(n.config.Self.Domain)
 	}
 	n.Meet(n.config.Seeds)
 	return group.Wait()
@@ -212,6 +210,9 @@
 	return h
 }
 
+// Leaving reports whether this host is stopping.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
 // Hosts returns the other hosts heard within the last seconds.
 func (n *Node) Hosts() []discovery.Host {
 	n.mu.Lock()
@@ -248,8 +249,8 @@
 // the domain, if there is one.
 func (n *Node) Leave(ctx context.Context) {
 	n.leaving.Store(true)
-	if n.pool != nil {
-		n.pool.leave(ctx)
+	for _, p := range n.openPools() {
+		p.handOver(ctx, "this host stops")
 	}
 	if n.config.Folder != nil && n.hasSpare() {
 		limited, cancel := context.WithTimeout(ctx, leaveTimeout)
@@ -270,11 +271,11 @@
 
 // holderOf returns the address of the host that holds a pool.
 func (n *Node) holderOf(pool string) (string, bool) {
-	if n.pool != nil && pool == n.config.Self.Domain && n.pool.held.Load() {
-		return n.config.Self.Address, true
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if p, ok := n.pools[pool]; ok && p.held.Load() {
+		return n.config.Self.Address, true
+	}
 	heard, ok := n.claims[pool]
 	if !ok || heard.claim.Holder == n.config.Self.Address {
 		return "", false
@@ -283,14 +284,24 @@
 	return heard.claim.Holder, known && age <= aliveFor
 }
 
-// room returns what the pools of other domains could take at once.
-func (n *Node) room() []scheduler.Room {
+// room returns what the pools other than one could take at once.
+func (n *Node) room(except string) []scheduler.Room {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []scheduler.Room
 	now := time.Now()
+	for name, p := range n.pools {
+		for _, c := range p.claimMessages() {
+			if name != except {
+				out = append(out, scheduler.Room{Pool: name, Tasks: int(c.GetFreeSlots())})
+			}
+		}
+	}
 	for name, c := range n.claims {
-		if name != n.config.Self.Domain && now.Sub(c.heard) < aliveFor && c.free > 0 {
+		if p, own := n.pools[name]; own && p.held.Load() {
+			continue
+		}
+		if name != except && now.Sub(c.heard) < aliveFor && c.free > 0 {
 			out = append(out, scheduler.Room{Pool: name, Tasks: c.free})
 		}
 	}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -13,7 +13,7 @@
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
 
-// pool is the duty that owns the scheduler of this host's domain. All its state
+// pool is the duty that owns the scheduler of one domain's targets. All its state
 // belongs to the goroutine of run, but for what is marked otherwise.
 type pool struct {
 	node   *Node
@@ -31,6 +31,12 @@
 	sessions map[string]*session
 	waiters  map[uint64]waiter
 	raised   time.Time // when the token was raised last
+	fenced   time.Time // when the pool was given up while no other host was heard
+	handing  bool      // the jobs are on their way to another holder
+	parked   []submitEvent
+	probed   time.Time // when a target was asked last whether it can be reached
+	reached  time.Time // when one answered
+	home     time.Time // since when an entry host of the pool's own domain is heard
 	watch    *watch
 }
 
@@ -45,10 +51,10 @@
 // event is a message for the pool's owner.
 type event interface{ apply(p *pool, now time.Time) }
 
-func newPool(n *Node) *pool {
+func newPool(n *Node, name string) *pool {
 	p := &pool{
 		node:     n,
-		name:     n.config.Self.Domain,
+		name:     name,
 		log:      logging.For(n.config.Log, "pool"),
 		events:   make(chan event, eventRing),
 		ended:    make(chan struct{}),
@@ -127,9 +133,17 @@
 
 // tick decides on the claim and lets the scheduler look at the time.
 func (p *pool) tick(now time.Time) {
+	if p.handing {
+		return
+	}
 	p.decide(now)
+	if p.name == p.node.config.Self.Domain {
+		p.node.openOrphans()
+	} else if p.held.Load() {
+		p.returnHome(now)
+	}
 	if p.held.Load() {
-		p.core.SetRoom(p.node.room())
+		p.core.SetRoom(p.node.room(p.name))
 		p.apply(p.core.Tick(now), now)
 		p.withdrawLostSenders(now)
 	}
@@ -137,34 +151,16 @@
 }
 
 func (p *pool) decide(now time.Time) {
-	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.alive(host) }
-	if p.view.Decide(alive, p.node.candidates(), now) == holder.Taken {
-		p.takeOver(now, "nobody holds the pool")
+	if now.Sub(p.fenced) < fencedPause && p.node.isolated() {
+		return
 	}
-}
-
-// candidates returns the entry hosts of this domain that may hold its pool,
-// ordered by address.
-func (n *Node) candidates() []string {
-	self := n.Self()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var out []string
-	placed := self.Leaving
-	for _, h := range n.table.Alive(aliveFor, time.Now()) {
-		if !h.Entry || h.Domain != self.Domain || h.Leaving {
-			continue
-		}
-		if !placed && self.Address < h.Address {
-			out = append(out, self.Address)
-			placed = true
-		}
-		out = append(out, h.Address)
+	if p.name != p.node.config.Self.Domain && !p.reachable(now) {
+		return
 	}
-	if !placed {
-		out = append(out, self.Address)
+	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.alive(host) }
+	if p.view.Decide(alive, p.node.candidates(p.name), now) == holder.Taken {
+		p.takeOver(now, "nobody holds the pool")
 	}
-	return out
 }
 
 // takeOver begins to order the pool's targets under the claim's token.
@@ -217,12 +213,10 @@
 
 func (p *pool) claimMessages() []*fleetpb.Claim { return *p.claims.Load() }
 
-// hearClaims passes claims on this pool to the owner.
-func (p *pool) hearClaims(claims []*fleetpb.Claim) {
-	for _, c := range claims {
-		if c.GetPool() == p.name {
-			p.tell(claimEvent{holder.Claim{Holder: c.GetHolder(), Token: c.GetFencingToken()}})
-		}
+// hearClaim passes a claim on this pool to the owner.
+func (p *pool) hearClaim(c *fleetpb.Claim) {
+	if c.GetPool() == p.name {
+		p.tell(claimEvent{holder.Claim{Holder: c.GetHolder(), Token: c.GetFencingToken()}})
 	}
 }
 
@@ -305,6 +299,3 @@
 	p.watch.job(r.Answer, now.Sub(w.begun))
 	w.answer <- r.Answer
 }
-
-// leave hands the pool over before the host stops.
-func (p *pool) leave(context.Context) {}
--- /dev/null
+++ b/internal/process/fleet/reach.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	reachPause = 300 * time.Millisecond // between two questions to targets of an orphaned pool
+	reachLife  = time.Second            // an answer counts for so long
+)
+
+// reachable reports whether a target of the pool has answered just now, and asks
+// one if not. A domain that is cut off has its own holder, and its targets cannot
+// be reached; a claim from outside would take the pool from it when the cut ends.
+func (p *pool) reachable(now time.Time) bool {
+	if p.held.Load() || now.Sub(p.reached) < reachLife {
+		return true
+	}
+	if holder := p.view.Claim().Holder; holder != "" && p.node.alive(holder) {
+		return false
+	}
+	if now.Sub(p.probed) > reachPause {
+		p.probed = now
+		p.askTarget(now)
+	}
+	return false
+}
+
+// askTarget asks a target of the pool with the least token. Its refusal is an
+// answer too.
+func (p *pool) askTarget(now time.Time) {
+	for _, a := range p.node.beats.list(now) {
+		if a.Target.Domain != p.name || a.Gone {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(p.node.running, orderTimeout)
+			defer cancel()
+			_, err := p.node.config.Orders.Renew(ctx, TargetRef{ID: a.Target.ID, Address: a.Target.Address}, Renewal{})
+			if err == nil || errors.Is(err, ErrFenced) {
+				p.tell(reachedEvent{})
+			}
+		}()
+		return
+	}
+}
+
+// reachedEvent says that a target answered.
+type reachedEvent struct{}
+
+func (reachedEvent) apply(p *pool, now time.Time) { p.reached = now }
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -32,8 +35,11 @@
 
 // takeIn remembers an announcement that another host passed on.
 func (n *Node) takeIn(a Announcement) {
-	if n.beats.learn(a) && n.pool != nil {
-		n.pool.tell(announceEvent{a})
+	if !n.beats.learn(a) {
+		return
+	}
+	for _, p := range n.openPools() {
+		p.tell(announceEvent{a})
 	}
 }
 
@@ -49,23 +55,27 @@
 
 // Submit implements fleetpb.FleetServer.
 func (s *service) Submit(ctx context.Context, m *fleetpb.JobRequest) (*fleetpb.JobReply, error) {
-	if s.node.pool == nil {
-		return replyMessage(refusedBy(failure.New(failure.NotReady, "this host takes no jobs"))), nil
+	return replyMessage(s.node.submitHere(ctx, m.GetPool(), jobFrom(m, time.Now()), m.GetSender())), nil
+}
+
+// HandOver implements fleetpb.FleetServer.
+func (s *service) HandOver(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
+	if !s.node.config.Self.Entry || s.node.leaving.Load() {
+		return nil, status.Error(codes.FailedPrecondition, "this host takes no pools")
 	}
-	a := s.node.pool.submit(ctx, jobFrom(m, time.Now()), m.GetSender())
-	return replyMessage(a), nil
+	return s.node.openPool(m.GetPool()).receive(ctx, m)
 }
 
 func replyMessage(a scheduler.Answer) *fleetpb.JobReply {
 	return &fleetpb.JobReply{
 		Outcome: uint32(a.Outcome), Kind: string(a.Kind), Reason: a.Reason,
-		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Pool: a.Pool,
+		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Pool: a.Pool, Holder: a.Holder,
 	}
 }
 
 func answerFrom(m *fleetpb.JobReply) scheduler.Answer {
 	return scheduler.Answer{
 		Outcome: scheduler.Outcome(m.GetOutcome()), Kind: failure.Kind(m.GetKind()), Reason: m.GetReason(),
-		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Pool: m.GetPool(),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Pool: m.GetPool(), Holder: m.GetHolder(),
 	}
 }
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -34,11 +34,18 @@
 func (n *Node) submitTo(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
 	answer := refusedBy(failure.New(failure.NotReady, "no host holds the targets of "+pool))
 	for range holderTries {
-		if address, ok := n.holderOf(pool); ok {
+		address, ok := n.holderOf(pool)
+		if answer.Holder != "" {
+			address, ok = answer.Holder, true
+		}
+		if ok {
 			answer = n.submitAt(ctx, address, pool, j)
 			if answer.Outcome != scheduler.Moved {
 				return answer
 			}
+			if answer.Holder != "" {
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -51,9 +58,20 @@
 	return answer
 }
 
+// submitHere runs a job in a pool that this host holds.
+func (n *Node) submitHere(ctx context.Context, name string, j scheduler.Job, sender string) scheduler.Answer {
+	n.mu.Lock()
+	p, ok := n.pools[name]
+	n.mu.Unlock()
+	if !ok {
+		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "this host does not hold the pool"}
+	}
+	return p.submit(ctx, j, sender)
+}
+
 func (n *Node) submitAt(ctx context.Context, address, pool string, j scheduler.Job) scheduler.Answer {
 	if address == n.config.Self.Address {
-		return n.pool.submit(ctx, j, "")
+		return n.submitHere(ctx, pool, j, "")
 	}
 	link, ok := n.link(address)
 	if !ok {
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -38,15 +38,16 @@
 	targets map[string]*target
 	order   []string // target ids, sorted
 	effects []Effect
-	room    []Room // of other pools
-	need    usual  // of a task
+	room    []Room                // of other pools
+	need    usual                 // of a task
+	answers map[string]keptAnswer // to handed jobs
 	times   runTimes
 	shares  shares
 }
 
 // NewCore returns a Core without targets.
 func NewCore(config Config) *Core {
-	return &Core{config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, times: newRunTimes(), shares: newShares()}
+	return &Core{config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, answers: map[string]keptAnswer{}, times: newRunTimes(), shares: newShares()}
 }
 
 // take returns the effects since the last call.
@@ -65,6 +66,10 @@
 		c.emit(Note{Message: "A job that is in progress was submitted again.", Job: j.ID})
 		return c.take()
 	}
+	if kept, ok := c.answers[j.ID]; ok {
+		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: kept.answer})
+		return c.take()
+	}
 	s := newJobState(c.refine(j))
 	s.waiters = []uint64{waiter}
 	if answer, ok := c.admit(s, now); !ok {
@@ -126,7 +131,7 @@
 
 // lose drops a target; what ran there waits again.
 func (c *Core) lose(t *target, reason string, now time.Time) {
-	for _, r := range t.runs {
+	for _, r := range t.sortedRuns() {
 		c.release(r)
 	}
 	delete(c.targets, t.ID)
@@ -161,7 +166,7 @@
 	if !ok || len(t.runs) == 0 {
 		return nil
 	}
-	for _, r := range t.runs {
+	for _, r := range t.sortedRuns() {
 		c.release(r)
 	}
 	c.emit(Note{Message: "The leases of a target ended.", Target: id})
@@ -255,6 +260,18 @@
 	return c.take()
 }
 
+// HandedOver ends all jobs here, since another host goes on with them.
+func (c *Core) HandedOver(holder string) []Effect {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		for _, w := range c.jobs[id].waiters {
+			c.emit(Reply{Waiter: w, Job: id, Answer: Answer{Outcome: Moved, Holder: holder, Reason: "the pool was handed over"}})
+		}
+	}
+	c.jobs = map[string]*jobState{}
+	c.queue = nil
+	return c.take()
+}
+
 // Progress takes in that a target lists a run as running. It reports whether
 // the run is one that the core ordered there.
 func (c *Core) Progress(id string, r Run, percent int, now time.Time) bool {
@@ -266,6 +283,26 @@
 	return true
 }
 
+// missingAfter is how long after its order a run must be listed: a list may
+// have waited 300 ms before the order came.
+const missingAfter = 700 * time.Millisecond
+
+// Missing stops the runs on a target that should be listed and are not: their
+// order was lost, or may come late.
+func (c *Core) Missing(id string, listed map[Run]bool, now time.Time) []Effect {
+	t, ok := c.targets[id]
+	if !ok {
+		return nil
+	}
+	for _, r := range t.sortedRuns() {
+		if r.state == running && !listed[r.id] && now.Sub(r.ordered) > missingAfter {
+			c.emit(Note{Message: "A run is not listed.", Job: r.id.Job, Target: id, Age: now.Sub(r.ordered)})
+			c.stop(r, "the target does not list it")
+		}
+	}
+	return c.take()
+}
+
 // RunsAt counts the runs on a target.
 func (c *Core) RunsAt(id string) int {
 	t, ok := c.targets[id]
@@ -352,6 +389,9 @@
 	for _, w := range s.waiters {
 		c.emit(Reply{Waiter: w, Job: s.ID, Answer: a})
 	}
+	if !s.handed.IsZero() && len(s.waiters) == 0 {
+		c.answers[s.ID] = keptAnswer{a, s.handed}
+	}
 	s.waiters = nil
 	c.drop(s, "the job was answered")
 }
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -24,7 +24,8 @@
 	due     time.Time
 	startBy time.Time // latest start that meets the due time
 	waiters []uint64
-	late    bool // cannot be in time any more
+	handed  time.Time // until when a handed job waits to be asked for; zero for others
+	late    bool      // cannot be in time any more
 }
 
 func newJobState(j Job) *jobState {
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -94,6 +94,7 @@
 // Tick refuses jobs that can no longer be done in time, and stops runs that
 // hang.
 func (c *Core) Tick(now time.Time) []Effect {
+	c.expireHanded(now)
 	for _, s := range slices.Clone(c.queue) {
 		c.review(s, now)
 	}
@@ -123,7 +124,7 @@
 
 // stopHung stops the runs that make no progress.
 func (c *Core) stopHung(t *target, now time.Time) {
-	for _, r := range t.runs {
+	for _, r := range t.sortedRuns() {
 		if !r.stalled() {
 			continue
 		}
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -80,6 +82,15 @@
 	return &target{Target: t, runs: map[Run]*run{}, pace: 1}
 }
 
+// sortedRuns returns the runs in a fixed order, so that equal inputs have equal
+// effects.
+func (t *target) sortedRuns() []*run {
+	return slices.SortedFunc(maps.Values(t.runs), func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step),
+			cmp.Compare(a.id.Index, b.id.Index), cmp.Compare(a.id.Number, b.id.Number))
+	})
+}
+
 func (t *target) free() Resources { return t.Capacity.Minus(t.used) }
 
 // usable reports whether new work may go to the target.
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -106,6 +106,7 @@
 	Reason     string        // what decided, for the log
 	RetryAfter time.Duration // for a job that was refused
 	Pool       string        // where a spilled job goes
+	Holder     string        // the host that holds the pool, for a job that moved; empty if not known
 }
 
 // Effect is something to be done outside the core.
