Never refuse a job that was handed over while it ran

Change: an answer says whether the job was handed over; such a job is asked for until the new holder would drop it, its end is then unknown and never a refusal. A connection is tried again at once. A host also tells its own pools of targets announced to it. Tests: internal/process/fleet, four with real hosts on loopback; TestAHandedJobIsNotRefused fails without the change.

--- a/internal/process/fleet/beats.go
+++ b/internal/process/fleet/beats.go
@@ -70,6 +70,7 @@
 		n.log.Info("A target announced itself.", "target", a.Target.ID, "domain", a.Target.Domain, "born", a.Target.Born,
 			"sequence", a.Sequence, "draining", a.Target.Draining, "gone", a.Gone)
 	}
+	n.tellPools(a)
 	message := &fleetpb.Announcements{Announcements: []*fleetpb.Announcement{announcementMessage(a, time.Now())}}
 	for _, h := range n.announceTo(a.Target.Domain) {
 		if link, ok := n.link(h.Address); ok {
--- /dev/null
+++ b/internal/process/fleet/fleet_test.go
@@ -0,0 +1,130 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// submit asks until the host knows targets for the job.
+func (f *fixture) submit(to *running, j scheduler.Job) scheduler.Answer {
+	var a scheduler.Answer
+	f.g.Eventually(func() failure.Kind {
+		a = to.Submit(context.Background(), j)
+		return a.Kind
+	}, limit, 20*time.Millisecond).ShouldNot(Or(Equal(failure.NoTargets), Equal(failure.NotReady)))
+	return a
+}
+
+func (f *fixture) holder() (held, other *running) {
+	a, b := f.nodes["a"], f.nodes["b"]
+	f.g.Eventually(func() bool { return a.Holds("north") || b.Holds("north") }, limit, 5*time.Millisecond).Should(BeTrue())
+	if a.Holds("north") {
+		return a, b
+	}
+	return b, a
+}
+
+func TestAnyHostOfADomainRunsAJob(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 20*time.Millisecond)
+	f.start("a", "north")
+	f.start("b", "north")
+	f.open("a", "b")
+	f.announce(f.nodes["a"], "north", 3)
+	f.announce(f.nodes["b"], "north", 3)
+	for i, name := range []string{"a", "b"} {
+		a := f.submit(f.nodes[name], job(fmt.Sprint("job", i), 4))
+		f.g.Expect(a.Outcome).To(Equal(scheduler.Completed), a.Reason)
+	}
+	f.g.Expect(f.workers.starts).To(HaveLen(8))
+	f.g.Expect(f.workers.starts).To(HaveEach(1))
+}
+
+// A holder that stops hands its jobs on: they are answered once, and no task is
+// started again.
+func TestAHolderThatStopsHandsItsJobsOver(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 300*time.Millisecond)
+	f.start("a", "north")
+	f.start("b", "north")
+	f.open("a", "b")
+	f.announce(f.nodes["a"], "north", 4)
+	f.announce(f.nodes["b"], "north", 4)
+	held, other := f.holder()
+	f.g.Expect(f.submit(held, job("first", 1)).Outcome).To(Equal(scheduler.Completed))
+	f.g.Eventually(func() bool { return f.sees(other, held) }, limit, 5*time.Millisecond).Should(BeTrue())
+	var wait sync.WaitGroup
+	answers := make([]scheduler.Answer, 6)
+	for i := range answers {
+		from := []*running{held, other}[i%2]
+		wait.Go(func() { answers[i] = from.Submit(context.Background(), job(fmt.Sprint("job", i), 2)) })
+	}
+	time.Sleep(100 * time.Millisecond) // most tasks are at work; which does not matter
+	held.Leave(context.Background())
+	wait.Wait()
+	for _, a := range answers {
+		f.g.Expect(a.Outcome).To(Equal(scheduler.Completed), a.Reason)
+	}
+	f.g.Expect(other.Holds("north")).To(BeTrue())
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	f.g.Expect(f.workers.overlap).To(BeEmpty())
+	f.g.Expect(f.workers.starts).To(HaveEach(1))
+}
+
+// sees reports whether both hosts know each other.
+func (f *fixture) sees(a, b *running) bool { return len(a.Hosts()) > 0 && len(b.Hosts()) > 0 }
+
+// The only host of a domain stops: a host of another domain goes on with its
+// jobs.
+func TestAnotherDomainTakesThePoolOfTheLastHost(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 300*time.Millisecond)
+	f.start("a", "south")
+	f.start("b", "north")
+	f.open("a", "b")
+	f.announce(f.nodes["a"], "south", 1)
+	f.announce(f.nodes["b"], "north", 2)
+	north := f.nodes["b"]
+	f.g.Expect(f.submit(north, job("first", 1)).Outcome).To(Equal(scheduler.Completed))
+	answer := make(chan scheduler.Answer, 1)
+	go func() { answer <- north.Submit(context.Background(), job("second", 2)) }()
+	time.Sleep(100 * time.Millisecond)
+	north.Leave(context.Background())
+	f.g.Expect((<-answer).Outcome).To(Equal(scheduler.Completed))
+	f.g.Expect(f.nodes["a"].Holds("north")).To(BeTrue())
+	f.g.Expect(f.workers.starts).To(HaveEach(1))
+}
+
+// A job that was handed over while it ran is not refused when the new holder
+// cannot be reached: it may have run.
+func TestAHandedJobIsNotRefused(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 5*time.Second)
+	f.start("a", "north")
+	f.start("b", "north")
+	f.open("a", "b")
+	f.announce(f.nodes["a"], "north", 2)
+	f.announce(f.nodes["b"], "north", 2)
+	held, other := f.holder()
+	f.g.Eventually(func() bool { return f.sees(other, held) }, limit, 5*time.Millisecond).Should(BeTrue())
+	answer := make(chan scheduler.Answer, 1)
+	go func() { answer <- f.submit(held, job("second", 1)) }()
+	f.g.Eventually(func() int {
+		f.workers.mu.Lock()
+		defer f.workers.mu.Unlock()
+		return len(f.workers.starts)
+	}, limit, 5*time.Millisecond).Should(Equal(1))
+	held.Leave(context.Background())
+	other.stop()
+	a := <-answer
+	f.g.Expect(a.Outcome).To(Equal(scheduler.Broken), a.Reason)
+}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -210,6 +210,12 @@
 	return h
 }
 
+// Holds reports whether this host holds a domain's pool.
+func (n *Node) Holds(domain string) bool {
+	address, ok := n.holderOf(domain)
+	return ok && address == n.config.Self.Address
+}
+
 // Leaving reports whether this host is stopping.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -35,9 +35,13 @@
 
 // takeIn remembers an announcement that another host passed on.
 func (n *Node) takeIn(a Announcement) {
-	if !n.beats.learn(a) {
-		return
+	if n.beats.learn(a) {
+		n.tellPools(a)
 	}
+}
+
+// tellPools passes an announcement to the pools of this host.
+func (n *Node) tellPools(a Announcement) {
 	for _, p := range n.openPools() {
 		p.tell(announceEvent{a})
 	}
@@ -69,13 +73,13 @@
 func replyMessage(a scheduler.Answer) *fleetpb.JobReply {
 	return &fleetpb.JobReply{
 		Outcome: uint32(a.Outcome), Kind: string(a.Kind), Reason: a.Reason,
-		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Pool: a.Pool, Holder: a.Holder,
+		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Pool: a.Pool, Holder: a.Holder, Handed: a.Handed,
 	}
 }
 
 func answerFrom(m *fleetpb.JobReply) scheduler.Answer {
 	return scheduler.Answer{
 		Outcome: scheduler.Outcome(m.GetOutcome()), Kind: failure.Kind(m.GetKind()), Reason: m.GetReason(),
-		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Pool: m.GetPool(), Holder: m.GetHolder(),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Pool: m.GetPool(), Holder: m.GetHolder(), Handed: m.GetHanded(),
 	}
 }
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -12,6 +12,9 @@
 const (
 	holderPause = 20 * time.Millisecond // between two looks for a pool's holder
 	holderTries = 5                     // looks for a holder before a job is refused; below a tenth of a second
+	// handedTries is the same for a job that the former holder handed over while
+	// it ran: the new one drops it after two seconds, so asking longer is of no use.
+	handedTries = 90
 )
 
 // Submit runs a job and returns its answer. The job is withdrawn when ctx ends.
@@ -30,32 +33,47 @@
 	return a
 }
 
-// submitTo runs a job in a pool, asking its holder of the moment.
+// submitTo runs a job in a pool, asking its holder of the moment. A job that was
+// handed over while it ran is never refused: it may have run.
 func (n *Node) submitTo(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
 	answer := refusedBy(failure.New(failure.NotReady, "no host holds the targets of "+pool))
-	for range holderTries {
+	handed, next := false, ""
+	for try := 0; try < holderTries || handed && try < handedTries; try++ {
 		address, ok := n.holderOf(pool)
-		if answer.Holder != "" {
-			address, ok = answer.Holder, true
+		if next != "" {
+			address, ok, next = next, true, ""
 		}
 		if ok {
 			answer = n.submitAt(ctx, address, pool, j)
 			if answer.Outcome != scheduler.Moved {
-				return answer
-			}
-			if answer.Holder != "" {
-				continue
+				return truthful(answer, handed)
 			}
+			handed = handed || answer.Handed
+			next = answer.Holder
+		}
+		if answer.Handed {
+			continue
 		}
 		select {
 		case <-ctx.Done():
-			return answer
+			return truthful(answer, handed)
 		case <-time.After(holderPause):
 		}
 	}
 	answer.Outcome = scheduler.Refused
 	answer.RetryAfter = failure.Lookup(failure.NotReady).ComeBack
-	return answer
+	return truthful(answer, handed)
+}
+
+// truthful turns the refusal of a job that was handed over while it ran into an
+// unknown end.
+func truthful(a scheduler.Answer, handed bool) scheduler.Answer {
+	if handed && (a.Outcome == scheduler.Refused || a.Outcome == scheduler.Spill || a.Outcome == scheduler.Moved) {
+		return scheduler.Answer{
+			Outcome: scheduler.Broken, Kind: failure.AnswerLost, Reason: "the job was handed over, then: " + a.Reason,
+		}
+	}
+	return a
 }
 
 // submitHere runs a job in a pool that this host holds.
@@ -78,6 +96,7 @@
 		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "the pool's holder is not known"}
 	}
 	conn := link.Current()
+	conn.ResetConnectBackoff() // the host may have started a moment ago
 	if !link.Connected(ctx, conn) {
 		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "the pool's holder cannot be reached"}
 	}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -264,7 +264,7 @@
 func (c *Core) HandedOver(holder string) []Effect {
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		for _, w := range c.jobs[id].waiters {
-			c.emit(Reply{Waiter: w, Job: id, Answer: Answer{Outcome: Moved, Holder: holder, Reason: "the pool was handed over"}})
+			c.emit(Reply{Waiter: w, Job: id, Answer: Answer{Outcome: Moved, Handed: true, Holder: holder, Reason: "the pool was handed over"}})
 		}
 	}
 	c.jobs = map[string]*jobState{}
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -106,6 +106,7 @@
 	Reason     string        // what decided, for the log
 	RetryAfter time.Duration // for a job that was refused
 	Pool       string        // where a spilled job goes
+	Handed     bool          // of a job that moved: the new holder goes on with it
 	Holder     string        // the host that holds the pool, for a job that moved; empty if not known
 }
 
