Make the way of a job to a pool's holder a pure step, test it without hosts

Change: route.submit takes the holder, the question and the pause as arguments. Tests: TestAHandedJobWhoseHolderIsAwayIsNotRefused, seen failing with truthful switched off.

--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -33,47 +33,21 @@
 	return a
 }
 
-// submitTo runs a job in a pool, asking its holder of the moment. A job that was
-// handed over while it ran is never refused: it may have run.
+// submitTo runs a job in a pool, asking its holder of the moment.
 func (n *Node) submitTo(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
-	answer := refusedBy(failure.New(failure.NotReady, "no host holds the targets of "+pool))
-	handed, next := false, ""
-	for try := 0; try < holderTries || handed && try < handedTries; try++ {
-		address, ok := n.holderOf(pool)
-		if next != "" {
-			address, ok, next = next, true, ""
-		}
-		if ok {
-			answer = n.submitAt(ctx, address, pool, j)
-			if answer.Outcome != scheduler.Moved {
-				return truthful(answer, handed)
+	r := route{
+		holder: func() (string, bool) { return n.holderOf(pool) },
+		ask:    func(address string) scheduler.Answer { return n.submitAt(ctx, address, pool, j) },
+		pause: func() bool {
+			select {
+			case <-ctx.Done():
+				return false
+			case <-time.After(holderPause):
+				return true
 			}
-			handed = handed || answer.Handed
-			next = answer.Holder
-		}
-		if answer.Handed {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-			return truthful(answer, handed)
-		case <-time.After(holderPause):
-		}
+		},
 	}
-	answer.Outcome = scheduler.Refused
-	answer.RetryAfter = failure.Lookup(failure.NotReady).ComeBack
-	return truthful(answer, handed)
-}
-
-// truthful turns the refusal of a job that was handed over while it ran into an
-// unknown end.
-func truthful(a scheduler.Answer, handed bool) scheduler.Answer {
-	if handed && (a.Outcome == scheduler.Refused || a.Outcome == scheduler.Spill || a.Outcome == scheduler.Moved) {
-		return scheduler.Answer{
-			Outcome: scheduler.Broken, Kind: failure.AnswerLost, Reason: "the job was handed over, then: " + a.Reason,
-		}
-	}
-	return a
+	return r.submit(refusedBy(failure.New(failure.NotReady, "no host holds the targets of "+pool)))
 }
 
 // submitHere runs a job in a pool that this host holds.
