Repeat the first read soon, let a fenced holder listen before it claims again

When a cut of bacha-b and hagiang-d ended at 39.2 s, another domain's host reached their targets before it heard their entry hosts, took the pools, and both sides raised their tokens in turn. Ruled out: lost state; the versions in force were the newest at each host. Tests: TestTheFirstReadIsRepeatedSoon (failing before), TestAFencedHolderListensFirst.

--- a/internal/process/controller/config.go
+++ b/internal/process/controller/config.go
@@ -15,11 +15,12 @@
 	// one message of the default size.
 	MaxContent = 3 << 20
 
-	stateName     = "register" // file in the data folder
-	eventRing     = 256        // messages that wait for the owner
-	operationRing = 64         // operations that wait for the one in progress
-	peerRing      = 32         // messages that wait for one peer
-	foundAfter    = 8          // surveys without all hosts before the register is founded
+	stateName     = "register"             // file in the data folder
+	eventRing     = 256                    // messages that wait for the owner
+	operationRing = 64                     // operations that wait for the one in progress
+	peerRing      = 32                     // messages that wait for one peer
+	firstReads    = 100 * time.Millisecond // between reads until one was confirmed; some round trips
+	foundAfter    = 8                      // surveys without all hosts before the register is founded
 )
 
 // Config configures a Controller.
--- a/internal/process/controller/own.go
+++ b/internal/process/controller/own.go
@@ -50,13 +50,29 @@
 	if c.isFresh() {
 		return c.config.Timing.Attempt / 2
 	}
-	if _, confirmed := c.copy.get(); confirmed.IsZero() {
-		return c.config.Timing.Attempt / 4 // nothing may be served before
+	if c.isUnconfirmed() {
+		return firstReads
 	}
 	mean := c.config.Timing.Confirm
 	return mean/2 + time.Duration(c.config.Random.Int64N(int64(mean)))
 }
 
+// isUnconfirmed reports whether the local copy was never known to be current
+// since the start. Nothing may be served before.
+func (c *Controller) isUnconfirmed() bool {
+	_, confirmed := c.copy.get()
+	return confirmed.IsZero()
+}
+
+// attemptTime returns when an attempt is repeated. The first read is repeated
+// soon: hosts that start together are not reachable at once.
+func (c *Controller) attemptTime(o *operation) time.Duration {
+	if o.change == nil && c.isUnconfirmed() {
+		return min(firstReads, c.config.Timing.Attempt)
+	}
+	return c.config.Timing.Attempt
+}
+
 func (c *Controller) onEvent(e event) {
 	if e.request == nil {
 		c.onReply(e.reply)
@@ -135,7 +151,7 @@
 	c.started = c.config.Clock()
 	c.failed = 0
 	c.delayed = false
-	c.timer.Reset(c.config.Timing.Attempt)
+	c.timer.Reset(c.attemptTime(o))
 	if o.change == nil {
 		c.dispatch(c.proposer.Read())
 	} else {
@@ -164,7 +180,7 @@
 	}
 	c.failed++
 	c.delayed = false
-	c.timer.Reset(c.config.Timing.Attempt)
+	c.timer.Reset(c.attemptTime(c.current))
 	c.dispatch(c.proposer.Retry())
 	c.progress()
 }
--- a/internal/process/controller/spare_test.go
+++ b/internal/process/controller/spare_test.go
@@ -82,3 +82,18 @@
 	s.lose("h1")
 	s.g.Expect(s.change("h4", "after")).To(Succeed())
 }
+
+// A host that starts before its peers can be reached must not wait for the time
+// of a whole attempt, here an hour, until it may serve.
+func TestTheFirstReadIsRepeatedSoon(t *testing.T) {
+	s := newSite(t, quick, 1, 2)
+	s.settle()
+	s.crash("h1")
+	s.timing.Attempt = time.Hour
+	s.bus.setCut("h1", true)
+	s.start("h1")
+	time.Sleep(20 * time.Millisecond) // lets the first read be lost; without it the test proves less
+	s.bus.setCut("h1", false)
+	s.g.Eventually(func() time.Duration { return s.nodes["h1"].Status().Age }, 20*time.Second, 5*time.Millisecond).
+		Should(BeNumerically(">=", 0))
+}
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -27,6 +27,7 @@
 	settleFor    = 500 * time.Millisecond // a new host listens before it claims a pool
 	trustAfter   = 3 * time.Second        // an unconfirmed catalog is served with after this
 	fencedPause  = 5 * time.Second        // a host that was fenced and hears nobody claims nothing for so long
+	freshFor     = 3 * time.Second        // after its start a host takes a higher token for one of its own of before
 	homeAfter    = time.Second            // an entry host is heard for so long before its domain's pool returns to it
 	handTimeout  = 500 * time.Millisecond // for another host to take a pool over
 	tickEvery    = 20 * time.Millisecond  // of the scheduler
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -98,21 +98,21 @@
 	}
 }
 
-// onFenced takes in that a target obeys another holder. Where none is known,
-// the token is raised, unless this host hears nobody: then it is cut off, and
-// the others hold the pool.
+// onFenced takes in that a target obeys another holder. A host that has just
+// started raises its token: it may have forgotten a higher one, or its clock went
+// back. Any other gives the pool up and listens for the holder.
 func (p *pool) onFenced(s *session, now time.Time) {
-	if now.Sub(p.raised) < settleFor {
+	p.log.Warn("A target refused an order.", "target", s.ref.ID, "token", s.token, "reason", "it obeys a higher token")
+	if now.Sub(p.node.catalogs.started) > freshFor {
+		p.fenced = now
+		p.view.Fence(now)
+		p.yield(now, "a target obeys another holder")
 		return
 	}
-	p.raised = now
-	if p.node.isolated() {
-		p.fenced = now
-		p.view.Release(now)
-		p.yield(now, "a target obeys another holder and no other host is heard")
+	if now.Sub(p.raised) < settleFor {
 		return
 	}
-	p.log.Warn("A target refused an order.", "target", s.ref.ID, "token", s.token, "reason", "it obeys a higher token")
+	p.raised = now
 	p.apply(p.core.GiveUp(), now)
 	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
 	p.view.Raise(now)
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -26,18 +26,19 @@
 	claims atomic.Pointer[[]*fleetpb.Claim]
 	ids    atomic.Uint64 // of waiters
 
-	view     *holder.Pool
-	core     *scheduler.Core
-	sessions map[string]*session
-	waiters  map[uint64]waiter
-	raised   time.Time // when the token was raised last
-	fenced   time.Time // when the pool was given up while no other host was heard
-	handing  bool      // the jobs are on their way to another holder
-	parked   []submitEvent
-	probed   time.Time // when a target was asked last whether it can be reached
-	reached  time.Time // when one answered
-	home     time.Time // since when an entry host of the pool's own domain is heard
-	watch    *watch
+	view         *holder.Pool
+	core         *scheduler.Core
+	sessions     map[string]*session
+	waiters      map[uint64]waiter
+	raised       time.Time // when the token was raised last
+	fenced       time.Time // when the pool was given up while no other host was heard
+	handing      bool      // the jobs are on their way to another holder
+	parked       []submitEvent
+	probed       time.Time // when a target was asked last whether it can be reached
+	reached      time.Time // when one answered last
+	reachedSince time.Time // when one answered first, without a pause since; zero if none does
+	home         time.Time // since when an entry host of the pool's own domain is heard
+	watch        *watch
 }
 
 // waiter is a caller, or the host that passed its job on.
--- a/internal/process/holder/pool.go
+++ b/internal/process/holder/pool.go
@@ -94,10 +94,18 @@
 	p.take(now)
 }
 
-// Raise takes a higher token, after a target refused the present one while no
-// other holder is known.
-func (p *Pool) Raise(now time.Time) {
+// Fence takes in that targets obey a higher token than this host's. The host
+// listens again before it claims, in case another one holds the pool, and then
+// with a token above any that a clock has likely given.
+func (p *Pool) Fence(now time.Time) {
 	p.highest = max(p.highest, p.claim.Token) + raiseBy
+	p.claim = Claim{}
+	p.since = now
+}
+
+// Raise takes a higher token at once, where no other host can hold the pool.
+func (p *Pool) Raise(now time.Time) {
+	p.Fence(now)
 	p.take(now)
 }
 
--- a/internal/process/holder/pool_test.go
+++ b/internal/process/holder/pool_test.go
@@ -68,6 +68,25 @@
 	g.Expect(p.Claim().Token).To(BeNumerically(">", before+5000))
 }
 
+// A former holder that was cut off and finds itself fenced must let the holder
+// be heard before it claims again, or both would raise their tokens in turn.
+func TestAFencedHolderListensFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := holder.NewPool("a", settle, begun)
+	p.Receive(1, begun)
+	before := p.Claim().Token
+	p.Fence(begun)
+	g.Expect(p.Held()).To(BeFalse())
+	g.Expect(p.Decide(nobody, []string{"a"}, begun.Add(settle/2))).To(Equal(holder.Unchanged))
+	other := holder.Claim{Holder: "b", Token: before + 5}
+	p.Hear(other)
+	g.Expect(p.Decide(everyone, []string{"a"}, begun.Add(time.Hour))).To(Equal(holder.Unchanged))
+	g.Expect(p.Claim()).To(Equal(other))
+	p.Release(begun)
+	g.Expect(p.Decide(nobody, []string{"a"}, begun)).To(Equal(holder.Taken))
+	g.Expect(p.Claim().Token).To(BeNumerically(">", before+5000))
+}
+
 // Hosts that hear each other's claims, in any order and with any losses, agree
 // on one holder once all claims are heard, and no token is used by two hosts.
 func TestHostsAgreeOnOneHolder(t *testing.T) {
