Wait for the first contact before a pool is claimed

Change: the time of listening counts from the first host heard; a host that hears none waits 2 s. Listening takes 0.3 s, a little more than a greeting's pause. Tests: TestAHostThatHearsNobodyWaitsForOthers.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -24,7 +24,8 @@
 	lostAfter    = 3 * time.Second        // a voter silent for so long gives its vote to a spare
 	leaveTimeout = time.Second            // for a stopping host to give up its vote
 	confirmEvery = time.Second            // mean time between reads that confirm the catalog
-	settleFor    = 500 * time.Millisecond // a new host listens before it claims a pool
+	settleFor    = 300 * time.Millisecond // a host listens for a holder, a little longer than a greeting's pause, before it claims a pool
+	aloneFor     = 2 * time.Second        // a host that hears no other claims after this
 	trustAfter   = 3 * time.Second        // an unconfirmed catalog is served with after this
 	fencedPause  = 5 * time.Second        // a host that was fenced and hears nobody claims nothing for so long
 	freshFor     = 3 * time.Second        // after its start a host takes a higher token for one of its own of before
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -59,7 +59,7 @@
 		log:      logging.For(n.config.Log, "pool"),
 		events:   make(chan event, eventRing),
 		ended:    make(chan struct{}),
-		view:     holder.NewPool(n.config.Self.Address, settleFor, time.Now()),
+		view:     holder.NewPool(n.config.Self.Address, settleFor, aloneFor, time.Now()),
 		sessions: map[string]*session{},
 		waiters:  map[uint64]waiter{},
 		watch:    newWatch(n.config.Metrics),
@@ -152,7 +152,10 @@
 }
 
 func (p *pool) decide(now time.Time) {
-	if now.Sub(p.fenced) < fencedPause && p.node.isolated() {
+	isolated := p.node.isolated()
+	if !isolated {
+		p.view.Contact(now)
+	} else if now.Sub(p.fenced) < fencedPause {
 		return
 	}
 	if p.name != p.node.config.Self.Domain && !p.reachable(now) {
--- a/internal/process/holder/pool.go
+++ b/internal/process/holder/pool.go
@@ -35,12 +35,35 @@
 	highest uint64
 	since   time.Time // when this host began to look for a holder
 	settle  time.Duration
+	alone   time.Duration
+	begun   time.Time
+	contact time.Time // when another host was heard first; zero if none was
 }
 
-// NewPool returns a Pool whose host listens for the time settle before it
-// claims what nobody seems to hold.
-func NewPool(self string, settle time.Duration, now time.Time) *Pool {
-	return &Pool{self: self, settle: settle, since: now}
+// NewPool returns a Pool whose host listens for the time settle, after it has
+// heard any other host, before it claims what nobody seems to hold. A host that
+// hears none claims after the time alone: hosts that start together must find
+// each other first.
+func NewPool(self string, settle, alone time.Duration, now time.Time) *Pool {
+	return &Pool{self: self, settle: settle, alone: alone, since: now, begun: now}
+}
+
+// Contact takes in that another host is heard.
+func (p *Pool) Contact(now time.Time) {
+	if p.contact.IsZero() {
+		p.contact = now
+	}
+}
+
+// listened reports whether the host has listened for long enough.
+func (p *Pool) listened(now time.Time) bool {
+	if now.Sub(p.since) < p.settle {
+		return false
+	}
+	if p.contact.IsZero() {
+		return now.Sub(p.begun) >= p.alone
+	}
+	return now.Sub(p.contact) >= p.settle || now.Sub(p.begun) >= p.alone
 }
 
 // Claim returns the best claim known.
@@ -75,7 +98,7 @@
 		return Unchanged
 	}
 	first := len(candidates) > 0 && candidates[0] == p.self
-	if !first || now.Sub(p.since) < p.settle {
+	if !first || !p.listened(now) {
 		return Unchanged
 	}
 	p.take(now)
--- a/internal/process/holder/pool_test.go
+++ b/internal/process/holder/pool_test.go
@@ -13,16 +13,26 @@
 
 func TestMain(m *testing.M) { fixedseed.Main(m) }
 
-const settle = 500 * time.Millisecond
+const (
+	settle = 500 * time.Millisecond
+	alone  = 2 * time.Second
+)
 
 var begun = time.UnixMilli(1_000_000)
 
+// newPool returns a pool of a host that hears others.
+func newPool(self string) *holder.Pool {
+	p := holder.NewPool(self, settle, alone, begun)
+	p.Contact(begun)
+	return p
+}
+
 func everyone(string) bool { return true }
 func nobody(string) bool   { return false }
 
 func TestTheFirstCandidateClaimsAfterListening(t *testing.T) {
 	g := NewWithT(t)
-	p := holder.NewPool("a", settle, begun)
+	p := newPool("a")
 	g.Expect(p.Decide(nobody, []string{"a", "b"}, begun)).To(Equal(holder.Unchanged))
 	g.Expect(p.Decide(nobody, []string{"b", "a"}, begun.Add(settle))).To(Equal(holder.Unchanged), "b comes first")
 	g.Expect(p.Decide(nobody, []string{"a", "b"}, begun.Add(settle))).To(Equal(holder.Taken))
@@ -30,9 +40,22 @@
 	g.Expect(p.Claim().Token).To(BeNumerically(">=", begun.UnixMilli()))
 }
 
+// After a loss of power all hosts start at once and none hears another: if each
+// claimed, jobs would begin at several holders.
+func TestAHostThatHearsNobodyWaitsForOthers(t *testing.T) {
+	g := NewWithT(t)
+	p := holder.NewPool("a", settle, alone, begun)
+	g.Expect(p.Decide(nobody, []string{"a"}, begun.Add(settle))).To(Equal(holder.Unchanged))
+	p.Contact(begun.Add(settle))
+	g.Expect(p.Decide(nobody, []string{"a"}, begun.Add(settle+settle/2))).To(Equal(holder.Unchanged))
+	g.Expect(p.Decide(nobody, []string{"a"}, begun.Add(2*settle))).To(Equal(holder.Taken))
+	p = holder.NewPool("a", settle, alone, begun)
+	g.Expect(p.Decide(nobody, []string{"a"}, begun.Add(alone))).To(Equal(holder.Taken))
+}
+
 func TestALivingHolderIsLeftAlone(t *testing.T) {
 	g := NewWithT(t)
-	p := holder.NewPool("a", settle, begun)
+	p := newPool("a")
 	p.Hear(holder.Claim{Holder: "b", Token: 5})
 	late := begun.Add(time.Hour)
 	g.Expect(p.Decide(everyone, []string{"a"}, late)).To(Equal(holder.Unchanged))
@@ -43,7 +66,7 @@
 
 func TestAHolderYieldsToAHigherToken(t *testing.T) {
 	g := NewWithT(t)
-	p := holder.NewPool("a", 0, begun)
+	p := holder.NewPool("a", 0, 0, begun)
 	p.Decide(nobody, []string{"a"}, begun)
 	own := p.Claim().Token
 	g.Expect(p.Hear(holder.Claim{Holder: "b", Token: own - 1})).To(Equal(holder.Unchanged))
@@ -53,7 +76,7 @@
 
 func TestAReceivedPoolHasAHigherTokenThoughTheClockIsBehind(t *testing.T) {
 	g := NewWithT(t)
-	p := holder.NewPool("a", settle, begun)
+	p := newPool("a")
 	ahead := uint64(begun.UnixMilli()) + 60_000
 	p.Receive(ahead, begun)
 	g.Expect(p.Claim()).To(Equal(holder.Claim{Holder: "a", Token: ahead + 1}))
@@ -61,7 +84,7 @@
 
 func TestARaisedTokenPassesAClockThatWasAhead(t *testing.T) {
 	g := NewWithT(t)
-	p := holder.NewPool("a", 0, begun)
+	p := holder.NewPool("a", 0, 0, begun)
 	p.Decide(nobody, []string{"a"}, begun)
 	before := p.Claim().Token
 	p.Raise(begun)
@@ -72,7 +95,7 @@
 // be heard before it claims again, or both would raise their tokens in turn.
 func TestAFencedHolderListensFirst(t *testing.T) {
 	g := NewWithT(t)
-	p := holder.NewPool("a", settle, begun)
+	p := newPool("a")
 	p.Receive(1, begun)
 	before := p.Claim().Token
 	p.Fence(begun)
@@ -82,8 +105,8 @@
 	p.Hear(other)
 	g.Expect(p.Decide(everyone, []string{"a"}, begun.Add(time.Hour))).To(Equal(holder.Unchanged))
 	g.Expect(p.Claim()).To(Equal(other))
-	p.Release(begun)
-	g.Expect(p.Decide(nobody, []string{"a"}, begun)).To(Equal(holder.Taken))
+	p.Release(begun.Add(settle))
+	g.Expect(p.Decide(nobody, []string{"a"}, begun.Add(settle))).To(Equal(holder.Taken))
 	g.Expect(p.Claim().Token).To(BeNumerically(">", before+5000))
 }
 
@@ -94,7 +117,7 @@
 		names := []string{"a", "b", "c"}
 		pools := map[string]*holder.Pool{}
 		for _, n := range names {
-			pools[n] = holder.NewPool(n, 0, begun)
+			pools[n] = holder.NewPool(n, 0, 0, begun)
 		}
 		users := map[uint64]string{}
 		now := begun
