End a begun job as failed once its answer is of no use, log starts, failures and inputs

Change: after four times its objective a job with a waiting task is answered failed. Each start and failed task has a line; refusals name the forecast and the shares. Tests: TestABegunJobEndsAsFailedOnceItsAnswerIsUseless.

--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -30,7 +30,6 @@
 	byID    map[string]*worker
 	starts  map[string]int // by task
 	overlap []string       // tasks of which two runs were at work at once
-	silent  bool           // answers nothing
 	work    time.Duration
 }
 
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -274,7 +274,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case scheduler.Start:
-			p.log.Debug("A start was ordered.", "job", e.Run.Job, "task", e.Run.Task(), "run", e.Run.Number, "target", e.Target)
+			p.log.Info("A start was ordered.", "job", e.Run.Job, "task", e.Run.Task(), "run", e.Run.Number, "target", e.Target)
 			if s, ok := p.sessions[e.Target]; ok {
 				s.start(e)
 			}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -50,10 +51,11 @@
 		return Answer{}, true
 	}
 	if !inShare && cores > 0 {
-		return c.elsewhere(s, c.refusal(failure.Overloaded, "the pool is full and the queue asks for more than its share", now))
+		return c.elsewhere(s, c.refusal(failure.Overloaded, c.shares.explain(s.Queue), now))
 	}
-	if c.forecast(s, now).After(s.due) {
-		return c.elsewhere(s, c.refusal(failure.DeadlineTooShort, "the work that goes before it ends too late", now))
+	if end := c.forecast(s, now); end.After(s.due) {
+		reason := fmt.Sprintf("it would end %v after its due time, behind %d waiting jobs", end.Sub(s.due).Round(time.Millisecond), len(c.queue))
+		return c.elsewhere(s, c.refusal(failure.DeadlineTooShort, reason, now))
 	}
 	if len(c.room) > 0 {
 		if pool, ok := c.spillTo(s); ok {
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -379,6 +380,10 @@
 		return
 	}
 	t.failures++
+	c.emit(Note{
+		Message: "A task failed.", Job: r.Job, Target: t.avoid,
+		Reason: fmt.Sprintf("task %s, run %d, %d of %d attempts used", r.Task(), r.Number, t.failures, s.MaxAttempts),
+	})
 	if t.failures >= s.MaxAttempts {
 		c.answer(s, Answer{Outcome: Failed, Kind: failure.TaskFailed, Reason: "a task failed as often as its queue allows"})
 	}
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -287,6 +287,24 @@
 	g.Expect(answer[0].Answer.RetryAfter).To(BeNumerically(">", 0))
 }
 
+// A job that has run in part is not refused; it ends as failed once its answer
+// is of no use, rather than be held until its caller leaves.
+func TestABegunJobEndsAsFailedOnceItsAnswerIsUseless(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(1)
+	s := starts(c.Submit(deskJob("j", 1), 1, at(0)))[0]
+	c.StartAnswered(s.Target, s.Run, Started, at(1))
+	gone := deskTarget(0)
+	gone.Draining = true
+	c.Announce(gone, at(2))
+	c.Lapsed(s.Target, at(500))
+	g.Expect(replies(c.Tick(at(850)))).To(BeEmpty(), "the objective is 220 ms")
+	answer := replies(c.Tick(at(900)))
+	g.Expect(answer).To(HaveLen(1))
+	g.Expect(answer[0].Answer.Outcome).To(Equal(Failed))
+	g.Expect(answer[0].Answer.Kind).To(Equal(failure.ExpiredRunning))
+}
+
 func TestAJobGoesToAPoolWithRoomRatherThanWait(t *testing.T) {
 	g := NewWithT(t)
 	c := newCore(1)
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -17,17 +17,22 @@
 // jobState is a job in progress.
 type jobState struct {
 	Job
-	tasks   []*task
-	pending int // tasks that wait
-	left    int // tasks that are not done
-	everRan bool
-	due     time.Time
-	startBy time.Time // latest start that meets the due time
-	waiters []uint64
-	handed  time.Time // until when a handed job waits to be asked for; zero for others
-	late    bool      // cannot be in time any more
+	tasks     []*task
+	pending   int // tasks that wait
+	left      int // tasks that are not done
+	everRan   bool
+	due       time.Time
+	startBy   time.Time // latest start that meets the due time
+	waiters   []uint64
+	uselessAt time.Time // an answer after this is worth nothing
+	handed    time.Time // until when a handed job waits to be asked for; zero for others
+	late      bool      // cannot be in time any more
 }
 
+// uselessAfter is the multiple of a job's objective after which its answer is
+// worth nothing: three by the users' rules, and one more as estimates err.
+const uselessAfter = 4
+
 func newJobState(j Job) *jobState {
 	s := &jobState{Job: j}
 	for step, st := range j.Steps {
@@ -43,6 +48,7 @@
 		s.due = j.Deadline
 	}
 	s.startBy = s.due.Add(-chain)
+	s.uselessAt = j.Arrived.Add(uselessAfter * j.objective())
 	return s
 }
 
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -112,16 +112,27 @@
 		return
 	}
 	if s.everRan {
-		if !s.late {
-			c.queue = slices.DeleteFunc(c.queue, func(q *jobState) bool { return q == s })
-			s.late = true
-			c.enqueue(s)
-		}
+		c.reviewBegun(s, now)
 		return
 	}
 	c.answer(s, c.refusal(failure.DeadlineTooShort, "no room came free before the latest start", now))
 }
 
+// reviewBegun puts a late job of which a task has run behind all others, and
+// ends it as failed once its answer is of no more use. It is not refused, as it
+// has run, and not left open for the same reason: its caller would send it again.
+func (c *Core) reviewBegun(s *jobState, now time.Time) {
+	if now.After(s.uselessAt) {
+		c.answer(s, Answer{Outcome: Failed, Kind: failure.ExpiredRunning, Reason: "a task waits, and the answer would come too late to be of use"})
+		return
+	}
+	if !s.late {
+		c.queue = slices.DeleteFunc(c.queue, func(q *jobState) bool { return q == s })
+		s.late = true
+		c.enqueue(s)
+	}
+}
+
 // stopHung stops the runs that make no progress.
 func (c *Core) stopHung(t *target, now time.Time) {
 	for _, r := range t.sortedRuns() {
--- a/internal/process/scheduler/shares.go
+++ b/internal/process/scheduler/shares.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"maps"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -18,7 +18,10 @@
 // shares divides a pool's capacity between queues by max-min fairness (Bertsekas
 // and Gallager, "Data Networks", 1992): a queue that asks for less than an equal
 // part gets all it asks for, and the others divide what is left equally.
-type shares struct{ queues map[string]*share }
+type shares struct {
+	queues map[string]*share
+	most   float64 // of one queue's demand, as it was worked out last
+}
 
 // share is one queue's demand and what it may still use, in core-milliseconds.
 type share struct {
@@ -40,7 +43,7 @@
 
 // offer takes in a job's work and reports whether it lies within the queue's
 // share of the capacity, in cores.
-func (s shares) offer(queue string, work, cores float64, now time.Time) bool {
+func (s *shares) offer(queue string, work, cores float64, now time.Time) bool {
 	q, ok := s.queues[queue]
 	if !ok {
 		q = &share{credit: math.Inf(1)}
@@ -53,6 +56,7 @@
 	}
 	q.offered += work
 	level := s.level(cores * float64(shareMemory.Milliseconds()))
+	s.most = level
 	if q.offered <= level {
 		q.credit = math.Inf(1)
 		return true
@@ -85,5 +89,12 @@
 	return math.Inf(1)
 }
 
-// names returns the queues in a fixed order.
-func (s shares) names() []string { return slices.Sorted(maps.Keys(s.queues)) }
+// explain says for the log what a queue asks for beside what it may have.
+func (s shares) explain(queue string) string {
+	q, ok := s.queues[queue]
+	if !ok {
+		return "the pool is full"
+	}
+	cores := func(work float64) float64 { return work / float64(shareMemory.Milliseconds()) }
+	return fmt.Sprintf("the pool is full, and the queue asks for %.1f cores where its share is %.1f", cores(q.offered), cores(s.most))
+}
