--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -119,11 +119,11 @@
 }
 
 // reviewBegun puts a late job of which a task has run behind all others, and
-// ends it as failed once its answer is of no more use. It is not refused, as it
-// has run, and not left open for the same reason: its caller would send it again.
+// gives it up once its answer is of no more use. It is not refused, as it has
+// run, and not failed, as no task failed too often.
 func (c *Core) reviewBegun(s *jobState, now time.Time) {
 	if now.After(s.uselessAt) {
-		c.answer(s, Answer{Outcome: Failed, Kind: failure.ExpiredRunning, Reason: "a task waits, and the answer would come too late to be of use"})
+		c.answer(s, Answer{Outcome: Broken, Kind: failure.ExpiredRunning, Reason: "a task waits, and the answer would come too late to be of use"})
 		return
 	}
 	if !s.late {
