Keep the greetings of a host flat as hosts grow, look at targets for a job only where one may have room

Cause: every entry host greeted every other each 250 ms, which grows with the square of the hosts (42 of them on the grown sites); each event tried up to 64 waiting jobs on all targets. Change: with more than 20 other hosts, those that hold no pool greet each other seldom, the more so the more there are; a task that needs more than the freest target has is not tried.

--- a/internal/process/discovery/table.go
+++ b/internal/process/discovery/table.go
@@ -71,6 +71,9 @@
 	return out
 }
 
+// Len returns how many hosts are known.
+func (t *Table) Len() int { return len(t.hosts) }
+
 // Get returns a host and the time since it was heard.
 func (t *Table) Get(address string, now time.Time) (Host, time.Duration, bool) {
 	e, ok := t.hosts[address]
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -17,10 +17,13 @@
 // bound detection, not delivery.
 const (
 	greetEntry   = 250 * time.Millisecond // between greetings to another entry host
+	greetIdle    = time.Second            // between greetings to an entry host that holds no pool, where there are many
+	fewHosts     = 20                     // up to so many other hosts all entry hosts greet each other often
 	greetControl = time.Second            // between greetings to or among hosts with a disk
 	greetFirst   = 100 * time.Millisecond // between greetings to a host that was never heard
 	greetTimeout = 400 * time.Millisecond // of one greeting; two lost ones replace the connection
 	aliveFor     = 900 * time.Millisecond // three greetings; below the 1 s of a lease
+	idlePauses   = 4                      // pauses after which a host that greets seldom no longer counts as alive
 	lostAfter    = 3 * time.Second        // a voter silent for so long gives its vote to a spare
 	leaveTimeout = time.Second            // for a stopping host to give up its vote
 	confirmEvery = time.Second            // mean time between reads that confirm the catalog
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -45,13 +45,67 @@
 	case !ok:
 		return greetFirst
 	case h.Entry && n.config.Self.Entry:
-		return greetEntry
+		return n.entryPause(h)
 	case h.Entry && age < 2*greetControl:
 		return 2 * greetControl
 	}
 	return greetControl
 }
 
+// entryPause returns the time between greetings to another entry host. Where
+// there are many, those that hold no pool greet each other seldom: the number of
+// greetings of a host then grows with the number of pools. The caller holds the
+// lock.
+func (n *Node) entryPause(h discovery.Host) time.Duration {
+	switch {
+	case n.few() || n.holdsPool(h.Address):
+		return greetEntry
+	case h.Domain == n.config.Self.Domain:
+		return n.idlePause()
+	}
+	return 2 * n.idlePause()
+}
+
+// idlePause returns the time between greetings of entry hosts that hold no pool;
+// it grows with the hosts, so that what each sends does not. The caller holds
+// the lock.
+func (n *Node) idlePause() time.Duration {
+	return greetIdle * time.Duration(max(1, n.table.Len()/fewHosts))
+}
+
+// few reports whether the entry hosts are few enough to greet each other often.
+// The caller holds the lock.
+func (n *Node) few() bool { return n.table.Len() <= fewHosts }
+
+// holdsPool reports whether a host is the last one known to hold some pool. The
+// caller holds the lock.
+func (n *Node) holdsPool(address string) bool {
+	if address == n.config.Self.Address {
+		for _, p := range n.pools {
+			if p.held.Load() {
+				return true
+			}
+		}
+		return false
+	}
+	for _, c := range n.claims {
+		if c.claim.Holder == address {
+			return true
+		}
+	}
+	return false
+}
+
+// window returns how long after it was heard last a host counts as alive: some
+// pauses between the greetings that pass between it and this one. The caller
+// holds the lock.
+func (n *Node) window(h discovery.Host) time.Duration {
+	if n.few() || n.holdsPool(h.Address) || n.holdsPool(n.config.Self.Address) {
+		return aliveFor
+	}
+	return idlePauses * n.idlePause()
+}
+
 func (n *Node) greetOnce(ctx context.Context, address string, link *hostlink.Link) bool {
 	limited, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/process/fleet/greet_test.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/holder"
+	"wasabifield.example/wasabifield/internal/process/metrics"
+)
+
+// greetingsASecond sums up what an entry host that holds no pool sends in a
+// system of 4 domains with one pool each and 8 disks.
+func greetingsASecond(t *testing.T, entryHosts int) float64 {
+	t.Helper()
+	g := NewWithT(t)
+	n, err := New(Config{
+		Self: discovery.Host{Address: "self", Domain: "d0", Entry: true}, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil),
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	now := time.Now()
+	sum := 0.0
+	var hosts []discovery.Host
+	for i := range entryHosts {
+		hosts = append(hosts, discovery.Host{Address: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%4), Entry: true})
+	}
+	for i := range 8 {
+		hosts = append(hosts, discovery.Host{Address: fmt.Sprint("c", i), Disk: true})
+	}
+	for i, h := range hosts {
+		n.table.Learn(h, 0, now)
+		if i < 4 {
+			n.claims[h.Domain] = claimHeard{claim: holder.Claim{Holder: h.Address, Token: 1}, heard: now}
+		}
+	}
+	for _, h := range hosts {
+		sum += 1 / n.greetPause(h.Address).Seconds()
+	}
+	return sum
+}
+
+// The cost of greetings must not grow with the square of the hosts: each host
+// sends about as much whatever their number, but for seldom ones.
+func TestGreetingsOfAHostGrowSlowlyWithTheHosts(t *testing.T) {
+	g := NewWithT(t)
+	small, large := greetingsASecond(t, 20), greetingsASecond(t, 80)
+	t.Logf("greetings a second: %.1f with 20 entry hosts, %.1f with 80", small, large)
+	g.Expect(large).To(BeNumerically("<", 2*small))
+	g.Expect(greetingsASecond(t, 8)).To(BeNumerically("<=", 8/greetEntry.Seconds()+8))
+}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -199,8 +199,8 @@
 func (n *Node) alive(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, age, ok := n.table.Get(address, time.Now())
-	return ok && age <= aliveFor
+	h, age, ok := n.table.Get(address, time.Now())
+	return ok && age <= n.window(h)
 }
 
 // Self returns this host as it tells others of itself.
@@ -286,8 +286,8 @@
 	if !ok || heard.claim.Holder == n.config.Self.Address {
 		return "", false
 	}
-	_, age, known := n.table.Get(heard.claim.Holder, time.Now())
-	return heard.claim.Holder, known && age <= aliveFor
+	h, age, known := n.table.Get(heard.claim.Holder, time.Now())
+	return heard.claim.Holder, known && age <= n.window(h)
 }
 
 // room returns what the pools other than one could take at once.
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -64,7 +64,10 @@
 // heard and not leaving, ordered. The caller holds the lock.
 func (n *Node) entryHosts(domain string, now time.Time) []string {
 	var out []string
-	for _, h := range n.table.Alive(aliveFor, now) {
+	for _, h := range n.table.Alive(idlePauses*n.idlePause(), now) {
+		if _, age, _ := n.table.Get(h.Address, now); age > n.window(h) {
+			continue
+		}
 		if h.Entry && !h.Leaving && (domain == "" || h.Domain == domain) {
 			out = append(out, h.Address)
 		}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -110,11 +110,15 @@
 	return n
 }
 
+// taskOf returns the task of a run, or nil if the job has none such. Tasks lie
+// in the order of their steps.
 func (s *jobState) taskOf(r Run) *task {
-	for _, t := range s.tasks {
-		if t.step == r.Step && t.index == r.Index {
-			return t
-		}
+	if r.Step < 0 || r.Step >= len(s.Steps) || r.Index < 0 || r.Index >= s.Steps[r.Step].Count {
+		return nil
+	}
+	place := r.Index
+	for _, step := range s.Steps[:r.Step] {
+		place += step.Count
 	}
-	return nil
+	return s.tasks[place]
 }
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -14,26 +14,48 @@
 // place starts waiting tasks in the order of the queue while targets have room.
 func (c *Core) place(now time.Time) {
 	tried := 0
+	most := c.mostFree(now)
 	for _, s := range slices.Clone(c.queue) {
 		if tried++; tried > tryAtMost {
 			break
 		}
-		c.placeJob(s, now)
+		if c.placeJob(s, most, now) {
+			most = c.mostFree(now)
+		}
 	}
 	c.queue = slices.DeleteFunc(c.queue, func(s *jobState) bool { return s.pending == 0 })
 }
 
-func (c *Core) placeJob(s *jobState, now time.Time) {
+// mostFree returns the most thousandths of a core that a usable target has free:
+// a task that needs more need not be tried on each target.
+func (c *Core) mostFree(now time.Time) int64 {
+	var most int64
+	for _, t := range c.targets {
+		if t.usable(now) {
+			most = max(most, t.free().CPUMilli)
+		}
+	}
+	return most
+}
+
+// placeJob starts what it can of a job's waiting tasks and reports whether it
+// started any.
+func (c *Core) placeJob(s *jobState, most int64, now time.Time) (started bool) {
 	for _, t := range s.tasks {
 		if t.done || t.run != nil || !s.ready(t) {
 			continue
 		}
+		if s.Steps[t.step].Need.CPUMilli > most {
+			return started
+		}
 		best := c.best(s, t, now)
 		if best == nil {
-			return
+			return started
 		}
 		c.start(s, t, best, now)
+		started = true
 	}
+	return started
 }
 
 // best returns the target for a task, or nil if none has room.
