--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -31,7 +31,7 @@
 	sessions     map[string]*session
 	waiters      map[uint64]waiter
 	raised       time.Time // when the token was raised last
-	fenced       time.Time // when the pool was given up while no other host was heard
+	fenced       time.Time // when the pool was given up because a target obeys another holder
 	handing      bool      // the jobs are on their way to another holder
 	parked       []submitEvent
 	probed       time.Time // when a target was asked last whether it can be reached
--- a/internal/process/scheduler/load_test.go
+++ b/internal/process/scheduler/load_test.go
@@ -55,7 +55,7 @@
 	speed    map[string]float64
 	lost     map[string]bool // targets that answer nothing
 	windows  map[int]*played // by two seconds
-	zones    map[int]*played
+	domains  map[int]*played
 	begun    time.Time
 }
 
@@ -108,7 +108,7 @@
 	p := &player{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), waiters: map[uint64]*playedJob{},
 		runs: map[string]*playedRun{}, results: map[string]*played{}, speed: map[string]float64{}, lost: map[string]bool{},
-		windows: map[int]*played{}, zones: map[int]*played{},
+		windows: map[int]*played{}, domains: map[int]*played{},
 	}
 	p.begun = p.now
 	for z := range pools {
@@ -183,7 +183,7 @@
 		Steps: []Step{{Count: count, Need: Resources{CPUMilli: cpu, MemoryMB: 64}, Estimate: estimate}},
 	}
 	r := p.result(c.name)
-	for _, x := range []*played{r, p.window(), p.zone(pool)} {
+	for _, x := range []*played{r, p.window(), p.domain(pool)} {
 		x.asked++
 		x.owed += j.value
 	}
@@ -205,11 +205,11 @@
 	return p.windows[w]
 }
 
-func (p *player) zone(pool int) *played {
-	if p.zones[pool] == nil {
-		p.zones[pool] = &played{}
+func (p *player) domain(pool int) *played {
+	if p.domains[pool] == nil {
+		p.domains[pool] = &played{}
 	}
-	return p.zones[pool]
+	return p.domains[pool]
 }
 
 func (p *player) apply(pool int, effects []Effect) {
@@ -273,7 +273,7 @@
 	}
 	delete(p.waiters, e.Waiter)
 	took := p.now.Sub(j.arrived) + clientDelay/2
-	for _, x := range []*played{p.result(j.class.name), p.windowOf(j.arrived), p.zone(j.pool)} {
+	for _, x := range []*played{p.result(j.class.name), p.windowOf(j.arrived), p.domain(j.pool)} {
 		switch {
 		case e.Answer.Outcome == Completed && took <= j.aim:
 			x.inAim++
@@ -339,7 +339,7 @@
 	return sum
 }
 
-// hutShares are the zones' shares of the traffic on the users' sheet.
+// hutShares are the domains' shares of the traffic on the users' sheet.
 var hutShares = []float64{29.4 / 140.6, 38.2 / 140.6, 39.3 / 140.6, 33.7 / 140.6}
 
 func playHuts(seed uint64, load func(time.Duration) float64, length time.Duration) *player {
@@ -354,9 +354,9 @@
 
 func newHutPlayer(adjust func(*Config), seed uint64, load func(time.Duration) float64, length time.Duration) *player {
 	p := newPlayer(adjust, seed, len(hutShares))
-	for zone, share := range hutShares {
+	for domain, share := range hutShares {
 		for _, c := range hutClasses {
-			p.arrivals(zone, c, share, length, load)
+			p.arrivals(domain, c, share, length, load)
 		}
 	}
 	return p
--- a/internal/process/scheduler/shares.go
+++ b/internal/process/scheduler/shares.go
@@ -10,9 +10,9 @@
 const (
 	// shareMemory is the time over which demand is averaged: the shortest burst
 	// in the users' letter lasts a few of these.
-	shareMemory = 3000 * time.Millisecond
+	shareMemory = 3 * time.Second
 	// shareBurst is how much of its share a queue may save up.
-	shareBurst = 1000 * time.Millisecond
+	shareBurst = time.Second
 )
 
 // shares divides a pool's capacity between queues by max-min fairness (Bertsekas
