Make no second read right after the first confirmed one, name the new kind in reports

TestChangeCostsBoundedMessagesAndSyncs saw 225 calls where 220 are allowed: the timer of the repeated first reads fired once more after the confirmation, its read met a change and completed it. TestEveryKindHasItsOwnWords: not_supported had no words. Change: that timer reads again only if nothing was confirmed or the disk may join.

--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -25,14 +25,20 @@
 	if c.current != nil {
 		return
 	}
-	entry, confirmed := c.copy.get()
-	if c.config.Folder != nil && !confirmed.IsZero() && c.wantsVote(entry.Value) {
+	if c.mayJoin() {
 		c.startOwn(ctx, c.joinVoters())
 		return
 	}
 	c.startOwn(ctx, nil)
 }
 
+// mayJoin reports whether this host's disk should become a voter, as far as the
+// confirmed copy tells.
+func (c *Controller) mayJoin() bool {
+	entry, confirmed := c.copy.get()
+	return c.config.Folder != nil && !confirmed.IsZero() && c.wantsVote(entry.Value)
+}
+
 // startOwn begins an operation of the controller itself.
 func (c *Controller) startOwn(ctx context.Context, change register.Change) {
 	limited, cancel := context.WithTimeout(ctx, c.config.Timing.Attempt)
--- a/internal/process/controller/own.go
+++ b/internal/process/controller/own.go
@@ -15,6 +15,7 @@
 func (c *Controller) own(ctx context.Context) {
 	confirm := time.NewTimer(0)
 	defer confirm.Stop()
+	first := true // no read was confirmed when the timer was set
 	defer c.timer.Stop()
 	for {
 		waiting, given := c.operations, (<-chan struct{})(nil)
@@ -38,7 +39,10 @@
 		case <-c.timer.C:
 			c.repeat()
 		case <-confirm.C:
-			c.onConfirm(ctx)
+			if !first || c.isUnconfirmed() || c.mayJoin() {
+				c.onConfirm(ctx)
+			}
+			first = c.isUnconfirmed()
 			confirm.Reset(c.confirmDelay())
 		}
 	}
--- a/internal/request/report/words.go
+++ b/internal/request/report/words.go
@@ -15,6 +15,7 @@
 	failure.HolderUnreachable: "the machine that knows of the request could not be reached",
 	failure.NotReady:          "the machine had just started and had no rules yet",
 	failure.Draining:          "the machine was being stopped for planned work",
+	failure.NotSupported:      "a kind of work was asked for that the service does not do yet",
 	failure.NeverRunnable:     "nothing that is connected could ever do the work",
 	failure.NoTargets:         "nothing that could do the work was connected at that time",
 	failure.OverQuota:         "the team had used up its agreed share",
