Split the targets of a large domain into parts, each ordered by one host

Cause: one holder orders all 88 targets of a grown domain on 0.192 cores, and each announcement of a target was a message of its own to each entry host. Change: package parts (pure): the part of a target by a hash of its id, a number of parts that only doubles (24 targets a part), and the choice of a pool for a job, the roomier of two drawn ones. The holder of the first part counts the targets and tells the number with its claim. Targets that go to another part get no new work from their pool and are released when nothing runs there. Jobs spill to pools of the same domain first. Announcements are gathered for 50 ms where there are many hosts. Pools that another host holds look at their claim every 100 ms instead of every 20 ms. Hosts greet holders of other domains each second. Tests: parts (properties, played load), a domain that is split under load with two hosts (partition_test.go). Also: a target that starts anew under its id. Its runs are now stopped at the new incarnation first. A target that is new to a pool counts as not clear from the first moment, and leases of before a session count for their time.

--- a/internal/process/fleet/beats.go
+++ b/internal/process/fleet/beats.go
@@ -7,6 +7,8 @@
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/parts"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
 )
 
 const (
@@ -16,6 +18,10 @@
 	// passOnTimeout bounds the passing on of an announcement; the next one
 	// makes good a lost one.
 	passOnTimeout = 500 * time.Millisecond
+	// gatherFor is how long announcements wait for others to the same hosts. A
+	// target that drains serves on for seconds.
+	gatherFor = 50 * time.Millisecond
+	passRing  = 512 // announcements that wait to be passed on; more than all targets send in a second
 )
 
 // beats remembers the newest announcement of each target.
@@ -71,26 +77,87 @@
 			"sequence", a.Sequence, "draining", a.Target.Draining, "gone", a.Gone)
 	}
 	n.tellPools(a)
-	message := &fleetpb.Announcements{Announcements: []*fleetpb.Announcement{announcementMessage(a, time.Now())}}
-	for _, h := range n.announceTo(a.Target.Domain) {
-		if link, ok := n.link(h.Address); ok {
-			n.group.Go(func() error {
-				ctx, cancel := context.WithTimeout(n.running, passOnTimeout)
-				defer cancel()
-				if _, err := fleetpb.NewFleetClient(link).Announce(ctx, message); err != nil {
-					n.log.Warn("An announcement was not passed on.", "target", a.Target.ID, "peer", h.Address, "error", err)
-				}
+	select {
+	case n.toPassOn <- a:
+	default:
+		n.log.Warn("An announcement was not passed on.", "target", a.Target.ID, "reason", "too many wait")
+	}
+}
+
+// passOn sends announcements on until ctx is cancelled, those of a short while
+// in one message to each host: in a large domain a message for each would be
+// most of what its hosts do.
+func (n *Node) passOn(ctx context.Context) error {
+	for {
+		var waiting []Announcement
+		select {
+		case <-ctx.Done():
+			return nil
+		case a := <-n.toPassOn:
+			waiting = append(waiting, a)
+		}
+		gather := time.After(n.gatherTime())
+		for gathering := true; gathering; {
+			select {
+			case <-ctx.Done():
 				return nil
-			})
+			case a := <-n.toPassOn:
+				waiting = append(waiting, a)
+			case <-gather:
+				gathering = false
+			}
+		}
+		n.sendOn(waiting)
+	}
+}
+
+// gatherTime returns how long announcements wait for others. Where there are few
+// hosts they do not.
+func (n *Node) gatherTime() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.few() {
+		return 0
+	}
+	return gatherFor
+}
+
+func (n *Node) sendOn(waiting []Announcement) {
+	now := time.Now()
+	messages := map[string]*fleetpb.Announcements{} // by address
+	for _, a := range waiting {
+		for _, h := range n.announceTo(a.Target) {
+			m := messages[h.Address]
+			if m == nil {
+				m = &fleetpb.Announcements{}
+				messages[h.Address] = m
+			}
+			m.Announcements = append(m.Announcements, announcementMessage(a, now))
+		}
+	}
+	for address, m := range messages {
+		link, ok := n.link(address)
+		if !ok {
+			continue
 		}
+		n.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(n.running, passOnTimeout)
+			defer cancel()
+			if _, err := fleetpb.NewFleetClient(link).Announce(ctx, m); err != nil {
+				n.log.Warn("Announcements were not passed on.", "count", len(m.GetAnnouncements()),
+					"target", m.GetAnnouncements()[0].GetId(), "peer", address, "error", err)
+			}
+			return nil
+		})
 	}
 }
 
 // announceTo returns the hosts to tell of a target: the entry hosts of its domain
-// and the holder of the domain's pool, or all entry hosts if there is none.
-func (n *Node) announceTo(domain string) []discovery.Host {
+// and the holder of its pool, or all entry hosts if there is none.
+func (n *Node) announceTo(t scheduler.Target) []discovery.Host {
 	var own, all []discovery.Host
-	holder, _ := n.holderOf(domain)
+	domain := t.Domain
+	holder, _ := n.holderOf(parts.Pool{Domain: domain, Part: parts.Of(t.ID, n.partsOf(domain))}.String())
 	for _, h := range n.Hosts() {
 		if !h.Entry {
 			continue
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -17,6 +17,7 @@
 // bound detection, not delivery.
 const (
 	greetEntry   = 250 * time.Millisecond // between greetings to another entry host
+	greetFar     = time.Second            // between greetings to the holder of another domain's pool, where there are many hosts
 	greetIdle    = time.Second            // between greetings to an entry host that holds no pool, where there are many
 	fewHosts     = 20                     // up to so many other hosts all entry hosts greet each other often
 	greetControl = time.Second            // between greetings to or among hosts with a disk
@@ -35,6 +36,7 @@
 	homeAfter    = time.Second            // an entry host is heard for so long before its domain's pool returns to it
 	handTimeout  = 500 * time.Millisecond // for another host to take a pool over
 	tickEvery    = 20 * time.Millisecond  // of the scheduler
+	idleTick     = 100 * time.Millisecond // of a pool that another host holds
 	eventRing    = 1024                   // events that wait for the pool's owner
 	dialTimeout  = 500 * time.Millisecond // to connect to another host
 )
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -92,7 +92,7 @@
 		}
 	}
 	p.apply(p.core.Missing(id, present, now), now)
-	if s.clearing.Load() && foreign == 0 {
+	if s.clearing.Load() && foreign == 0 && !s.leaving {
 		s.clearing.Store(false)
 		p.apply(p.core.Clear(id, false, now), now)
 	}
@@ -102,6 +102,11 @@
 // started raises its token: it may have forgotten a higher one, or its clock went
 // back. Any other gives the pool up and listens for the holder.
 func (p *pool) onFenced(s *session, now time.Time) {
+	if s.leaving {
+		s.fencedAt = now // the new holder stops what runs there; it is over with the lease at the latest
+		s.close()
+		return
+	}
 	p.log.Warn("A target refused an order.", "target", s.ref.ID, "token", s.token, "reason", "it obeys a higher token")
 	if now.Sub(p.node.catalogs.started) > freshFor {
 		p.fenced = now
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -8,6 +8,7 @@
 	"wasabifield.example/wasabifield/internal/connection/hostlink"
 	"wasabifield.example/wasabifield/internal/process/discovery"
 	"wasabifield.example/wasabifield/internal/process/holder"
+	"wasabifield.example/wasabifield/internal/process/parts"
 )
 
 // greet exchanges with one host until ctx is cancelled.
@@ -57,10 +58,13 @@
 // greetings of a host then grows with the number of pools. The caller holds the
 // lock.
 func (n *Node) entryPause(h discovery.Host) time.Duration {
+	near := h.Domain == n.config.Self.Domain
 	switch {
-	case n.few() || n.holdsPool(h.Address):
+	case n.few() || near && n.holdsPool(h.Address):
 		return greetEntry
-	case h.Domain == n.config.Self.Domain:
+	case n.holdsPool(h.Address):
+		return greetFar
+	case near:
 		return n.idlePause()
 	}
 	return 2 * n.idlePause()
@@ -100,8 +104,12 @@
 // pauses between the greetings that pass between it and this one. The caller
 // holds the lock.
 func (n *Node) window(h discovery.Host) time.Duration {
-	if n.few() || n.holdsPool(h.Address) || n.holdsPool(n.config.Self.Address) {
+	holds := n.holdsPool(h.Address) || n.holdsPool(n.config.Self.Address)
+	switch {
+	case n.few() || holds && h.Domain == n.config.Self.Domain:
 		return aliveFor
+	case holds:
+		return idlePauses * greetFar
 	}
 	return idlePauses * n.idlePause()
 }
@@ -158,9 +166,10 @@
 		learn(h)
 	}
 	for _, c := range g.GetClaims() {
-		n.hearClaim(c, now)
+		n.hearClaim(c)
 	}
 	n.mu.Unlock()
+	n.openOwnParts()
 	for _, h := range fresh {
 		n.meet(h.Address, h)
 		if h.Disk && n.config.Self.Entry {
@@ -176,13 +185,16 @@
 
 // hearClaim keeps the best claim on each pool, and the latest word of its
 // holder. The caller holds the lock.
-func (n *Node) hearClaim(m *fleetpb.Claim, now time.Time) {
+func (n *Node) hearClaim(m *fleetpb.Claim) {
 	c := holder.Claim{Holder: m.GetHolder(), Token: m.GetFencingToken()}
 	known, ok := n.claims[m.GetPool()]
 	if ok && known.claim != c && known.claim.Beats(c) {
 		return
 	}
-	n.claims[m.GetPool()] = claimHeard{claim: c, free: int(m.GetFreeSlots()), heard: now}
+	n.claims[m.GetPool()] = claimHeard{claim: c, free: int(m.GetFreeSlots()), queued: int(m.GetQueued())}
+	if p, err := parts.Parse(m.GetPool()); err == nil {
+		n.hearParts(p.Domain, int(m.GetParts()))
+	}
 }
 
 // catchUp fetches the catalog from a host that holds a newer one.
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -37,7 +37,7 @@
 
 func (e handOverEvent) apply(p *pool, now time.Time) {
 	to := ""
-	for _, c := range p.node.candidates(p.name) {
+	for _, c := range p.node.candidates(p.id) {
 		if c != p.node.config.Self.Address {
 			to = c
 			break
@@ -114,14 +114,14 @@
 func (n *Node) noteClaim(c *fleetpb.Claim) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hearClaim(c, time.Now())
+	n.hearClaim(c)
 }
 
 // returnHome hands the pool of another domain back once an entry host of that
 // domain has been heard for a while.
 func (p *pool) returnHome(now time.Time) {
 	p.node.mu.Lock()
-	home := p.node.entryHosts(p.name, now)
+	home := p.node.entryHosts(p.id.Domain, now)
 	p.node.mu.Unlock()
 	if len(home) == 0 {
 		p.home = time.Time{}
@@ -139,7 +139,7 @@
 func (p *pool) stateMessage(now time.Time) *fleetpb.PoolState {
 	m := &fleetpb.PoolState{Pool: p.name, FencingToken: p.view.Claim().Token}
 	for _, a := range p.node.beats.list(now) {
-		if a.Target.Domain == p.name {
+		if p.owns(a.Target.ID, a.Target.Domain) {
 			m.Targets = append(m.Targets, announcementMessage(a, now))
 		}
 	}
@@ -181,8 +181,7 @@
 	}
 	p.apply(p.core.Import(jobs, now), now)
 	p.log.Info("Jobs in progress were taken over.", "pool", p.name, "jobs", len(jobs))
-	claim := p.view.Claim()
-	e.answer <- &fleetpb.Claim{Pool: p.name, Holder: claim.Holder, FencingToken: claim.Token}
+	e.answer <- p.claimMessage()
 }
 
 func runningJobMessage(j scheduler.HandedJob, now time.Time) *fleetpb.RunningJob {
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -26,6 +26,7 @@
 	"wasabifield.example/wasabifield/internal/process/discovery"
 	"wasabifield.example/wasabifield/internal/process/holder"
 	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/parts"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/version/catalog"
@@ -39,6 +40,7 @@
 	controller *controller.Controller
 	catalogs   *catalogs
 	beats      *beats // what targets announced here or through other hosts
+	toPassOn   chan Announcement
 	leaving    atomic.Bool
 	running    context.Context
 	group      *errgroup.Group
@@ -48,13 +50,14 @@
 	links  map[string]*hostlink.Link
 	claims map[string]claimHeard // by pool
 	pools  map[string]*pool      // by name, those that this host holds or may hold; none on a host that takes no jobs
+	parts  map[string]int        // pools of each domain; one where it is not known
 }
 
 // claimHeard is another host's claim with what it said of the pool's load.
 type claimHeard struct {
-	claim holder.Claim
-	free  int
-	heard time.Time
+	claim  holder.Claim
+	free   int // tasks that would start at once
+	queued int // tasks that wait
 }
 
 // New returns a Node.
@@ -66,7 +69,10 @@
 		links:  map[string]*hostlink.Link{},
 		claims: map[string]claimHeard{},
 		pools:  map[string]*pool{},
+		parts:  map[string]int{},
 		beats:  newBeats(),
+
+		toPassOn: make(chan Announcement, passRing),
 	}
 	timing := controller.DefaultTiming()
 	timing.Confirm = confirmEvery
@@ -116,9 +122,8 @@
 	})
 	group.Go(func() error { return n.controller.Run(ctx) })
 	group.Go(func() error { return n.catalogs.follow(ctx) })
-	if n.config.Self.Entry {
-		n.openPool(n.config.Self.Domain)
-	}
+	group.Go(func() error { return n.passOn(ctx) })
+	n.openOwnParts()
 	n.Meet(n.config.Seeds)
 	return group.Wait()
 }
@@ -210,9 +215,9 @@
 	return h
 }
 
-// Holds reports whether this host holds a domain's pool.
-func (n *Node) Holds(domain string) bool {
-	address, ok := n.holderOf(domain)
+// Holds reports whether this host holds a pool.
+func (n *Node) Holds(pool string) bool {
+	address, ok := n.holderOf(pool)
 	return ok && address == n.config.Self.Address
 }
 
@@ -245,7 +250,7 @@
 	if _, err := n.Catalog(); err != nil {
 		return false, err.Error()
 	}
-	if _, ok := n.holderOf(n.config.Self.Domain); !ok {
+	if len(n.loads(n.config.Self.Domain)) == 0 {
 		return false, "no host holds the targets of the domain"
 	}
 	return true, ""
@@ -283,11 +288,37 @@
 		return n.config.Self.Address, true
 	}
 	heard, ok := n.claims[pool]
-	if !ok || heard.claim.Holder == n.config.Self.Address {
+	if !ok {
 		return "", false
 	}
-	h, age, known := n.table.Get(heard.claim.Holder, time.Now())
-	return heard.claim.Holder, known && age <= n.window(h)
+	return heard.claim.Holder, n.isHeard(heard, time.Now())
+}
+
+// isHeard reports whether the host of a claim was heard just now. The caller
+// holds the lock.
+func (n *Node) isHeard(c claimHeard, now time.Time) bool {
+	h, age, known := n.table.Get(c.claim.Holder, now)
+	return c.claim.Holder != n.config.Self.Address && known && age <= n.window(h)
+}
+
+// loads returns what the holders of a domain's pools said last, in the order of
+// the parts. Pools without a holder are left out.
+func (n *Node) loads(domain string) []parts.Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	var out []parts.Load
+	for part := range max(1, n.parts[domain]) {
+		name := parts.Pool{Domain: domain, Part: part}.String()
+		if p, ok := n.pools[name]; ok && p.held.Load() {
+			for _, c := range p.claimMessages() {
+				out = append(out, parts.Load{Pool: name, Free: int(c.GetFreeSlots()), Queued: int(c.GetQueued())})
+			}
+		} else if c, ok := n.claims[name]; ok && n.isHeard(c, now) {
+			out = append(out, parts.Load{Pool: name, Free: c.free, Queued: c.queued})
+		}
+	}
+	return out
 }
 
 // room returns what the pools other than one could take at once.
@@ -296,10 +327,15 @@
 	defer n.mu.Unlock()
 	var out []scheduler.Room
 	now := time.Now()
+	of, _ := parts.Parse(except)
+	near := func(name string) bool {
+		p, err := parts.Parse(name)
+		return err == nil && p.Domain == of.Domain
+	}
 	for name, p := range n.pools {
 		for _, c := range p.claimMessages() {
 			if name != except {
-				out = append(out, scheduler.Room{Pool: name, Tasks: int(c.GetFreeSlots())})
+				out = append(out, scheduler.Room{Pool: name, Tasks: int(c.GetFreeSlots()), Near: near(name)})
 			}
 		}
 	}
@@ -307,8 +343,8 @@
 		if p, own := n.pools[name]; own && p.held.Load() {
 			continue
 		}
-		if name != except && now.Sub(c.heard) < aliveFor && c.free > 0 {
-			out = append(out, scheduler.Room{Pool: name, Tasks: c.free})
+		if name != except && c.free > 0 && n.isHeard(c, now) {
+			out = append(out, scheduler.Room{Pool: name, Tasks: c.free, Near: near(name)})
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/process/fleet/partition_test.go
@@ -0,0 +1,71 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/process/parts"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+)
+
+// Many targets of one domain are ordered by several hosts. Jobs that are at work
+// when the domain is split are answered once, and no task runs twice at a time.
+func TestALargeDomainIsSplitAmongItsHosts(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 200*time.Millisecond)
+	f.start("a", "north")
+	f.start("b", "north")
+	f.open("a", "b")
+	announce := func(count int) {
+		f.announce(f.nodes["a"], "north", count)
+		f.announce(f.nodes["b"], "north", count)
+	}
+	announce(20)
+	f.g.Expect(f.submit(f.nodes["a"], job("first", 1)).Outcome).To(Equal(scheduler.Completed))
+
+	var wait sync.WaitGroup
+	answers := make([]scheduler.Answer, 40)
+	submit := func(i int) {
+		from := f.nodes[[]string{"a", "b"}[i%2]]
+		wait.Go(func() { answers[i] = from.Submit(context.Background(), job(fmt.Sprint("job", i), 2)) })
+	}
+	for i := range 10 {
+		submit(i)
+	}
+	announce(70)
+	held := func() (by map[string]int, all bool) {
+		by = map[string]int{}
+		for part := range parts.Grow(1, 70) {
+			pool := parts.Pool{Domain: "north", Part: part}.String()
+			for name, n := range f.nodes {
+				if n.Holds(pool) {
+					by[name]++
+				}
+			}
+		}
+		return by, by["a"]+by["b"] == parts.Grow(1, 70)
+	}
+	f.g.Eventually(func() bool {
+		announce(70)
+		_, all := held()
+		return all
+	}, limit, 100*time.Millisecond).Should(BeTrue())
+	by, _ := held()
+	f.g.Expect(by).To(HaveLen(2), "one host orders all parts: %v", by)
+	for i := range 30 {
+		submit(10 + i)
+		time.Sleep(time.Millisecond)
+	}
+	wait.Wait()
+	for i, a := range answers {
+		f.g.Expect(a.Outcome).To(Equal(scheduler.Completed), "job %d: %s", i, a.Reason)
+	}
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	f.g.Expect(f.workers.overlap).To(BeEmpty())
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -9,6 +9,7 @@
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/holder"
 	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/parts"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
@@ -17,7 +18,8 @@
 // belongs to the goroutine of run, but for what is marked otherwise.
 type pool struct {
 	node   *Node
-	name   string
+	id     parts.Pool
+	name   string // of id
 	log    *slog.Logger
 	events chan event
 	ended  chan struct{}
@@ -38,6 +40,9 @@
 	reached      time.Time // when one answered last
 	reachedSince time.Time // when one answered first, without a pause since; zero if none does
 	home         time.Time // since when an entry host of the pool's own domain is heard
+	opened       time.Time
+	counted      time.Time // when the targets of the domain were counted last
+	split        int       // parts of the domain when targets were released last
 	watch        *watch
 }
 
@@ -52,17 +57,20 @@
 // event is a message for the pool's owner.
 type event interface{ apply(p *pool, now time.Time) }
 
-func newPool(n *Node, name string) *pool {
+func newPool(n *Node, id parts.Pool) *pool {
+	name := id.String()
 	p := &pool{
 		node:     n,
+		id:       id,
 		name:     name,
+		opened:   time.Now(),
 		log:      logging.For(n.config.Log, "pool"),
 		events:   make(chan event, eventRing),
 		ended:    make(chan struct{}),
 		view:     holder.NewPool(n.config.Self.Address, settleFor, aloneFor, time.Now()),
 		sessions: map[string]*session{},
 		waiters:  map[uint64]waiter{},
-		watch:    newWatch(n.config.Metrics),
+		watch:    newWatch(n.config.Metrics, name),
 	}
 	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
 	p.claims.Store(&[]*fleetpb.Claim{})
@@ -72,8 +80,8 @@
 // run works until ctx is cancelled.
 func (p *pool) run(ctx context.Context) error {
 	defer close(p.ended)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -81,12 +89,21 @@
 			return nil
 		case e := <-p.events:
 			e.apply(p, time.Now())
-		case <-ticker.C:
+		case <-timer.C:
 			p.tick(time.Now())
+			timer.Reset(p.pause())
 		}
 	}
 }
 
+// pause returns the time until the next tick.
+func (p *pool) pause() time.Duration {
+	if p.held.Load() {
+		return tickEvery
+	}
+	return idleTick
+}
+
 // offer hands an event over, or refuses it if too many wait.
 func (p *pool) offer(e event) error {
 	select {
@@ -138,12 +155,16 @@
 		return
 	}
 	p.decide(now)
-	if p.name == p.node.config.Self.Domain {
+	if p.id.Domain != p.node.config.Self.Domain {
+		if p.held.Load() {
+			p.returnHome(now)
+		}
+	} else if p.id.Part == 0 {
 		p.node.openOrphans()
-	} else if p.held.Load() {
-		p.returnHome(now)
 	}
 	if p.held.Load() {
+		p.grow(now)
+		p.release(now)
 		p.core.SetRoom(p.node.room(p.name))
 		p.apply(p.core.Tick(now), now)
 		p.withdrawLostSenders(now)
@@ -158,11 +179,11 @@
 	} else if now.Sub(p.fenced) < fencedPause {
 		return
 	}
-	if p.name != p.node.config.Self.Domain && !p.reachable(now) {
+	if p.id.Domain != p.node.config.Self.Domain && !p.reachable(now) {
 		return
 	}
 	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.alive(host) }
-	if p.view.Decide(alive, p.node.candidates(p.name), now) == holder.Taken {
+	if p.view.Decide(alive, p.node.candidates(p.id), now) == holder.Taken {
 		p.takeOver(now, "nobody holds the pool")
 	}
 }
@@ -208,11 +229,18 @@
 		return
 	}
 	free, queued := p.core.Load(now)
-	claim := p.view.Claim()
 	p.watch.load(free, queued)
-	p.claims.Store(&[]*fleetpb.Claim{{
-		Pool: p.name, Holder: claim.Holder, FencingToken: claim.Token, FreeSlots: uint32(free), Queued: uint32(queued),
-	}})
+	c := p.claimMessage()
+	c.FreeSlots, c.Queued = uint32(free), uint32(queued)
+	p.claims.Store(&[]*fleetpb.Claim{c})
+}
+
+// claimMessage returns the claim without the load.
+func (p *pool) claimMessage() *fleetpb.Claim {
+	claim := p.view.Claim()
+	return &fleetpb.Claim{
+		Pool: p.name, Holder: claim.Holder, FencingToken: claim.Token, Parts: uint32(p.node.partsOf(p.id.Domain)),
+	}
 }
 
 func (p *pool) claimMessages() []*fleetpb.Claim { return *p.claims.Load() }
@@ -226,10 +254,10 @@
 
 // announce takes in what a target of the pool said.
 func (p *pool) announce(a Announcement, now time.Time) {
-	if !p.held.Load() || a.Target.Domain != p.name {
+	id := a.Target.ID
+	if !p.held.Load() || !p.owns(id, a.Target.Domain) || p.id.Part > 0 && now.Sub(p.opened) < growPause {
 		return
 	}
-	id := a.Target.ID
 	if a.Gone {
 		p.removeTarget(id, now)
 		return
@@ -242,12 +270,24 @@
 	if !ok {
 		s = newSession(p, a)
 		p.sessions[id] = s
-		p.apply(p.core.Announce(a.Target, now), now)
-		p.apply(p.core.Clear(id, true, now), now)
 		s.begin(p.node.running)
-		return
 	}
-	p.apply(p.core.Announce(a.Target, now), now)
+	p.apply(p.core.Announce(a.Target, !ok, now), now)
+}
+
+// meetReborn takes in that the target of a session has started anew under its id,
+// before it announced so.
+func (p *pool) meetReborn(s *session, r TargetReport, now time.Time) {
+	a, ok := p.node.beats.get(s.ref.ID)
+	if !ok || r.Born < s.born {
+		return // a late answer of the former incarnation
+	}
+	if a.Target.Born < r.Born {
+		a.Target.Born, a.Sequence, a.Clock, a.Received = r.Born, 0, r.Clock, now
+		a.Target.Draining = false
+		p.node.beats.learn(a)
+	}
+	p.announce(a, now)
 }
 
 func (p *pool) removeTarget(id string, now time.Time) {
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -6,18 +6,19 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/parts"
 )
 
-// openPool returns the pool of a domain, whose owner begins to work if it is
-// new.
-func (n *Node) openPool(domain string) *pool {
+// openPool returns a pool, whose owner begins to work if it is new.
+func (n *Node) openPool(id parts.Pool) *pool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if p, ok := n.pools[domain]; ok {
+	if p, ok := n.pools[id.String()]; ok {
 		return p
 	}
-	p := newPool(n, domain)
-	n.pools[domain] = p
+	p := newPool(n, id)
+	p.view.Above(n.highestToken(id.Domain))
+	n.pools[p.name] = p
 	n.group.Go(func() error { return p.run(n.running) })
 	return p
 }
@@ -37,8 +38,11 @@
 // this host comes first among those that may take them.
 func (n *Node) openOrphans() {
 	for _, domain := range n.orphans() {
-		if c := n.candidates(domain); len(c) > 0 && c[0] == n.config.Self.Address {
-			n.openPool(domain)
+		for part := range n.partsOf(domain) {
+			id := parts.Pool{Domain: domain, Part: part}
+			if c := n.candidates(id); len(c) > 0 && c[0] == n.config.Self.Address {
+				n.openPool(id)
+			}
 		}
 	}
 }
@@ -53,7 +57,7 @@
 		if !h.Entry || h.Domain == n.config.Self.Domain || slices.Contains(out, h.Domain) {
 			continue
 		}
-		if _, open := n.pools[h.Domain]; !open && len(n.entryHosts(h.Domain, now)) == 0 {
+		if len(n.entryHosts(h.Domain, now)) == 0 {
 			out = append(out, h.Domain)
 		}
 	}
@@ -75,10 +79,12 @@
 	return out
 }
 
-// candidates returns the entry hosts that may hold the pool of a domain, the
-// first choice first: those of the domain by address; if there are none, those
-// of all domains, beginning at a place that differs from domain to domain.
-func (n *Node) candidates(domain string) []string {
+// candidates returns the entry hosts that may hold a pool, the first choice
+// first: those of its domain by address, beginning with another one for each
+// part; if there are none, those of all domains, beginning at a place that
+// differs from domain to domain.
+func (n *Node) candidates(id parts.Pool) []string {
+	domain := id.Domain
 	self := n.Self()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -89,7 +95,7 @@
 	}
 	slices.Sort(out)
 	if len(out) > 0 {
-		return out
+		return startAt(out, id.Part)
 	}
 	out = n.entryHosts("", now)
 	if !self.Leaving {
@@ -101,8 +107,13 @@
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(domain)) // a hash never fails
-	first := int(h.Sum32() % uint32(len(out)))
-	return slices.Concat(out[first:], out[:first])
+	return startAt(out, int(h.Sum32()%uint32(len(out)))+id.Part)
+}
+
+// startAt returns the list rotated so that it begins at a place.
+func startAt(list []string, place int) []string {
+	place %= len(list)
+	return slices.Concat(list[place:], list[:place])
 }
 
 // isolated reports whether no other host is heard.
--- a/internal/process/fleet/reach.go
+++ b/internal/process/fleet/reach.go
@@ -39,7 +39,7 @@
 // answer too.
 func (p *pool) askTarget(now time.Time) {
 	for _, a := range p.node.beats.list(now) {
-		if a.Target.Domain != p.name || a.Gone {
+		if !p.owns(a.Target.ID, a.Target.Domain) || a.Gone {
 			continue
 		}
 		go func() {
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/parts"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
@@ -43,7 +44,9 @@
 // tellPools passes an announcement to the pools of this host.
 func (n *Node) tellPools(a Announcement) {
 	for _, p := range n.openPools() {
-		p.tell(announceEvent{a})
+		if p.owns(a.Target.ID, a.Target.Domain) {
+			p.tell(announceEvent{a})
+		}
 	}
 }
 
@@ -67,7 +70,11 @@
 	if !s.node.config.Self.Entry || s.node.leaving.Load() {
 		return nil, status.Error(codes.FailedPrecondition, "this host takes no pools")
 	}
-	return s.node.openPool(m.GetPool()).receive(ctx, m)
+	id, err := parts.Parse(m.GetPool())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return s.node.openPool(id).receive(ctx, m)
 }
 
 func replyMessage(a scheduler.Answer) *fleetpb.JobReply {
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -32,6 +32,8 @@
 	born     uint64
 	token    uint64
 	clearing atomic.Bool  // runs of a former holder may be there
+	leaving  bool         // the target goes to another part; owned by the pool
+	fencedAt time.Time    // when a leaving target obeyed the new holder; owned by the pool
 	active   atomic.Int32 // runs that the scheduler knows there
 	wake     chan struct{}
 	ctx      context.Context
@@ -63,6 +65,7 @@
 		wake:  make(chan struct{}, 1),
 	}
 	s.clearing.Store(true)
+	s.extended = time.Now() // by a former session, whose orders may still come
 	s.offset = a.Clock - steady(a.Received)
 	return s
 }
@@ -249,7 +252,7 @@
 	}
 	s.tell(func(p *pool, now time.Time) {
 		if r.Born != 0 && r.Born != s.born {
-			p.removeTarget(s.ref.ID, now)
+			p.meetReborn(s, r, now)
 			return
 		}
 		p.onReport(s, r, now)
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/parts"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
@@ -19,7 +21,7 @@
 
 // Submit runs a job and returns its answer. The job is withdrawn when ctx ends.
 func (n *Node) Submit(ctx context.Context, j scheduler.Job) scheduler.Answer {
-	a := n.submitTo(ctx, n.config.Self.Domain, j)
+	a := n.submitNear(ctx, j)
 	if a.Outcome != scheduler.Spill {
 		return a
 	}
@@ -28,11 +30,20 @@
 	first := a
 	a = n.submitTo(ctx, first.Pool, j)
 	if a.Outcome == scheduler.Refused && a.Kind != failure.NeverRunnable {
-		return n.submitTo(ctx, n.config.Self.Domain, j)
+		return n.submitNear(ctx, j)
 	}
 	return a
 }
 
+// submitNear runs a job in one of the pools of this host's domain.
+func (n *Node) submitNear(ctx context.Context, j scheduler.Job) scheduler.Answer {
+	pool := parts.Choose(n.loads(n.config.Self.Domain), rand.IntN)
+	if pool == "" {
+		pool = n.config.Self.Domain
+	}
+	return n.submitTo(ctx, pool, j)
+}
+
 // submitTo runs a job in a pool, asking its holder of the moment.
 func (n *Node) submitTo(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
 	r := route{
--- a/internal/process/fleet/watch.go
+++ b/internal/process/fleet/watch.go
@@ -19,8 +19,8 @@
 	queued tally.Gauge
 }
 
-func newWatch(m *metrics.Metrics) *watch {
-	scope := m.Scope()
+func newWatch(m *metrics.Metrics, pool string) *watch {
+	scope := m.Scope().Tagged(map[string]string{"pool": pool})
 	return &watch{scope: scope, free: scope.Gauge("pool_free_tasks"), queued: scope.Gauge("pool_queued_tasks")}
 }
 
--- a/internal/process/holder/pool.go
+++ b/internal/process/holder/pool.go
@@ -105,6 +105,9 @@
 	return Taken
 }
 
+// Above makes every later claim of this host have a token above this one.
+func (p *Pool) Above(token uint64) { p.highest = max(p.highest, token) }
+
 // Release forgets the holder, who said that it gives the pool up.
 func (p *Pool) Release(now time.Time) {
 	p.claim = Claim{}
--- /dev/null
+++ b/internal/process/parts/parts.go
@@ -0,0 +1,102 @@
+package parts
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+)
+
+const (
+	// targetsPerPart is what one host orders with ease: at two orders a second
+	// for each core of a target, about a fifth of the smallest host's processor.
+	targetsPerPart = 24
+	// growAbove is the mean number of targets in a part from which on the parts
+	// are doubled; above targetsPerPart, so that the new ones are not too small.
+	growAbove = targetsPerPart * 5 / 4
+	// Most bounds the parts of a domain.
+	Most = 16
+)
+
+// Pool names the pool of one part of a domain.
+type Pool struct {
+	Domain string
+	Part   int // from 0
+}
+
+// separator stands between a pool's domain and its part. Domains have no such
+// sign in their names.
+const separator = "#"
+
+// String returns the pool's name between hosts: that of the domain for part 0.
+func (p Pool) String() string {
+	if p.Part == 0 {
+		return p.Domain
+	}
+	return p.Domain + separator + strconv.Itoa(p.Part)
+}
+
+// Parse returns the pool of a name.
+func Parse(name string) (Pool, error) {
+	domain, part, found := strings.Cut(name, separator)
+	if !found {
+		return Pool{Domain: name}, nil
+	}
+	n, err := strconv.Atoi(part)
+	if err != nil || n < 1 || n >= Most {
+		return Pool{}, fmt.Errorf("%q names no part of a domain", name)
+	}
+	return Pool{Domain: domain, Part: n}, nil
+}
+
+// Of returns the part that a target belongs to.
+func Of(target string, parts int) int {
+	if parts < 2 {
+		return 0
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(target)) // a hash never fails
+	return int(h.Sum32() % uint32(parts))
+}
+
+// Grow returns the number of parts for a domain's targets, given the number so
+// far; it never shrinks.
+func Grow(parts, targets int) int {
+	parts = max(1, parts)
+	for targets > parts*growAbove && parts < Most {
+		parts *= 2
+	}
+	return parts
+}
+
+// Load is what a pool's holder said last.
+type Load struct {
+	Pool   string
+	Free   int // tasks of usual size that would start at once
+	Queued int // tasks that wait
+}
+
+func (l Load) spare() int { return l.Free - l.Queued }
+
+// Choose returns the pool for a job: of two that are drawn, the one with more
+// room. The loads are up to a greeting old, and all hosts that looked for the
+// greatest would send to one pool until the next (M. Mitzenmacher, "How useful is
+// old information?", 2000). Draw returns a random number below its argument. It
+// returns no name if there are no loads.
+func Choose(loads []Load, draw func(below int) int) string {
+	switch len(loads) {
+	case 0:
+		return ""
+	case 1:
+		return loads[0].Pool
+	}
+	first := draw(len(loads))
+	second := draw(len(loads) - 1)
+	if second >= first {
+		second++
+	}
+	if loads[second].spare() > loads[first].spare() {
+		return loads[second].Pool
+	}
+	return loads[first].Pool
+}
--- /dev/null
+++ b/internal/process/parts/parts_test.go
@@ -0,0 +1,103 @@
+package parts_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"wasabifield.example/wasabifield/internal/process/parts"
+	"wasabifield.example/wasabifield/internal/standin/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+func TestSmallDomainsStayWhole(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(parts.Grow(0, 0)).To(Equal(1))
+	g.Expect(parts.Grow(1, 16)).To(Equal(1), "the domains of 48 targets in three or four")
+	g.Expect(parts.Grow(1, 30)).To(Equal(1))
+	g.Expect(parts.Grow(1, 31)).To(Equal(2))
+	g.Expect(parts.Grow(1, 88)).To(Equal(4), "the domains of 350 targets in four")
+	g.Expect(parts.Grow(4, 10)).To(Equal(4), "it never shrinks")
+	g.Expect(parts.Grow(1, 1_000_000)).To(Equal(parts.Most))
+}
+
+// A target stays where it is or goes to a new part, whatever the growth.
+func TestGrowthMovesTargetsOnlyToNewParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.String().Draw(t, "target")
+		before := 1 << rapid.IntRange(0, 3).Draw(t, "before")
+		after := before << rapid.IntRange(0, 2).Draw(t, "doublings")
+		was, is := parts.Of(id, before), parts.Of(id, after)
+		if is != was && is < before {
+			t.Fatalf("of %d parts %d, of %d parts %d", before, was, after, is)
+		}
+		if is%before != was {
+			t.Fatalf("part %d of %d is not within part %d of %d", is, after, was, before)
+		}
+	})
+}
+
+func TestPartsHaveLikeSizes(t *testing.T) {
+	g := NewWithT(t)
+	sizes := make([]int, 4)
+	for i := range 88 {
+		sizes[parts.Of(fmt.Sprintf("i-%08x", i*2654435761), 4)]++
+	}
+	g.Expect(sizes).To(HaveEach(BeNumerically("~", 22, 12)))
+}
+
+func TestNamesOfPools(t *testing.T) {
+	g := NewWithT(t)
+	for name, want := range map[string]parts.Pool{
+		"north": {Domain: "north"}, "north#1": {Domain: "north", Part: 1}, "north#15": {Domain: "north", Part: 15},
+	} {
+		p, err := parts.Parse(name)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p).To(Equal(want))
+		g.Expect(p.String()).To(Equal(name))
+	}
+	for _, name := range []string{"north#", "north#x", "north#0", "north#-1", "north#16"} {
+		_, err := parts.Parse(name)
+		g.Expect(err).To(HaveOccurred(), name)
+	}
+}
+
+// The load that Choose answers: hosts see the pools' room as it was a greeting
+// ago, and send many jobs until they see it again. None of the pools may be
+// flooded while others have room.
+func TestJobsSpreadOverPoolsThoughTheLoadsAreOld(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(7, 7))
+	const pools, room, round, done = 4, 40, 50, 12 // tasks; jobs between two greetings; tasks done by each pool meanwhile
+	queued := make([]int, pools)
+	longest := 0
+	for range 200 {
+		loads := make([]parts.Load, pools)
+		for i, q := range queued {
+			loads[i] = parts.Load{Pool: fmt.Sprint(i), Free: max(0, room-q), Queued: max(0, q-room)}
+		}
+		for range round - 4 {
+			var to int
+			_, _ = fmt.Sscan(parts.Choose(loads, random.IntN), &to)
+			queued[to]++
+		}
+		for i := range queued {
+			queued[i] = max(0, queued[i]-done)
+			longest = max(longest, queued[i])
+		}
+	}
+	g.Expect(longest).To(BeNumerically("<=", room), "some pool was flooded")
+}
+
+func TestChooseTakesTheRoomierOfTwo(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(parts.Choose(nil, nil)).To(BeEmpty())
+	g.Expect(parts.Choose([]parts.Load{{Pool: "a"}}, nil)).To(Equal("a"))
+	zero := func(int) int { return 0 }
+	g.Expect(parts.Choose([]parts.Load{{Pool: "a", Free: 1}, {Pool: "b", Free: 2}}, zero)).To(Equal("b"))
+	g.Expect(parts.Choose([]parts.Load{{Pool: "a", Queued: 1}, {Pool: "b", Queued: 2}}, zero)).To(Equal("a"))
+}
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -57,10 +57,8 @@
 		reason := fmt.Sprintf("it would end %v after its due time, behind %d waiting jobs", end.Sub(s.due).Round(time.Millisecond), len(c.queue))
 		return c.elsewhere(s, c.refusal(failure.DeadlineTooShort, reason, now))
 	}
-	if len(c.room) > 0 {
-		if pool, ok := c.spillTo(s); ok {
-			return Answer{Outcome: Spill, Pool: pool, Reason: "this pool has no room at once, that one has"}, false
-		}
+	if pool, ok := c.spillTo(s); ok {
+		return Answer{Outcome: Spill, Pool: pool, Reason: "this pool has no room at once, that one has"}, false
 	}
 	return Answer{}, true
 }
@@ -147,7 +145,8 @@
 	return max(0, c.freeTasks("", now)-queued), queued
 }
 
-// spillTo returns another pool with room for the whole job. What is sent there
+// spillTo returns another pool with room for the whole job: one of the same
+// domain if there is any, and then the one with the most room. What is sent there
 // is taken off until the next report.
 func (c *Core) spillTo(s *jobState) (string, bool) {
 	if s.Spilled {
@@ -155,7 +154,7 @@
 	}
 	best := -1
 	for i, r := range c.room {
-		if r.Tasks >= s.pending && (best < 0 || r.Tasks > c.room[best].Tasks) {
+		if r.Tasks >= s.pending && (best < 0 || r.roomier(c.room[best])) {
 			best = i
 		}
 	}
@@ -166,6 +165,14 @@
 	return c.room[best].Pool, true
 }
 
+// roomier reports whether a job goes to r before it goes to o.
+func (r Room) roomier(o Room) bool {
+	if r.Near != o.Near {
+		return r.Near
+	}
+	return r.Tasks > o.Tasks
+}
+
 // refusal answers a job of which nothing ran, and says when the work that
 // waits now will be done.
 func (c *Core) refusal(kind failure.Kind, reason string, now time.Time) Answer {
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -26,7 +26,8 @@
 // Room is what another pool could take at once.
 type Room struct {
 	Pool  string
-	Tasks int // of usual size
+	Tasks int  // of usual size
+	Near  bool // the pool is in the same domain
 }
 
 // Core schedules the jobs of one pool.
@@ -98,27 +99,43 @@
 	return c.take()
 }
 
-// Announce takes in what a target says of itself.
-func (c *Core) Announce(t Target, now time.Time) []Effect {
+// Announce takes in what a target says of itself. It gets no work until Clear if
+// runs of a former holder may be there.
+func (c *Core) Announce(t Target, clearing bool, now time.Time) []Effect {
 	known, ok := c.targets[t.ID]
-	if ok && known.Born > t.Born {
+	switch {
+	case ok && known.Born > t.Born:
 		return nil
-	}
-	if ok && (known.Born < t.Born || known.Address != t.Address) {
-		c.lose(known, "the target started anew", now)
-		ok = false
-	}
-	if !ok {
+	case !ok:
 		c.targets[t.ID] = newTarget(t)
 		c.order = append(c.order, t.ID)
 		slices.Sort(c.order)
-	} else {
+	case known.Born < t.Born || known.Address != t.Address:
+		c.reborn(known, t)
+	default:
 		known.Target = t
 	}
+	if clearing {
+		c.targets[t.ID].clearing = true
+	}
 	c.place(now)
 	return c.take()
 }
 
+// reborn takes in that a target started anew under its id. What ran there is gone,
+// but an order on its way may have reached the new incarnation: each run is stopped
+// there before its task waits again.
+func (c *Core) reborn(known *target, t Target) {
+	c.emit(Note{Message: "A target started anew.", Target: t.ID, Reason: fmt.Sprintf("%d runs are stopped there", len(known.runs))})
+	anew := newTarget(t)
+	c.targets[t.ID] = anew
+	for _, r := range known.sortedRuns() {
+		anew.add(r)
+		r.state = starting // its former stop went to the former incarnation
+		c.stop(r, "the target started anew")
+	}
+}
+
 // Remove forgets a target that left.
 func (c *Core) Remove(id string, now time.Time) []Effect {
 	if t, ok := c.targets[id]; ok {
