--- a/internal/process/discovery/table.go
+++ b/internal/process/discovery/table.go
@@ -94,16 +94,17 @@
 // Digest sums up which hosts are known, this one included. Two hosts with equal
 // digests need not send each other their lists.
 func (t *Table) Digest(self Host) uint64 {
-	keys := []string{key(self)}
+	sum := hash(self)
 	for _, e := range t.hosts {
-		keys = append(keys, key(e.host))
+		sum += hash(e.host) // in no order
 	}
-	slices.Sort(keys)
-	h := fnv.New64a()
-	for _, k := range keys {
-		_, _ = h.Write([]byte(k)) // a hash never fails
-	}
-	return h.Sum64()
+	return sum
+}
+
+func hash(h Host) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(key(h))) // a hash never fails
+	return f.Sum64()
 }
 
 func key(h Host) string {
--- a/internal/process/fleet/beats.go
+++ b/internal/process/fleet/beats.go
@@ -20,7 +20,7 @@
 	passOnTimeout = 500 * time.Millisecond
 	// gatherFor is how long announcements wait for others to the same hosts. A
 	// target that drains serves on for seconds.
-	gatherFor = 50 * time.Millisecond
+	gatherFor = 200 * time.Millisecond
 	passRing  = 512 // announcements that wait to be passed on; more than all targets send in a second
 )
 
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -17,10 +17,12 @@
 // bound detection, not delivery.
 const (
 	greetEntry   = 250 * time.Millisecond // between greetings to another entry host
-	greetFar     = time.Second            // between greetings to the holder of another domain's pool, where there are many hosts
+	greetFar     = 2 * time.Second        // between greetings to the holder of another domain's pool, where there are many hosts
 	greetIdle    = time.Second            // between greetings to an entry host that holds no pool, where there are many
 	fewHosts     = 20                     // up to so many other hosts all entry hosts greet each other often
 	greetControl = time.Second            // between greetings to or among hosts with a disk
+	greetMany    = 2 * time.Second        // the same of an entry host where there are many; below lostAfter
+	farIdle      = 4                      // a host of another domain that holds no pool is greeted so much less often than one of the own
 	greetFirst   = 100 * time.Millisecond // between greetings to a host that was never heard
 	greetTimeout = 400 * time.Millisecond // of one greeting; two lost ones replace the connection
 	aliveFor     = 900 * time.Millisecond // three greetings; below the 1 s of a lease
@@ -36,8 +38,11 @@
 	homeAfter    = time.Second            // an entry host is heard for so long before its domain's pool returns to it
 	handTimeout  = 500 * time.Millisecond // for another host to take a pool over
 	tickEvery    = 20 * time.Millisecond  // of the scheduler
+	orphansEvery = 200 * time.Millisecond // between looks for domains without entry hosts
 	idleTick     = 100 * time.Millisecond // of a pool that another host holds
 	eventRing    = 1024                   // events that wait for the pool's owner
+	idleLink     = 10 * time.Second       // a link without a message is probed after this; greetings replace broken ones sooner
+	hostsFor     = 3 * time.Second        // a host that was heard within this is told to targets and counted as present
 	dialTimeout  = 500 * time.Millisecond // to connect to another host
 )
 
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -49,6 +49,8 @@
 		return n.entryPause(h)
 	case h.Entry && age < 2*greetControl:
 		return 2 * greetControl
+	case n.config.Self.Entry && !n.few():
+		return greetMany
 	}
 	return greetControl
 }
@@ -67,7 +69,7 @@
 	case near:
 		return n.idlePause()
 	}
-	return 2 * n.idlePause()
+	return farIdle * n.idlePause()
 }
 
 // idlePause returns the time between greetings of entry hosts that hold no pool;
@@ -92,12 +94,7 @@
 		}
 		return false
 	}
-	for _, c := range n.claims {
-		if c.claim.Holder == address {
-			return true
-		}
-	}
-	return false
+	return n.holders[address]
 }
 
 // window returns how long after it was heard last a host counts as alive: some
@@ -111,6 +108,9 @@
 	case holds:
 		return idlePauses * greetFar
 	}
+	if h.Domain != n.config.Self.Domain {
+		return 2 * farIdle * n.idlePause()
+	}
 	return idlePauses * n.idlePause()
 }
 
@@ -191,6 +191,14 @@
 	if ok && known.claim != c && known.claim.Beats(c) {
 		return
 	}
+	if known.claim.Holder != c.Holder {
+		n.holders = map[string]bool{c.Holder: true}
+		for pool, other := range n.claims {
+			if pool != m.GetPool() {
+				n.holders[other.claim.Holder] = true
+			}
+		}
+	}
 	n.claims[m.GetPool()] = claimHeard{claim: c, free: int(m.GetFreeSlots()), queued: int(m.GetQueued())}
 	if p, err := parts.Parse(m.GetPool()); err == nil {
 		n.hearParts(p.Domain, int(m.GetParts()))
--- a/internal/process/fleet/greet_test.go
+++ b/internal/process/fleet/greet_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/discovery"
-	"wasabifield.example/wasabifield/internal/process/holder"
 	"wasabifield.example/wasabifield/internal/process/metrics"
 )
 
@@ -34,7 +34,7 @@
 	for i, h := range hosts {
 		n.table.Learn(h, 0, now)
 		if i < 4 {
-			n.claims[h.Domain] = claimHeard{claim: holder.Claim{Holder: h.Address, Token: 1}}
+			n.hearClaim(&fleetpb.Claim{Pool: h.Domain, Holder: h.Address, FencingToken: 1})
 		}
 	}
 	for _, h := range hosts {
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -45,12 +45,13 @@
 	running    context.Context
 	group      *errgroup.Group
 
-	mu     sync.Mutex
-	table  *discovery.Table
-	links  map[string]*hostlink.Link
-	claims map[string]claimHeard // by pool
-	pools  map[string]*pool      // by name, those that this host holds or may hold; none on a host that takes no jobs
-	parts  map[string]int        // pools of each domain; one where it is not known
+	mu      sync.Mutex
+	table   *discovery.Table
+	links   map[string]*hostlink.Link
+	claims  map[string]claimHeard // by pool
+	holders map[string]bool       // hosts with a claim in claims
+	pools   map[string]*pool      // by name, those that this host holds or may hold; none on a host that takes no jobs
+	parts   map[string]int        // pools of each domain; one where it is not known
 }
 
 // claimHeard is another host's claim with what it said of the pool's load.
@@ -63,14 +64,15 @@
 // New returns a Node.
 func New(config Config) (*Node, error) {
 	n := &Node{
-		config: config,
-		log:    logging.For(config.Log, "fleet"),
-		table:  discovery.NewTable(config.Self.Address),
-		links:  map[string]*hostlink.Link{},
-		claims: map[string]claimHeard{},
-		pools:  map[string]*pool{},
-		parts:  map[string]int{},
-		beats:  newBeats(),
+		config:  config,
+		log:     logging.For(config.Log, "fleet"),
+		table:   discovery.NewTable(config.Self.Address),
+		links:   map[string]*hostlink.Link{},
+		claims:  map[string]claimHeard{},
+		holders: map[string]bool{},
+		pools:   map[string]*pool{},
+		parts:   map[string]int{},
+		beats:   newBeats(),
 
 		toPassOn: make(chan Announcement, passRing),
 	}
@@ -107,7 +109,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n.running, n.group = ctx, group
 	server := grpc.NewServer(
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 2 * time.Second, Timeout: time.Second}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: idleLink, Timeout: time.Second}),
 		grpc.MaxRecvMsgSize(controller.MaxContent+1<<20),
 	)
 	fleetpb.RegisterFleetServer(server, &service{node: n})
@@ -228,7 +230,7 @@
 func (n *Node) Hosts() []discovery.Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table.Alive(2*greetControl, time.Now())
+	return n.table.Alive(hostsFor, time.Now())
 }
 
 // Catalog returns the catalog that requests are served with.
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -41,6 +41,7 @@
 	reachedSince time.Time // when one answered first, without a pause since; zero if none does
 	home         time.Time // since when an entry host of the pool's own domain is heard
 	opened       time.Time
+	looked       time.Time // when orphaned domains were looked for last
 	counted      time.Time // when the targets of the domain were counted last
 	split        int       // parts of the domain when targets were released last
 	watch        *watch
@@ -159,7 +160,8 @@
 		if p.held.Load() {
 			p.returnHome(now)
 		}
-	} else if p.id.Part == 0 {
+	} else if p.id.Part == 0 && now.Sub(p.looked) > orphansEvery {
+		p.looked = now
 		p.node.openOrphans()
 	}
 	if p.held.Load() {
@@ -182,8 +184,15 @@
 	if p.id.Domain != p.node.config.Self.Domain && !p.reachable(now) {
 		return
 	}
+	if p.view.Held() {
+		return
+	}
 	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.alive(host) }
-	if p.view.Decide(alive, p.node.candidates(p.id), now) == holder.Taken {
+	var candidates []string // not needed while there is a holder
+	if h := p.view.Claim().Holder; h == "" || !alive(h) {
+		candidates = p.node.candidates(p.id)
+	}
+	if p.view.Decide(alive, candidates, now) == holder.Taken {
 		p.takeOver(now, "nobody holds the pool")
 	}
 }
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -52,13 +52,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	var out []string
+	served := map[string]bool{n.config.Self.Domain: true} // by domain
 	for _, h := range n.table.All(now) {
-		if !h.Entry || h.Domain == n.config.Self.Domain || slices.Contains(out, h.Domain) {
-			continue
+		if h.Entry {
+			_, age, _ := n.table.Get(h.Address, now)
+			served[h.Domain] = served[h.Domain] || !h.Leaving && age <= n.window(h)
 		}
-		if len(n.entryHosts(h.Domain, now)) == 0 {
-			out = append(out, h.Domain)
+	}
+	var out []string
+	for domain, ok := range served {
+		if !ok {
+			out = append(out, domain)
 		}
 	}
 	return out
@@ -68,7 +72,7 @@
 // heard and not leaving, ordered. The caller holds the lock.
 func (n *Node) entryHosts(domain string, now time.Time) []string {
 	var out []string
-	for _, h := range n.table.Alive(idlePauses*n.idlePause(), now) {
+	for _, h := range n.table.Alive(2*farIdle*n.idlePause(), now) {
 		if _, age, _ := n.table.Get(h.Address, now); age > n.window(h) {
 			continue
 		}
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
@@ -35,12 +37,18 @@
 	return a
 }
 
-// submitNear runs a job in one of the pools of this host's domain.
+// submitNear runs a job in one of the pools of this host's domain; in another one
+// if the holder of the first cannot be reached.
 func (n *Node) submitNear(ctx context.Context, j scheduler.Job) scheduler.Answer {
-	pool := parts.Choose(n.loads(n.config.Self.Domain), rand.IntN)
-	if pool == "" {
-		pool = n.config.Self.Domain
+	loads := n.loads(n.config.Self.Domain)
+	pool := cmp.Or(parts.Choose(loads, rand.IntN), n.config.Self.Domain)
+	a := n.submitTo(ctx, pool, j)
+	if a.Outcome != scheduler.Refused || a.Kind != failure.NotReady || len(loads) < 2 {
+		return a
 	}
+	loads = slices.DeleteFunc(loads, func(l parts.Load) bool { return l.Pool == pool })
+	pool = parts.Choose(loads, rand.IntN)
+	n.log.Info("A job goes to another pool.", "job", j.ID, "pool", pool, "reason", a.Reason, "age", time.Since(j.Arrived))
 	return n.submitTo(ctx, pool, j)
 }
 
--- a/internal/process/logging/bounded.go
+++ b/internal/process/logging/bounded.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // Bounded is a writer that never blocks: lines wait in a ring for one goroutine
@@ -12,11 +13,18 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	closed  atomic.Bool
 	done    chan struct{}
 }
 
-// writeBatch is how many bytes of lines are written at once at the most.
-const writeBatch = 32 << 10
+const (
+	// writeBatch is how many bytes of lines are written at once at the most.
+	writeBatch = 32 << 10
+	// writePause is how long a line waits for others: a write for each line
+	// would be a good part of what a small host does. A process that is killed
+	// loses the lines of this time.
+	writePause = 10 * time.Millisecond
+)
 
 // NewBounded returns a Bounded with room for the given number of lines.
 func NewBounded(out io.Writer, lines int) *Bounded {
@@ -40,6 +48,7 @@
 
 // Close writes what waits. Nothing may be written after it.
 func (b *Bounded) Close() {
+	b.closed.Store(true)
 	close(b.lines)
 	<-b.done
 }
@@ -48,6 +57,9 @@
 	defer close(b.done)
 	var told uint64
 	for line := range b.lines {
+		if !b.closed.Load() {
+			time.Sleep(writePause)
+		}
 		batch := b.gather(line)
 		if dropped := b.dropped.Load(); dropped > told {
 			batch = fmt.Appendf(batch, "{\"level\":\"WARN\",\"msg\":\"Log lines were dropped.\",\"lines\":%d}\n", dropped-told)
--- a/internal/standin/launch/process.go
+++ b/internal/standin/launch/process.go
@@ -19,7 +19,13 @@
 
 // Start runs program with args. Its output goes to log.
 func Start(name string, log io.Writer, program string, args ...string) (*Process, error) {
+	return StartWith(nil, name, log, program, args...)
+}
+
+// StartWith is Start with variables besides those of this process.
+func StartWith(variables []string, name string, log io.Writer, program string, args ...string) (*Process, error) {
 	cmd := exec.Command(program, args...)
+	cmd.Env = append(os.Environ(), variables...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
