--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -119,7 +119,7 @@
 	}
 	p.raised = now
 	p.apply(p.core.GiveUp(), now)
-	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+	p.core = scheduler.NewCore(scheduler.DefaultConfig())
 	p.view.Raise(now)
 	p.takeOver(now, "the token was too low")
 }
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -101,7 +101,7 @@
 		p.held.Store(false)
 		p.sessions = map[string]*session{}
 		p.apply(p.core.HandedOver(e.to), now)
-		p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+		p.core = scheduler.NewCore(scheduler.DefaultConfig())
 		p.log.Info("Another host holds the pool.", "pool", p.name, "peer", e.to, "token", e.claim.GetFencingToken())
 	}
 	p.publish(now)
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -314,7 +314,7 @@
 		name := parts.Pool{Domain: domain, Part: part}.String()
 		if p, ok := n.pools[name]; ok && p.held.Load() {
 			for _, c := range p.claimMessages() {
-				out = append(out, parts.Load{Pool: name, Free: int(c.GetFreeSlots()), Queued: int(c.GetQueued())})
+				out = append(out, parts.Load{Pool: name, Free: int(c.GetFreeSlots()), Queued: int(c.GetQueued()), Local: true})
 			}
 		} else if c, ok := n.claims[name]; ok && n.isHeard(c, now) {
 			out = append(out, parts.Load{Pool: name, Free: c.free, Queued: c.queued})
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -73,7 +73,7 @@
 		waiters:  map[uint64]waiter{},
 		watch:    newWatch(n.config.Metrics, name),
 	}
-	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+	p.core = scheduler.NewCore(scheduler.DefaultConfig())
 	p.claims.Store(&[]*fleetpb.Claim{})
 	return p
 }
@@ -220,7 +220,7 @@
 	p.held.Store(false)
 	p.closeSessions()
 	p.apply(p.core.GiveUp(), now)
-	p.core = scheduler.NewCore(scheduler.DefaultConfig(p.name))
+	p.core = scheduler.NewCore(scheduler.DefaultConfig())
 	p.publish(now)
 }
 
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -41,13 +41,13 @@
 // if the holder of the first cannot be reached.
 func (n *Node) submitNear(ctx context.Context, j scheduler.Job) scheduler.Answer {
 	loads := n.loads(n.config.Self.Domain)
-	pool := cmp.Or(parts.Choose(loads, rand.IntN), n.config.Self.Domain)
+	pool := cmp.Or(parts.Choose(loads, j.Tasks(), rand.IntN), n.config.Self.Domain)
 	a := n.submitTo(ctx, pool, j)
 	if a.Outcome != scheduler.Refused || a.Kind != failure.NotReady || len(loads) < 2 {
 		return a
 	}
 	loads = slices.DeleteFunc(loads, func(l parts.Load) bool { return l.Pool == pool })
-	pool = parts.Choose(loads, rand.IntN)
+	pool = parts.Choose(loads, j.Tasks(), rand.IntN)
 	n.log.Info("A job goes to another pool.", "job", j.ID, "pool", pool, "reason", a.Reason, "age", time.Since(j.Arrived))
 	return n.submitTo(ctx, pool, j)
 }
--- a/internal/process/parts/parts.go
+++ b/internal/process/parts/parts.go
@@ -72,18 +72,30 @@
 // Load is what a pool's holder said last.
 type Load struct {
 	Pool   string
-	Free   int // tasks of usual size that would start at once
-	Queued int // tasks that wait
+	Free   int  // tasks of usual size that would start at once
+	Queued int  // tasks that wait
+	Local  bool // the host that chooses holds the pool, so the figures are of now
 }
 
 func (l Load) spare() int { return l.Free - l.Queued }
 
-// Choose returns the pool for a job: of two that are drawn, the one with more
-// room. The loads are up to a greeting old, and all hosts that looked for the
+// roomyBy is how many times a job's tasks the host's own pool must have free to
+// be chosen without a look at others: with less, jobs of the callers that happen
+// to be connected here would fill it before the other pools.
+const roomyBy = 4
+
+// Choose returns the pool for a job with a number of tasks: the host's own one
+// while it has ample room, which saves a message; otherwise, of two that are drawn,
+// the one with more room. The loads are up to a greeting old, and all hosts that looked for the
 // greatest would send to one pool until the next (M. Mitzenmacher, "How useful is
 // old information?", 2000). Draw returns a random number below its argument. It
 // returns no name if there are no loads.
-func Choose(loads []Load, draw func(below int) int) string {
+func Choose(loads []Load, tasks int, draw func(below int) int) string {
+	for _, l := range loads {
+		if l.Local && l.spare() >= roomyBy*tasks {
+			return l.Pool
+		}
+	}
 	switch len(loads) {
 	case 0:
 		return ""
--- a/internal/process/parts/parts_test.go
+++ b/internal/process/parts/parts_test.go
@@ -82,7 +82,7 @@
 		}
 		for range round - 4 {
 			var to int
-			_, _ = fmt.Sscan(parts.Choose(loads, random.IntN), &to)
+			_, _ = fmt.Sscan(parts.Choose(loads, 1, random.IntN), &to)
 			queued[to]++
 		}
 		for i := range queued {
@@ -95,9 +95,19 @@
 
 func TestChooseTakesTheRoomierOfTwo(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(parts.Choose(nil, nil)).To(BeEmpty())
-	g.Expect(parts.Choose([]parts.Load{{Pool: "a"}}, nil)).To(Equal("a"))
+	g.Expect(parts.Choose(nil, 1, nil)).To(BeEmpty())
+	g.Expect(parts.Choose([]parts.Load{{Pool: "a"}}, 1, nil)).To(Equal("a"))
 	zero := func(int) int { return 0 }
-	g.Expect(parts.Choose([]parts.Load{{Pool: "a", Free: 1}, {Pool: "b", Free: 2}}, zero)).To(Equal("b"))
-	g.Expect(parts.Choose([]parts.Load{{Pool: "a", Queued: 1}, {Pool: "b", Queued: 2}}, zero)).To(Equal("a"))
+	g.Expect(parts.Choose([]parts.Load{{Pool: "a", Free: 1}, {Pool: "b", Free: 2}}, 1, zero)).To(Equal("b"))
+	g.Expect(parts.Choose([]parts.Load{{Pool: "a", Queued: 1}, {Pool: "b", Queued: 2}}, 1, zero)).To(Equal("a"))
+}
+
+func TestTheHostsOwnPoolComesFirstWhileItIsRoomy(t *testing.T) {
+	g := NewWithT(t)
+	second := func(below int) int { return below - 1 }
+	loads := []parts.Load{{Pool: "own", Free: 16, Local: true}, {Pool: "far", Free: 40}, {Pool: "near", Free: 30}}
+	g.Expect(parts.Choose(loads, 4, second)).To(Equal("own"))
+	g.Expect(parts.Choose(loads, 5, second)).To(Equal("far"))
+	loads[0].Queued = 1
+	g.Expect(parts.Choose(loads, 4, second)).To(Equal("far"))
 }
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -12,15 +12,14 @@
 
 // Config configures a Core.
 type Config struct {
-	Pool        string
 	UsualWeight float64 // of a queue's usual run time beside the declared one, 0 to 1
 	Usable      float64 // share of the targets' cores that tasks can fill; the rest is too small for a task
 }
 
 // DefaultConfig returns the values for tasks whose estimates are off by up to
 // two fifths and whose run times spread as much again.
-func DefaultConfig(pool string) Config {
-	return Config{Pool: pool, UsualWeight: 0.5, Usable: 0.65}
+func DefaultConfig() Config {
+	return Config{UsualWeight: 0.5, Usable: 0.65}
 }
 
 // Room is what another pool could take at once.
@@ -147,9 +146,7 @@
 
 // lose drops a target; what ran there waits again.
 func (c *Core) lose(t *target, reason string, now time.Time) {
-	for _, r := range t.sortedRuns() {
-		c.release(r)
-	}
+	c.releaseAll(t)
 	delete(c.targets, t.ID)
 	c.order = slices.DeleteFunc(c.order, func(id string) bool { return id == t.ID })
 	c.emit(Note{Message: "A target is no longer used.", Target: t.ID, Reason: reason})
@@ -182,9 +179,7 @@
 	if !ok || len(t.runs) == 0 {
 		return nil
 	}
-	for _, r := range t.sortedRuns() {
-		c.release(r)
-	}
+	c.releaseAll(t)
 	c.emit(Note{Message: "The leases of a target ended.", Target: id})
 	c.place(now)
 	return c.take()
@@ -345,6 +340,13 @@
 	return t, t.runs[r]
 }
 
+// releaseAll takes in that nothing runs on a target any more.
+func (c *Core) releaseAll(t *target) {
+	for _, r := range t.sortedRuns() {
+		c.release(r)
+	}
+}
+
 // release frees a run's room; its task waits again.
 func (c *Core) release(r *run) {
 	if t, ok := c.targets[r.target]; ok {
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -16,7 +16,7 @@
 
 // newCore returns a core with targets of 16 cores named t0, t1 and so on.
 func newCore(targets int) *Core {
-	c := NewCore(DefaultConfig("north"))
+	c := NewCore(DefaultConfig())
 	for i := range targets {
 		c.Announce(deskTarget(i), false, start)
 	}
--- a/internal/process/scheduler/load_test.go
+++ b/internal/process/scheduler/load_test.go
@@ -112,7 +112,7 @@
 	}
 	p.begun = p.now
 	for z := range pools {
-		config := DefaultConfig(fmt.Sprintf("z%d", z))
+		config := DefaultConfig()
 		adjust(&config)
 		core := NewCore(config)
 		p.pools = append(p.pools, core)
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -56,6 +56,15 @@
 	Spilled       bool      // comes from another pool and may not be passed on
 }
 
+// Tasks returns the number of the job's tasks.
+func (j Job) Tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
+
 // Run identifies one start of a task.
 type Run struct {
 	Job    string
