--- a/internal/process/holder/pool_test.go
+++ b/internal/process/holder/pool_test.go
@@ -98,9 +98,10 @@
 	p := newPool("a")
 	p.Receive(1, begun)
 	before := p.Claim().Token
-	p.Fence(begun)
+	later := begun.Add(time.Minute)
+	p.Fence(later)
 	g.Expect(p.Held()).To(BeFalse())
-	g.Expect(p.Decide(nobody, []string{"a"}, begun.Add(settle/2))).To(Equal(holder.Unchanged))
+	g.Expect(p.Decide(nobody, []string{"a"}, later.Add(settle/2))).To(Equal(holder.Unchanged))
 	other := holder.Claim{Holder: "b", Token: before + 5}
 	p.Hear(other)
 	g.Expect(p.Decide(everyone, []string{"a"}, begun.Add(time.Hour))).To(Equal(holder.Unchanged))
--- a/internal/process/parts/parts_test.go
+++ b/internal/process/parts/parts_test.go
@@ -72,7 +72,7 @@
 func TestJobsSpreadOverPoolsThoughTheLoadsAreOld(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(7, 7))
-	const pools, room, round, done = 4, 40, 50, 12 // tasks; jobs between two greetings; tasks done by each pool meanwhile
+	const pools, room, round, done = 4, 40, 46, 12 // tasks; jobs between two greetings; tasks done by each pool meanwhile
 	queued := make([]int, pools)
 	longest := 0
 	for range 200 {
@@ -80,14 +80,14 @@
 		for i, q := range queued {
 			loads[i] = parts.Load{Pool: fmt.Sprint(i), Free: max(0, room-q), Queued: max(0, q-room)}
 		}
-		for range round - 4 {
+		for range round {
 			var to int
 			_, _ = fmt.Sscan(parts.Choose(loads, 1, random.IntN), &to)
 			queued[to]++
 		}
 		for i := range queued {
-			queued[i] = max(0, queued[i]-done)
 			longest = max(longest, queued[i])
+			queued[i] = max(0, queued[i]-done)
 		}
 	}
 	g.Expect(longest).To(BeNumerically("<=", room), "some pool was flooded")
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -201,6 +201,14 @@
 	answer := replies(c.Submit(deskJob("j", 1), 1, at(1)))
 	g.Expect(answer).To(HaveLen(1))
 	g.Expect(answer[0].Answer.Kind).To(Equal(failure.NoTargets))
+	// Beside another target, and with room that comes free on it.
+	c.Announce(deskTarget(1), false, at(2))
+	begun := starts(c.Submit(deskJob("k", 3), 2, at(3)))
+	g.Expect(begun).To(HaveLen(2))
+	g.Expect(begun).To(HaveEach(HaveField("Target", "t1")))
+	leaving.ID = "t1"
+	c.Announce(leaving, false, at(4))
+	g.Expect(starts(c.Ended("t1", begun[0].Run, EndDone, at(50)))).To(BeEmpty())
 }
 
 func TestATargetThatStartedAnewRunsNothingOfBefore(t *testing.T) {
@@ -316,6 +324,10 @@
 	g.Expect(answer[0].Waiter).To(Equal(uint64(2)))
 	g.Expect(answer[0].Answer.Outcome).To(Equal(Refused))
 	g.Expect(answer[0].Answer.RetryAfter).To(BeNumerically(">", 0))
+	// One of whose tasks another one waits is not refused at its latest start.
+	c = newCore(1)
+	c.Submit(deskJob("half", 3), 3, at(0))
+	g.Expect(replies(c.Tick(at(400)))).To(BeEmpty())
 }
 
 // A job that has run in part is not refused, nor called failed while no task
