Greet holders of other domains seldom unless this host holds a pool

Change: pairs in which both hold pools greet each 2 s, other pairs of different domains as seldom as idle ones.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -17,7 +17,7 @@
 // bound detection, not delivery.
 const (
 	greetEntry   = 250 * time.Millisecond // between greetings to another entry host
-	greetFar     = 2 * time.Second        // between greetings to the holder of another domain's pool, where there are many hosts
+	greetFar     = 2 * time.Second        // between holders of pools of different domains, where there are many hosts
 	greetIdle    = time.Second            // between greetings to an entry host that holds no pool, where there are many
 	fewHosts     = 20                     // up to so many other hosts all entry hosts greet each other often
 	greetControl = time.Second            // between greetings to or among hosts with a disk
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -64,7 +64,7 @@
 	switch {
 	case n.few() || near && n.holdsPool(h.Address):
 		return greetEntry
-	case n.holdsPool(h.Address):
+	case n.bothHold(h):
 		return greetFar
 	case near:
 		return n.idlePause()
@@ -97,21 +97,26 @@
 	return n.holders[address]
 }
 
+// bothHold reports whether this host and another one hold pools: jobs may go from
+// one to the other. The caller holds the lock.
+func (n *Node) bothHold(h discovery.Host) bool {
+	return n.holdsPool(h.Address) && n.holdsPool(n.config.Self.Address)
+}
+
 // window returns how long after it was heard last a host counts as alive: some
 // pauses between the greetings that pass between it and this one. The caller
 // holds the lock.
 func (n *Node) window(h discovery.Host) time.Duration {
-	holds := n.holdsPool(h.Address) || n.holdsPool(n.config.Self.Address)
+	near := h.Domain == n.config.Self.Domain
 	switch {
-	case n.few() || holds && h.Domain == n.config.Self.Domain:
+	case n.few() || near && (n.holdsPool(h.Address) || n.holdsPool(n.config.Self.Address)):
 		return aliveFor
-	case holds:
+	case near:
+		return idlePauses * n.idlePause()
+	case n.bothHold(h):
 		return idlePauses * greetFar
 	}
-	if h.Domain != n.config.Self.Domain {
-		return 2 * farIdle * n.idlePause()
-	}
-	return idlePauses * n.idlePause()
+	return 2 * farIdle * n.idlePause()
 }
 
 func (n *Node) greetOnce(ctx context.Context, address string, link *hostlink.Link) bool {
