--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -13,7 +13,8 @@
 // Times of the orders to a target. The lease is max_lease long, 1 s as a rule.
 const (
 	orderTimeout = 250 * time.Millisecond // of a start or stop; a target answers within a few
-	renewWait    = 300 * time.Millisecond // a target holds its answer for so long while nothing ends
+	renewWait    = 300 * time.Millisecond // a target holds its answer for so long while nothing ends, at most
+	renewShare   = 3                      // the wait is at most this part of a lease: the next renewal must come in time
 	renewSlack   = 200 * time.Millisecond // beyond the wait, until a renewal counts as lost
 	renewPause   = 60 * time.Millisecond  // after a renewal that failed
 	clearPause   = 30 * time.Millisecond  // between looks at a target whose former runs are being stopped
@@ -232,7 +233,7 @@
 		r.LeaseUntil = s.lease()
 	}
 	if s.active.Load() > 0 && s.missing == 0 && !s.clearing.Load() {
-		r.Wait = renewWait
+		r.Wait = min(renewWait, s.pool.node.config.MaxLease/renewShare)
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, r.Wait+renewSlack)
 	defer cancel()
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -12,6 +13,40 @@
 	"wasabifield.example/wasabifield/internal/process/parts"
 )
 
+// renewals notes the waits that targets are asked for.
+type renewals struct {
+	Orders
+	waits chan time.Duration
+}
+
+func (r renewals) Renew(_ context.Context, _ TargetRef, asked Renewal) (TargetReport, error) {
+	r.waits <- asked.Wait
+	return TargetReport{}, nil
+}
+
+// Deployments differ in the longest lease. A target that holds its answer nearly as
+// long as the lease would let what runs there end.
+func TestARenewalComesWellBeforeTheLeaseEnds(t *testing.T) {
+	g := NewWithT(t)
+	for lease, want := range map[time.Duration]time.Duration{
+		time.Second: renewWait, 5 * time.Second: renewWait, 450 * time.Millisecond: 150 * time.Millisecond,
+	} {
+		orders := renewals{waits: make(chan time.Duration, 1)}
+		n, err := New(Config{
+			Self: discovery.Host{Address: "self", Domain: "north", Entry: true}, MaxLease: lease, Orders: orders,
+			Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil),
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		s := newSession(newPool(n, parts.Pool{Domain: "north"}), Announcement{Received: time.Now()})
+		s.ctx = context.Background()
+		s.clearing.Store(false)
+		s.active.Store(1)
+		_, err = s.renew()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(<-orders.waits).To(Equal(want))
+	}
+}
+
 // A pool that was handed over brings runs with leases that the former holder gave.
 // If the target does not answer the new one, they count as ended only after a
 // lease's time.
