--- a/internal/process/fleet/route.go
+++ b/internal/process/fleet/route.go
@@ -10,6 +10,7 @@
 	holder func() (address string, ok bool)      // of the pool at the moment
 	ask    func(address string) scheduler.Answer // submits the job there
 	pause  func() bool                           // waits a little; false if the caller has left
+	tries  int                                   // looks for a holder before a job is refused
 }
 
 // submit asks one holder after another until one has an answer; none is the
@@ -17,7 +18,7 @@
 // never refused: it may have run.
 func (r route) submit(none scheduler.Answer) scheduler.Answer {
 	answer, handed, next := none, false, ""
-	for try := 0; try < holderTries || handed && try < handedTries; try++ {
+	for try := 0; try < r.tries || handed && try < handedTries; try++ {
 		address, ok := r.holder()
 		if next != "" {
 			address, ok, next = next, true, ""
--- a/internal/process/fleet/route_test.go
+++ b/internal/process/fleet/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -19,6 +20,7 @@
 			return a
 		},
 		pause: func() bool { return true },
+		tries: 5,
 	}
 }
 
@@ -53,5 +55,24 @@
 	a := script(&asked, unreachable).submit(scheduler.Answer{})
 	g.Expect(a.Outcome).To(Equal(scheduler.Refused))
 	g.Expect(a.RetryAfter).To(BeNumerically(">", 0))
-	g.Expect(asked).To(HaveLen(holderTries))
+	g.Expect(asked).To(HaveLen(5))
+}
+
+// Jobs that come while the hosts start wait for a holder for a part of the time that
+// they have, and are refused while there is time to serve them elsewhere.
+func TestAJobWaitsForAHolderForAPartOfItsObjective(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	j := scheduler.Job{
+		Arrived: now, SlackFactor: 1.6, TargetLatency: 60 * time.Millisecond,
+		Steps: []scheduler.Step{{Count: 2, Estimate: 200 * time.Millisecond}},
+	}
+	tries := func(age time.Duration) time.Duration {
+		return time.Duration(holderTries(j, now.Add(age))) * holderPause
+	}
+	g.Expect(tries(0)).To(BeNumerically("~", j.Objective()/4, holderPause))
+	g.Expect(tries(50 * time.Millisecond)).To(BeNumerically("~", j.Objective()/4-50*time.Millisecond, holderPause))
+	g.Expect(holderTries(j, now.Add(time.Second))).To(Equal(2))
+	j.Steps[0].Estimate = 900 * time.Millisecond
+	g.Expect(tries(0)).To(BeNumerically(">", 300*time.Millisecond))
 }
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -15,7 +15,9 @@
 
 const (
 	holderPause = 20 * time.Millisecond // between two looks for a pool's holder
-	holderTries = 5                     // looks for a holder before a job is refused; below a tenth of a second
+	// waitShare is the part of a job's objective for which it waits for a holder at
+	// the most: a job that is then refused has time left to be served elsewhere.
+	waitShare = 4
 	// handedTries is the same for a job that the former holder handed over while
 	// it ran: the new one drops it after two seconds, so asking longer is of no use.
 	handedTries = 90
@@ -65,10 +67,17 @@
 				return true
 			}
 		},
+		tries: holderTries(j, time.Now()),
 	}
 	return r.submit(refusedBy(failure.New(failure.NotReady, "no host holds the targets of "+pool)))
 }
 
+// holderTries returns how often a job's host looks for a holder: at least twice, as
+// a new holder may just have been announced.
+func holderTries(j scheduler.Job, now time.Time) int {
+	return max(2, int((j.Objective()/waitShare-now.Sub(j.Arrived))/holderPause))
+}
+
 // submitHere runs a job in a pool that this host holds.
 func (n *Node) submitHere(ctx context.Context, name string, j scheduler.Job, sender string) scheduler.Answer {
 	n.mu.Lock()
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -43,12 +43,12 @@
 	s.pending = len(s.tasks)
 	s.left = len(s.tasks)
 	chain := j.chain()
-	s.due = j.Arrived.Add(j.objective())
+	s.due = j.Arrived.Add(j.Objective())
 	if j.Deadline.Before(s.due) {
 		s.due = j.Deadline
 	}
 	s.startBy = s.due.Add(-chain)
-	s.uselessAt = j.Arrived.Add(uselessAfter * j.objective())
+	s.uselessAt = j.Arrived.Add(uselessAfter * j.Objective())
 	return s
 }
 
@@ -69,8 +69,8 @@
 	return longest
 }
 
-// objective returns the time within which the job's answer has its full worth.
-func (j Job) objective() time.Duration {
+// Objective returns the time within which the job's answer has its full worth.
+func (j Job) Objective() time.Duration {
 	return time.Duration(j.SlackFactor*float64(j.chain())) + j.TargetLatency
 }
 
