Hand a part to an idle host where one host holds several

Change: a host that holds several pools of its domain hands the last one, with its jobs, to the first candidate that holds none, after 2 s. Tests: TestALargeDomainIsSplitAmongItsHosts goes on with a third host that must get a part while jobs run.

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -31,16 +31,16 @@
 
 // handOverEvent begins a hand-over: after it, no target reports to the owner.
 type handOverEvent struct {
+	to     string // the host that takes the pool; empty for the first candidate
 	reason string
 	done   chan<- struct{}
 }
 
 func (e handOverEvent) apply(p *pool, now time.Time) {
-	to := ""
+	to := e.to
 	for _, c := range p.node.candidates(p.id) {
-		if c != p.node.config.Self.Address {
+		if to == "" && c != p.node.config.Self.Address {
 			to = c
-			break
 		}
 	}
 	if !p.held.Load() || p.handing || to == "" {
--- a/internal/process/fleet/partition.go
+++ b/internal/process/fleet/partition.go
@@ -14,6 +14,12 @@
 	// growPause is how long a new pool leaves targets to the pool that had them:
 	// most of the runs there end meanwhile.
 	growPause = time.Second
+	// spreadEvery is the time between looks at the number of pools that a host holds.
+	spreadEvery = 250 * time.Millisecond
+	// spreadAfter is how long a host holds several pools of its domain beside one
+	// that holds none before it hands one over: hosts that start together hear of
+	// each other within this.
+	spreadAfter = 2 * time.Second
 )
 
 // partsOf returns the number of pools that a domain's targets are split into, as
@@ -108,3 +114,58 @@
 		}
 	}
 }
+
+// spread hands this pool to a host of the domain that holds none, if this host holds
+// several: the one that starts first claims all.
+func (p *pool) spread(now time.Time) {
+	if p.handing || p.id.Domain != p.node.config.Self.Domain || now.Sub(p.spreadLooked) < spreadEvery {
+		return
+	}
+	p.spreadLooked = now
+	to := ""
+	if p.node.isLastHeld(p.id) {
+		to = p.node.idleCandidate(p.id)
+	}
+	if to == "" {
+		p.uneven = time.Time{}
+		return
+	}
+	if p.uneven.IsZero() {
+		p.uneven = now
+	}
+	if now.Sub(p.uneven) > spreadAfter {
+		p.uneven = time.Time{}
+		handOverEvent{to: to, reason: "this host holds several", done: make(chan struct{})}.apply(p, now)
+	}
+}
+
+// isLastHeld reports whether this host holds several pools of a domain, of which this
+// is the one of the last part.
+func (n *Node) isLastHeld(id parts.Pool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	others := false
+	for _, p := range n.pools {
+		if p.held.Load() && p.id.Domain == id.Domain && p.id.Part != id.Part {
+			if p.id.Part > id.Part {
+				return false
+			}
+			others = true
+		}
+	}
+	return others
+}
+
+// idleCandidate returns the first other candidate for a pool that holds none, or
+// nothing.
+func (n *Node) idleCandidate(id parts.Pool) string {
+	for _, c := range n.candidates(id) {
+		n.mu.Lock()
+		busy := c == n.config.Self.Address || n.holdsPool(c)
+		n.mu.Unlock()
+		if !busy {
+			return c
+		}
+	}
+	return ""
+}
--- a/internal/process/fleet/partition_test.go
+++ b/internal/process/fleet/partition_test.go
@@ -48,7 +48,7 @@
 				}
 			}
 		}
-		return by, by["a"]+by["b"] == parts.Grow(1, 70)
+		return by, by["a"]+by["b"]+by["c"] == parts.Grow(1, 70)
 	}
 	f.g.Eventually(func() bool {
 		announce(70)
@@ -57,6 +57,14 @@
 	}, limit, 100*time.Millisecond).Should(BeTrue())
 	by, _ := held()
 	f.g.Expect(by).To(HaveLen(2), "one host orders all parts: %v", by)
+	// A third host takes a part off one that holds two, with its jobs.
+	third := f.start("c", "north")
+	f.g.Eventually(func() bool {
+		announce(70)
+		by, all := held()
+		return all && by["c"] == 1
+	}, limit, 100*time.Millisecond).Should(BeTrue(), "the third host gets no part")
+	f.g.Expect(third.Holds("north")).To(BeFalse(), "the first part was handed over")
 	for i := range 30 {
 		submit(10 + i)
 		time.Sleep(time.Millisecond)
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -43,7 +43,9 @@
 	opened       time.Time
 	looked       time.Time // when orphaned domains were looked for last
 	counted      time.Time // when the targets of the domain were counted last
-	split        int       // parts of the domain when targets were released last
+	uneven       time.Time // since when another host could take this pool off this one; zero if none can
+	spreadLooked time.Time
+	split        int // parts of the domain when targets were released last
 	watch        *watch
 }
 
@@ -167,6 +169,7 @@
 	if p.held.Load() {
 		p.grow(now)
 		p.release(now)
+		p.spread(now)
 		p.core.SetRoom(p.node.room(p.name))
 		p.apply(p.core.Tick(now), now)
 		p.withdrawLostSenders(now)
