Hand a part over whole to a host that has just started

Cause, found by reading: a new part leaves targets alone for a second after a domain is split. A host that started less than a second ago and is handed a part took its jobs in without their targets, so running tasks counted as waiting: they would have started a second time, and in the test their jobs were lost. Change: the hand-over says how many parts there are, and a part that was handed over takes its targets at once. Tests: TestAFreshHostTakesAPartWithItsRunningTasks, without the change 'the job was handed over, then: a task waits'. The stand-in's workers list the share of a run that is done instead of a random one, which looked like a hung run once in a hundred. Also: grpc-go's ResetConnectBackoff races with its own making of connections (race detector, clientconn.go); it is used no more, links are tried again after at most 150 ms instead of 500.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -43,6 +43,8 @@
 	eventRing    = 1024                   // events that wait for the pool's owner
 	idleLink     = 10 * time.Second       // a link without a message is probed after this; greetings replace broken ones sooner
 	hostsFor     = 3 * time.Second        // a host that was heard within this is told to targets and counted as present
+	redialFirst  = 50 * time.Millisecond  // between attempts to connect to another host, at first
+	redialMost   = 150 * time.Millisecond // and at most: hosts that start together are not reachable at once
 	dialTimeout  = 500 * time.Millisecond // to connect to another host
 )
 
--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -36,7 +36,7 @@
 type worker struct {
 	token   uint64
 	next    uint64
-	running map[scheduler.Run]*time.Timer
+	running map[scheduler.Run]time.Time // when it began
 	ended   []fleet.EndedRun
 	changed chan struct{}
 }
@@ -47,7 +47,7 @@
 
 func (w *workers) get(id string) *worker {
 	if w.byID[id] == nil {
-		w.byID[id] = &worker{running: map[scheduler.Run]*time.Timer{}, changed: make(chan struct{})}
+		w.byID[id] = &worker{running: map[scheduler.Run]time.Time{}, changed: make(chan struct{})}
 	}
 	return w.byID[id]
 }
@@ -80,7 +80,8 @@
 		}
 	}
 	w.starts[o.Run.Task()]++
-	k.running[o.Run] = time.AfterFunc(w.work, func() {
+	k.running[o.Run] = time.Now()
+	time.AfterFunc(w.work, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.end(t.ID, o.Run, scheduler.EndDone)
@@ -122,8 +123,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	report := fleet.TargetReport{Clock: 1, Ended: append([]fleet.EndedRun(nil), k.ended...)}
-	for run := range k.running {
-		percent := int(time.Now().UnixMilli() % 100) // always at work
+	for run, begun := range k.running {
+		percent := int(min(99, 100*time.Since(begun)/w.work))
 		report.Running = append(report.Running, fleet.RunningRun{Run: run, Percent: percent})
 	}
 	return report, nil
--- a/internal/process/fleet/greet.go
+++ b/internal/process/fleet/greet.go
@@ -124,7 +124,6 @@
 	limited, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
 	conn := link.Current()
-	conn.ResetConnectBackoff() // a host that is starting may listen by now
 	reply, err := fleetpb.NewFleetClient(conn).Exchange(limited, n.greeting(0))
 	link.Exchanged(conn, err)
 	if err != nil {
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -137,7 +137,9 @@
 }
 
 func (p *pool) stateMessage(now time.Time) *fleetpb.PoolState {
-	m := &fleetpb.PoolState{Pool: p.name, FencingToken: p.view.Claim().Token}
+	m := &fleetpb.PoolState{
+		Pool: p.name, FencingToken: p.view.Claim().Token, Parts: uint32(p.node.partsOf(p.id.Domain)),
+	}
 	for _, a := range p.node.beats.list(now) {
 		if p.owns(a.Target.ID, a.Target.Domain) {
 			m.Targets = append(m.Targets, announcementMessage(a, now))
@@ -173,6 +175,12 @@
 	for _, a := range e.message.GetTargets() {
 		p.node.beats.learn(announcementFrom(a, now))
 	}
+	// All of the pool's targets must be known before its jobs: a task whose target is
+	// not would start a second time.
+	p.node.mu.Lock()
+	p.node.hearParts(p.id.Domain, int(e.message.GetParts()))
+	p.node.mu.Unlock()
+	p.opened = time.Time{}
 	p.view.Receive(e.message.GetFencingToken(), now)
 	p.takeOver(now, "its holder handed it over")
 	var jobs []scheduler.HandedJob
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -169,7 +169,7 @@
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
+			Backoff:           backoff.Config{BaseDelay: redialFirst, Multiplier: 1.6, Jitter: 0.2, MaxDelay: redialMost},
 			MinConnectTimeout: dialTimeout,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(controller.MaxContent+1<<20)),
--- a/internal/process/fleet/partition_test.go
+++ b/internal/process/fleet/partition_test.go
@@ -77,3 +77,38 @@
 	defer f.workers.mu.Unlock()
 	f.g.Expect(f.workers.overlap).To(BeEmpty())
 }
+
+// A host that has just started and knows neither the parts of the domain nor its
+// targets gets a part with running tasks. None of them may start a second time.
+func TestAFreshHostTakesAPartWithItsRunningTasks(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 3*time.Second)
+	f.start("disk", "south")
+	f.start("a", "north")
+	f.open("a")
+	f.announce(f.nodes["a"], "north", 70)
+	pool := func(part int) string { return parts.Pool{Domain: "north", Part: part}.String() }
+	f.g.Eventually(func() bool {
+		f.announce(f.nodes["a"], "north", 70)
+		return f.nodes["a"].Holds(pool(3))
+	}, limit, 50*time.Millisecond).Should(BeTrue())
+	time.Sleep(1500 * time.Millisecond) // the new parts take their targets
+	f.announce(f.nodes["a"], "north", 70)
+	var wait sync.WaitGroup
+	answers := make([]scheduler.Answer, 110) // the tasks fill most of each part
+	first := f.nodes["a"]
+	for i := range answers {
+		wait.Go(func() { answers[i] = first.Submit(context.Background(), job(fmt.Sprint("job", i), 2)) })
+	}
+	b := f.start("b", "north")
+	f.g.Eventually(func() bool { return len(b.Hosts()) == 2 }, limit, time.Millisecond).Should(BeTrue())
+	first.Leave(context.Background())
+	wait.Wait()
+	for i, a := range answers {
+		f.g.Expect(a.Outcome).To(Equal(scheduler.Completed), "job %d: %s", i, a.Reason)
+	}
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	f.g.Expect(f.workers.overlap).To(BeEmpty())
+	f.g.Expect(f.workers.starts).To(HaveEach(1))
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -40,7 +40,7 @@
 	reached      time.Time // when one answered last
 	reachedSince time.Time // when one answered first, without a pause since; zero if none does
 	home         time.Time // since when an entry host of the pool's own domain is heard
-	opened       time.Time
+	opened       time.Time // when the domain was split, for a new part; zero once it was handed over
 	looked       time.Time // when orphaned domains were looked for last
 	counted      time.Time // when the targets of the domain were counted last
 	uneven       time.Time // since when another host could take this pool off this one; zero if none can
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -98,7 +98,6 @@
 		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "the pool's holder is not known"}
 	}
 	conn := link.Current()
-	conn.ResetConnectBackoff() // the host may have started a moment ago
 	if !link.Connected(ctx, conn) {
 		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "the pool's holder cannot be reached"}
 	}
