--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -40,7 +40,7 @@
 	controller *controller.Controller
 	catalogs   *catalogs
 	beats      *beats // what targets announced here or through other hosts
-	toPassOn   chan Announcement
+	toPassOn   chan Announcement // for other hosts
 	leaving    atomic.Bool
 	catching   sync.Mutex // held while a newer catalog is fetched
 	running    context.Context
--- a/internal/process/fleet/partition.go
+++ b/internal/process/fleet/partition.go
@@ -30,8 +30,8 @@
 	return max(1, n.parts[domain])
 }
 
-// hearParts takes in the number of parts that another host knows of a domain. The
-// caller holds the lock.
+// hearParts takes in a number of parts of a domain, which another host told or this
+// one worked out. The largest stays. The caller holds the lock.
 func (n *Node) hearParts(domain string, count int) {
 	if count = min(count, parts.Most); count > max(1, n.parts[domain]) {
 		n.log.Info("The targets of a domain are split.", "domain", domain, "parts", count, "parts_before", max(1, n.parts[domain]))
