--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -39,7 +39,7 @@
 	log        *slog.Logger
 	controller *controller.Controller
 	catalogs   *catalogs
-	beats      *beats // what targets announced here or through other hosts
+	beats      *beats            // what targets announced here or through other hosts
 	toPassOn   chan Announcement // for other hosts
 	leaving    atomic.Bool
 	catching   sync.Mutex // held while a newer catalog is fetched
