--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -18,8 +18,9 @@
 	// waitShare is the part of a job's objective for which it waits for a holder at
 	// the most: a job that is then refused has time left to be served elsewhere.
 	waitShare = 4
-	// handedTries is the same for a job that the former holder handed over while
-	// it ran: the new one drops it after two seconds, so asking longer is of no use.
+	// handedTries is how often a host looks for the holder of a job that the former
+	// one handed over while it ran: the new one drops it after two seconds, so asking
+	// longer is of no use.
 	handedTries = 90
 )
 
