--- a/internal/process/controller/export_test.go
+++ b/internal/process/controller/export_test.go
@@ -19,8 +19,10 @@
 	return hosts
 }
 
-// AttemptTime is attemptTime.
-var AttemptTime = attemptTime
+// AttemptTime is attemptTime on a host that holds a value.
+func AttemptTime(usual time.Duration, unconfirmed, change bool, failed int) time.Duration {
+	return attemptTime(usual, firstReads, unconfirmed, change, failed)
+}
 
 // FirstReads is firstReads.
 const FirstReads = firstReads
--- a/internal/process/controller/own.go
+++ b/internal/process/controller/own.go
@@ -74,10 +74,7 @@
 
 // attemptTime returns when the current attempt at an operation is repeated.
 func (c *Controller) attemptTime(o *operation) time.Duration {
-	if o.change == nil && c.isUnconfirmed() {
-		return min(c.firstPause(), c.config.Timing.Attempt)
-	}
-	return attemptTime(c.config.Timing.Attempt, c.isUnconfirmed(), o.change != nil, c.failed)
+	return attemptTime(c.config.Timing.Attempt, c.firstPause(), c.isUnconfirmed(), o.change != nil, c.failed)
 }
 
 // firstPause returns the time between reads until one was confirmed.
@@ -92,12 +89,12 @@
 // failed ones. Hosts that start together are not reachable at once, so before
 // the first confirmed read an attempt is repeated soon: reads at a steady rate,
 // and changes, which cost syncs and outbid each other, less and less often.
-func attemptTime(usual time.Duration, unconfirmed, change bool, failed int) time.Duration {
+func attemptTime(usual, firstPause time.Duration, unconfirmed, change bool, failed int) time.Duration {
 	if !unconfirmed {
 		return usual
 	}
 	if !change {
-		return min(firstReads, usual)
+		return min(firstPause, usual)
 	}
 	wait := firstReads
 	for range failed {
--- a/internal/process/fleet/beats.go
+++ b/internal/process/fleet/beats.go
@@ -7,7 +7,6 @@
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/discovery"
-	"wasabifield.example/wasabifield/internal/process/parts"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 )
 
@@ -124,15 +123,17 @@
 
 func (n *Node) sendOn(waiting []Announcement) {
 	now := time.Now()
+	hosts := n.Hosts()
 	messages := map[string]*fleetpb.Announcements{} // by address
 	for _, a := range waiting {
-		for _, h := range n.announceTo(a.Target) {
+		one := announcementMessage(a, now)
+		for _, h := range n.announceTo(a.Target, hosts) {
 			m := messages[h.Address]
 			if m == nil {
 				m = &fleetpb.Announcements{}
 				messages[h.Address] = m
 			}
-			m.Announcements = append(m.Announcements, announcementMessage(a, now))
+			m.Announcements = append(m.Announcements, one)
 		}
 	}
 	for address, m := range messages {
@@ -152,18 +153,17 @@
 	}
 }
 
-// announceTo returns the hosts to tell of a target: the entry hosts of its domain
-// and the holder of its pool, or all entry hosts if there is none.
-func (n *Node) announceTo(t scheduler.Target) []discovery.Host {
+// announceTo returns those of the hosts to tell of a target: the entry hosts of its
+// domain and the holder of its pool, or all entry hosts if there is none.
+func (n *Node) announceTo(t scheduler.Target, hosts []discovery.Host) []discovery.Host {
 	var own, all []discovery.Host
-	domain := t.Domain
-	holder, _ := n.holderOf(parts.Pool{Domain: domain, Part: parts.Of(t.ID, n.partsOf(domain))}.String())
-	for _, h := range n.Hosts() {
+	holder, _ := n.holderOf(n.poolOf(t.ID, t.Domain).String())
+	for _, h := range hosts {
 		if !h.Entry {
 			continue
 		}
 		all = append(all, h)
-		if h.Domain == domain || h.Address == holder {
+		if h.Domain == t.Domain || h.Address == holder {
 			own = append(own, h)
 		}
 	}
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -27,7 +27,7 @@
 		return
 	}
 	p.waiters[e.id] = e.waiter
-	p.core.SetRoom(p.node.room(p.name))
+	p.core.SetRoom(p.node.room(p.id))
 	p.apply(p.core.Submit(e.job, e.id, now), now)
 }
 
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -32,14 +32,20 @@
 	return b, a
 }
 
-func TestAnyHostOfADomainRunsAJob(t *testing.T) {
-	t.Parallel()
-	f := newFixture(t, 20*time.Millisecond)
+// startNorth starts two hosts of one domain that know a number of its targets.
+func (f *fixture) startNorth(targets int) {
+	f.t.Helper()
 	f.start("a", "north")
 	f.start("b", "north")
 	f.open("a", "b")
-	f.announce(f.nodes["a"], "north", 3)
-	f.announce(f.nodes["b"], "north", 3)
+	f.announce(f.nodes["a"], "north", targets)
+	f.announce(f.nodes["b"], "north", targets)
+}
+
+func TestAnyHostOfADomainRunsAJob(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 20*time.Millisecond)
+	f.startNorth(3)
 	for i, name := range []string{"a", "b"} {
 		a := f.submit(f.nodes[name], job(fmt.Sprint("job", i), 4))
 		f.g.Expect(a.Outcome).To(Equal(scheduler.Completed), a.Reason)
@@ -53,11 +59,7 @@
 func TestAHolderThatStopsHandsItsJobsOver(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 300*time.Millisecond)
-	f.start("a", "north")
-	f.start("b", "north")
-	f.open("a", "b")
-	f.announce(f.nodes["a"], "north", 4)
-	f.announce(f.nodes["b"], "north", 4)
+	f.startNorth(4)
 	held, other := f.holder()
 	f.g.Expect(f.submit(held, job("first", 1)).Outcome).To(Equal(scheduler.Completed))
 	f.g.Eventually(func() bool { return f.sees(other, held) }, limit, 5*time.Millisecond).Should(BeTrue())
@@ -109,11 +111,7 @@
 func TestAHandedJobIsNotRefused(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 5*time.Second)
-	f.start("a", "north")
-	f.start("b", "north")
-	f.open("a", "b")
-	f.announce(f.nodes["a"], "north", 2)
-	f.announce(f.nodes["b"], "north", 2)
+	f.startNorth(2)
 	held, other := f.holder()
 	f.g.Eventually(func() bool { return f.sees(other, held) }, limit, 5*time.Millisecond).Should(BeTrue())
 	answer := make(chan scheduler.Answer, 1)
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -38,10 +38,8 @@
 
 func (e handOverEvent) apply(p *pool, now time.Time) {
 	to := e.to
-	for _, c := range p.node.candidates(p.id) {
-		if to == "" && c != p.node.config.Self.Address {
-			to = c
-		}
+	if to == "" {
+		to = p.node.otherCandidate(p.id, func(string) bool { return true })
 	}
 	if !p.held.Load() || p.handing || to == "" {
 		close(e.done)
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -306,50 +306,48 @@
 	return c.claim.Holder != n.config.Self.Address && known && age <= n.window(h)
 }
 
-// loads returns what the holders of a domain's pools said last, in the order of
-// the parts. Pools without a holder are left out.
+// load returns what a pool's holder said last. It reports false for a pool without a
+// holder that is heard. The caller holds the lock.
+func (n *Node) load(pool string, now time.Time) (parts.Load, bool) {
+	if p, ok := n.pools[pool]; ok && p.held.Load() {
+		c := p.told.Load()
+		return parts.Load{Pool: pool, Free: int(c.GetFreeSlots()), Queued: int(c.GetQueued()), Local: true}, c != nil
+	}
+	c, ok := n.claims[pool]
+	return parts.Load{Pool: pool, Free: c.free, Queued: c.queued}, ok && n.isHeard(c, now)
+}
+
+// loads returns the loads of a domain's pools, in the order of the parts.
 func (n *Node) loads(domain string) []parts.Load {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
 	var out []parts.Load
 	for part := range max(1, n.parts[domain]) {
-		name := parts.Pool{Domain: domain, Part: part}.String()
-		if p, ok := n.pools[name]; ok && p.held.Load() {
-			for _, c := range p.claimMessages() {
-				out = append(out, parts.Load{Pool: name, Free: int(c.GetFreeSlots()), Queued: int(c.GetQueued()), Local: true})
-			}
-		} else if c, ok := n.claims[name]; ok && n.isHeard(c, now) {
-			out = append(out, parts.Load{Pool: name, Free: c.free, Queued: c.queued})
+		if l, ok := n.load(parts.Pool{Domain: domain, Part: part}.String(), now); ok {
+			out = append(out, l)
 		}
 	}
 	return out
 }
 
 // room returns what the pools other than one could take at once.
-func (n *Node) room(except string) []scheduler.Room {
+func (n *Node) room(except parts.Pool) []scheduler.Room {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var out []scheduler.Room
 	now := time.Now()
-	of, _ := parts.Parse(except)
-	near := func(name string) bool {
-		p, err := parts.Parse(name)
-		return err == nil && p.Domain == of.Domain
+	names := map[string]bool{}
+	for name := range n.pools {
+		names[name] = true
 	}
-	for name, p := range n.pools {
-		for _, c := range p.claimMessages() {
-			if name != except {
-				out = append(out, scheduler.Room{Pool: name, Tasks: int(c.GetFreeSlots()), Near: near(name)})
-			}
-		}
+	for name := range n.claims {
+		names[name] = true
 	}
-	for name, c := range n.claims {
-		if p, own := n.pools[name]; own && p.held.Load() {
-			continue
-		}
-		if name != except && c.free > 0 && n.isHeard(c, now) {
-			out = append(out, scheduler.Room{Pool: name, Tasks: c.free, Near: near(name)})
+	var out []scheduler.Room
+	for name := range names {
+		id, err := parts.Parse(name)
+		if l, ok := n.load(name, now); ok && l.Free > 0 && id != except {
+			out = append(out, scheduler.Room{Pool: name, Tasks: l.Free, Near: err == nil && id.Domain == except.Domain})
 		}
 	}
 	return out
--- a/internal/process/fleet/partition.go
+++ b/internal/process/fleet/partition.go
@@ -60,18 +60,21 @@
 		}
 	}
 	for _, p := range n.pools {
-		for _, c := range p.claimMessages() {
-			if p.id.Domain == domain {
-				highest = max(highest, c.GetFencingToken())
-			}
+		if p.id.Domain == domain {
+			highest = max(highest, p.told.Load().GetFencingToken())
 		}
 	}
 	return highest
 }
 
+// poolOf returns the pool that a target belongs to.
+func (n *Node) poolOf(id, domain string) parts.Pool {
+	return parts.Pool{Domain: domain, Part: parts.Of(id, n.partsOf(domain))}
+}
+
 // owns reports whether a target belongs to the pool.
 func (p *pool) owns(id, domain string) bool {
-	return domain == p.id.Domain && parts.Of(id, p.node.partsOf(domain)) == p.id.Part
+	return domain == p.id.Domain && p.node.poolOf(id, domain) == p.id
 }
 
 // grow splits the targets of the domain further if there are many. The holder of
@@ -124,7 +127,7 @@
 	p.spreadLooked = now
 	to := ""
 	if p.node.isLastHeld(p.id) {
-		to = p.node.idleCandidate(p.id)
+		to = p.node.otherCandidate(p.id, p.node.isIdle)
 	}
 	if to == "" {
 		p.uneven = time.Time{}
@@ -156,16 +159,9 @@
 	return others
 }
 
-// idleCandidate returns the first other candidate for a pool that holds none, or
-// nothing.
-func (n *Node) idleCandidate(id parts.Pool) string {
-	for _, c := range n.candidates(id) {
-		n.mu.Lock()
-		busy := c == n.config.Self.Address || n.holdsPool(c)
-		n.mu.Unlock()
-		if !busy {
-			return c
-		}
-	}
-	return ""
+// isIdle reports whether a host holds no pool.
+func (n *Node) isIdle(host string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.holdsPool(host)
 }
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -24,9 +24,9 @@
 	events chan event
 	ended  chan struct{}
 
-	held   atomic.Bool // read by any goroutine
-	claims atomic.Pointer[[]*fleetpb.Claim]
-	ids    atomic.Uint64 // of waiters
+	held atomic.Bool                   // read by any goroutine
+	told atomic.Pointer[fleetpb.Claim] // what greetings say of the pool; nil while another host holds it
+	ids  atomic.Uint64                 // of waiters
 
 	view         *holder.Pool
 	core         *scheduler.Core
@@ -76,7 +76,6 @@
 		watch:    newWatch(n.config.Metrics, name),
 	}
 	p.core = scheduler.NewCore(scheduler.DefaultConfig())
-	p.claims.Store(&[]*fleetpb.Claim{})
 	return p
 }
 
@@ -170,7 +169,7 @@
 		p.grow(now)
 		p.release(now)
 		p.spread(now)
-		p.core.SetRoom(p.node.room(p.name))
+		p.core.SetRoom(p.node.room(p.id))
 		p.apply(p.core.Tick(now), now)
 		p.withdrawLostSenders(now)
 	}
@@ -205,10 +204,7 @@
 	claim := p.view.Claim()
 	p.log.Info("This host holds the pool.", "pool", p.name, "token", claim.Token, "reason", reason)
 	p.held.Store(true)
-	for _, s := range p.sessions {
-		s.close()
-	}
-	p.sessions = map[string]*session{}
+	p.closeSessions()
 	for _, a := range p.node.beats.list(now) {
 		p.announce(a, now)
 	}
@@ -237,14 +233,14 @@
 // publish makes the claim known to the greeting goroutines.
 func (p *pool) publish(now time.Time) {
 	if !p.held.Load() {
-		p.claims.Store(&[]*fleetpb.Claim{})
+		p.told.Store(nil)
 		return
 	}
 	free, queued := p.core.Load(now)
 	p.watch.load(free, queued)
 	c := p.claimMessage()
 	c.FreeSlots, c.Queued = uint32(free), uint32(queued)
-	p.claims.Store(&[]*fleetpb.Claim{c})
+	p.told.Store(c)
 }
 
 // claimMessage returns the claim without the load.
@@ -255,8 +251,6 @@
 	}
 }
 
-func (p *pool) claimMessages() []*fleetpb.Claim { return *p.claims.Load() }
-
 // hearClaim passes a claim on this pool to the owner.
 func (p *pool) hearClaim(c *fleetpb.Claim) {
 	if c.GetPool() == p.name {
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -114,6 +114,17 @@
 	return startAt(out, int(h.Sum32()%uint32(len(out)))+id.Part)
 }
 
+// otherCandidate returns the first candidate for a pool, other than this host, that
+// suits, or nothing.
+func (n *Node) otherCandidate(id parts.Pool, suits func(host string) bool) string {
+	for _, c := range n.candidates(id) {
+		if c != n.config.Self.Address && suits(c) {
+			return c
+		}
+	}
+	return ""
+}
+
 // startAt returns the list rotated so that it begins at a place.
 func startAt(list []string, place int) []string {
 	place %= len(list)
@@ -131,7 +142,9 @@
 func (n *Node) claimMessages() []*fleetpb.Claim {
 	var out []*fleetpb.Claim
 	for _, p := range n.openPools() {
-		out = append(out, p.claimMessages()...)
+		if c := p.told.Load(); c != nil {
+			out = append(out, c)
+		}
 	}
 	return out
 }
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -143,17 +143,20 @@
 	return true
 }
 
+// pauseAfter returns for how long a target is left alone that was before, a number
+// of times in a row.
+func pauseAfter(times int) time.Duration { return min(ejectFirst<<min(times, 4), ejectMost) }
+
 func (t *target) eject(now time.Time) {
-	pause := min(ejectFirst<<min(t.ejections, 4), ejectMost)
+	t.pause(now.Add(pauseAfter(t.ejections)))
 	t.ejections++
 	t.failures = 0
-	t.pause(now.Add(pause))
 }
 
 // silent takes in that an order or renewal got no answer: the target is left alone
 // for longer each time, or until it answers.
 func (t *target) silent(now time.Time) {
-	t.silentTo = now.Add(min(ejectFirst<<min(t.silences, 4), ejectMost))
+	t.silentTo = now.Add(pauseAfter(t.silences))
 	t.silences++
 }
 
