Never continue a handed-over pool in two hosts

Cause: after a handover whose answer was lost or late (500 ms), the former holder resumed with the same token and the same jobs, while the new holder had them too: tasks started twice. And a job that was resubmitted after the new holder had dropped it was started from the beginning. Change: the state is sent again while the new holder is alive, which recognizes it; if the outcome stays unknown, the former holder gives the jobs up and claims the pool with a token that fences the other. A resubmitted job that is not known is answered as of unknown outcome. Shown first: each test of handover_test.go and TestAHandedOverJobThatIsResubmittedTooLateIsNotStartedAgain fails with its rule taken out.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -36,7 +36,8 @@
 	fencedClaimDelay        = 5 * time.Second        // how long a host that was fenced and hears from no other host claims nothing
 	tokenRaiseWindow        = 3 * time.Second        // for this long after its start, a host assumes that a higher token is its own from before the restart
 	returnHomeDelay         = time.Second            // an entry host is heard from for this long before its domain's pool returns to it
-	handoverTimeout         = 500 * time.Millisecond // for another host to take over a pool
+	handoverTimeout         = 500 * time.Millisecond // for another host to answer the state of a pool
+	maxHandoverTries        = 4                      // how often the state is sent to a host that is alive but does not answer
 	tickInterval            = 20 * time.Millisecond  // between scheduler ticks of a pool that this host holds
 	orphanCheckInterval     = 200 * time.Millisecond // between checks for domains without entry hosts
 	idleTickInterval        = 100 * time.Millisecond // between ticks of a pool that another host holds
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -46,7 +46,7 @@
 		close(e.done)
 		return
 	}
-	p.log.Info("The pool is handed over.", "pool", p.name, "peer", to, "token", p.holderView.Claim().Token, "reason", e.reason)
+	p.log.Info("The pool is being handed over.", "pool", p.name, "peer", to, "token", p.holderView.Claim().Token, "reason", e.reason)
 	p.handingOver = true
 	for _, s := range p.sessions {
 		s.close()
@@ -66,37 +66,72 @@
 func (e sendStateEvent) apply(p *pool, now time.Time) {
 	message := p.stateMessage(now)
 	go func() {
-		defer close(e.done)
-		claim, err := p.sendState(e.to, message)
-		p.post(handedOverEvent{to: e.to, claim: claim, err: err})
+		claim, outcome, err := p.sendState(e.to, message)
+		p.post(handedOverEvent{to: e.to, claim: claim, outcome: outcome, err: err, done: e.done})
 	}()
 }
 
-func (p *pool) sendState(to string, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
+// handoverOutcome is what a host knows after it has sent a pool's state.
+type handoverOutcome int
+
+const (
+	handoverAccepted handoverOutcome = iota // the other host holds the pool
+	handoverRefused                         // the other host does not hold the pool and has not seen its state
+	handoverUnknown                         // the other host may hold the pool
+)
+
+// sendState sends the pool's state until the other host has accepted or refused it, the
+// host is no longer alive, or maxHandoverTries are used. The host recognizes a state
+// that it has received before.
+func (p *pool) sendState(to string, m *fleetpb.PoolState) (*fleetpb.Claim, handoverOutcome, error) {
 	link, ok := p.node.link(to)
 	if !ok {
-		return nil, status.Error(codes.Unavailable, "the host is not known")
+		return nil, handoverRefused, status.Error(codes.Unavailable, "the host is not known")
+	}
+	for try := 1; ; try++ {
+		conn := link.Current()
+		if !link.WaitConnected(p.node.runCtx, conn) && try == 1 {
+			return nil, handoverRefused, status.Error(codes.Unavailable, "the host cannot be reached")
+		}
+		ctx, cancel := context.WithTimeout(p.node.runCtx, handoverTimeout)
+		claim, err := fleetpb.NewFleetClient(conn).HandOver(ctx, m)
+		cancel()
+		outcome := handoverOutcomeOf(err)
+		if outcome != handoverUnknown || try == maxHandoverTries || !p.node.isAlive(to) || p.node.runCtx.Err() != nil {
+			return claim, outcome, err
+		}
+		p.log.Warn("The outcome of a handover is not known; the state is sent again.", "pool", p.name, "peer", to, "error", err)
 	}
-	ctx, cancel := context.WithTimeout(p.node.runCtx, handoverTimeout)
-	defer cancel()
-	return fleetpb.NewFleetClient(link).HandOver(ctx, m)
+}
+
+// handoverOutcomeOf classifies the result of one attempt.
+func handoverOutcomeOf(err error) handoverOutcome {
+	switch status.Code(err) {
+	case codes.OK:
+		return handoverAccepted
+	case codes.FailedPrecondition, codes.InvalidArgument, codes.Unimplemented:
+		return handoverRefused
+	}
+	return handoverUnknown
 }
 
 // handedOverEvent reports the outcome of a handover.
 type handedOverEvent struct {
-	to    string
-	claim *fleetpb.Claim
-	err   error
+	to      string
+	claim   *fleetpb.Claim
+	outcome handoverOutcome
+	err     error
+	done    chan<- struct{}
 }
 
 func (e handedOverEvent) apply(p *pool, now time.Time) {
+	defer close(e.done)
 	p.handingOver = false
 	submits := p.parkedSubmits
 	p.parkedSubmits = nil
-	if e.err != nil {
-		p.log.Warn("The pool was not handed over.", "pool", p.name, "peer", e.to, "error", e.err)
-		p.takeOver(now, "the handover failed")
-	} else {
+	switch e.outcome {
+	case handoverAccepted:
+		p.holderView.RecordRelease(now) // the claim may be without a holder by now
 		p.holderView.RecordClaim(holder.Claim{Holder: e.claim.GetHolder(), Token: e.claim.GetFencingToken()})
 		p.node.recordReturnedClaim(e.claim)
 		p.heldHere.Store(false)
@@ -104,6 +139,17 @@
 		p.applyEffects(p.core.CompleteHandover(e.to), now)
 		p.core = scheduler.NewCore(scheduler.DefaultConfig())
 		p.log.Info("Another host holds the pool.", "pool", p.name, "peer", e.to, "token", e.claim.GetFencingToken())
+	case handoverRefused:
+		p.log.Warn("The pool was not handed over.", "pool", p.name, "peer", e.to, "error", e.err)
+		p.takeOver(now, "the handover was refused")
+	case handoverUnknown:
+		// The other host may have started tasks that wait here, so the jobs are not
+		// continued. Runs on the targets are stopped before the targets get work.
+		p.log.Warn("The outcome of a handover is not known; its jobs are given up.", "pool", p.name, "peer", e.to, "error", e.err)
+		p.applyEffects(p.core.CompleteHandover(e.to), now)
+		p.core = scheduler.NewCore(scheduler.DefaultConfig())
+		p.holderView.RaiseToken(now)
+		p.takeOver(now, "the host that was to take the pool over does not answer")
 	}
 	p.publishClaim(now)
 	for _, s := range submits {
@@ -154,11 +200,11 @@
 
 // receivePool takes over the pool from another host and returns the new claim.
 func (p *pool) receivePool(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
-	answer := make(chan *fleetpb.Claim, 1)
+	answer := make(chan receivedPool, 1)
 	p.post(receivePoolEvent{message: m, answer: answer})
 	select {
-	case c := <-answer:
-		return c, nil
+	case r := <-answer:
+		return r.claim, r.err
 	case <-ctx.Done():
 		return nil, status.FromContextError(ctx.Err()).Err()
 	case <-p.stopped:
@@ -169,10 +215,28 @@
 // receivePoolEvent delivers a pool with its jobs in progress.
 type receivePoolEvent struct {
 	message *fleetpb.PoolState
-	answer  chan<- *fleetpb.Claim // buffered for one claim
+	answer  chan<- receivedPool // buffered for one answer
+}
+
+// receivedPool is the answer to a handover: the claim on the pool, or the error that
+// refuses it.
+type receivedPool struct {
+	claim *fleetpb.Claim
+	err   error
 }
 
 func (e receivePoolEvent) apply(p *pool, now time.Time) {
+	token := e.message.GetFencingToken()
+	if token == p.acceptedToken {
+		e.answer <- receivedPool{claim: p.claimMessage()} // the sender did not receive the first answer
+		return
+	}
+	if token < p.holderView.Claim().Token {
+		p.log.Warn("A handover was refused.", "pool", p.name, "token", token, "reason", "a newer claim on the pool is known")
+		e.answer <- receivedPool{err: status.Error(codes.FailedPrecondition, "a newer claim on the pool is known")}
+		return
+	}
+	p.acceptedToken = token
 	for _, a := range e.message.GetTargets() {
 		p.node.announcements.record(announcementFrom(a, now))
 	}
@@ -190,7 +254,7 @@
 	}
 	p.applyEffects(p.core.ImportJobs(jobs, now), now)
 	p.log.Info("Jobs in progress were taken over.", "pool", p.name, "jobs", len(jobs))
-	e.answer <- p.claimMessage()
+	e.answer <- receivedPool{claim: p.claimMessage()}
 }
 
 func runningJobMessage(j scheduler.HandoverJob, now time.Time) *fleetpb.RunningJob {
--- /dev/null
+++ b/internal/process/fleet/handover_test.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/metrics"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/process/shards"
+)
+
+// newTestPool returns a pool of a node that does not run, so that a test applies the
+// pool's events itself.
+func newTestPool(t *testing.T, host string) *pool {
+	t.Helper()
+	n, err := New(Config{
+		Self: discovery.Host{Address: host, Domain: "north", Entry: true}, MaxLease: time.Second, VoterCount: 1,
+		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.runCtx = t.Context()
+	n.config.Targets = silentTargets{}
+	return newPool(n, shards.Pool{Domain: "north"})
+}
+
+func handoverTestJob(id string, now time.Time) scheduler.Job {
+	return scheduler.Job{
+		ID: id, Queue: "q", Service: "desk", MaxAttempts: 2, SlackFactor: 2, ArrivedAt: now, Deadline: now.Add(time.Minute),
+		Steps: []scheduler.Step{{Count: 2, Need: scheduler.Resources{CPUMilli: 4000}, Estimate: time.Second}},
+	}
+}
+
+// A host whose answer to a handover was lost receives the same state again. It must
+// not take the pool over a second time: its token and its jobs have moved on.
+func TestAHandoverThatIsSentAgainIsAcceptedOnce(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:2")
+	now := time.Now()
+	message := &fleetpb.PoolState{
+		Pool: "north", FencingToken: 7,
+		Jobs: []*fleetpb.RunningJob{{Request: jobMessage(handoverTestJob("j", now), now), Ran: true, Tasks: []*fleetpb.Task{{Index: 0}, {Index: 1, Done: true}}}},
+	}
+	receive := func() receivedPool {
+		answer := make(chan receivedPool, 1)
+		receivePoolEvent{message: message, answer: answer}.apply(p, now)
+		return <-answer
+	}
+	first := receive()
+	g.Expect(first.err).NotTo(HaveOccurred())
+	p.core.AbandonJobs() // the job ends before the state arrives again
+	again := receive()
+	g.Expect(again.err).NotTo(HaveOccurred())
+	g.Expect(again.claim.GetFencingToken()).To(Equal(first.claim.GetFencingToken()))
+	g.Expect(p.core.ExportJobs()).To(BeEmpty(), "the job was imported again")
+
+	message.FencingToken = 3
+	stale := receive()
+	g.Expect(stale.err).To(HaveOccurred(), "a state older than the known claim was accepted")
+}
+
+// The answer to a handover is lost for good: the other host may have taken the pool
+// over and started its waiting tasks. The former holder must not start them too, and
+// claims the pool with a token that fences the other host.
+func TestAHandoverWithAnUnknownOutcomeIsNotContinuedByBothHosts(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	now := time.Now()
+	p.holderView.AcceptHandover(6, now)
+	p.takeOver(now, "test")
+	p.core.UpdateTarget(scheduler.Target{ID: "t", Service: "desk", Domain: "north", Incarnation: 1, Capacity: scheduler.Resources{CPUMilli: 8000}}, true, now)
+	answer := make(chan scheduler.Answer, 1)
+	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: answer}}.apply(p, now)
+	g.Expect(p.core.ExportJobs()).To(HaveLen(1))
+	tokenOfState := p.holderView.Claim().Token
+
+	p.handingOver = true
+	handedOverEvent{to: "127.0.0.1:2", outcome: handoverUnknown, done: make(chan struct{})}.apply(p, now)
+	g.Expect(p.core.ExportJobs()).To(BeEmpty(), "the job is continued here and may be continued there")
+	var a scheduler.Answer
+	g.Expect(answer).To(Receive(&a))
+	g.Expect(a.HandedOver).To(BeTrue(), "the job was answered as if it had not been handed over: %+v", a)
+	g.Expect(p.heldHere.Load()).To(BeTrue())
+	// The other host's token is one above that of the state, or the time by its clock.
+	g.Expect(p.holderView.Claim().Token).To(BeNumerically(">", max(tokenOfState+1, uint64(now.UnixMilli()))))
+}
+
+func TestOnlyAClearRefusalProvesThatAHandoverWasNotAccepted(t *testing.T) {
+	g := NewWithT(t)
+	for code, want := range map[codes.Code]handoverOutcome{
+		codes.OK: handoverAccepted, codes.FailedPrecondition: handoverRefused, codes.InvalidArgument: handoverRefused,
+		codes.DeadlineExceeded: handoverUnknown, codes.Unavailable: handoverUnknown, codes.Canceled: handoverUnknown, codes.Internal: handoverUnknown,
+	} {
+		g.Expect(handoverOutcomeOf(status.Error(code, "test"))).To(Equal(want), code.String())
+	}
+}
+
+// silentTargets never answer.
+type silentTargets struct{}
+
+func (silentTargets) Start(ctx context.Context, _ TargetRef, _ StartRequest) (scheduler.StartResult, int64) {
+	<-ctx.Done()
+	return scheduler.Unanswered, 0
+}
+
+func (silentTargets) Stop(ctx context.Context, _ TargetRef, _ scheduler.Run, _ uint64) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (silentTargets) Renew(ctx context.Context, _ TargetRef, _ RenewRequest) (TargetReport, error) {
+	<-ctx.Done()
+	return TargetReport{}, ctx.Err()
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -36,6 +36,7 @@
 	tokenRaisedAt      time.Time     // when the token was last raised
 	fencedAt           time.Time     // when the pool was given up because a target obeyed another holder
 	handingOver        bool          // the jobs are being sent to another holder
+	acceptedToken      uint64        // fencing token of the state that was last accepted in a handover; 0 if none was
 	parkedSubmits      []submitEvent // submitted during a handover, applied after it
 	probedAt           time.Time     // when a target was last asked whether it can be reached
 	targetAnsweredAt   time.Time     // when a target last answered such a probe
--- a/internal/process/fleet/route.go
+++ b/internal/process/fleet/route.go
@@ -7,10 +7,10 @@
 
 // route finds the host that runs a job.
 type route struct {
-	findHolder func() (address string, ok bool)      // returns the pool's current holder; false if none is known
-	submitTo   func(address string) scheduler.Answer // submits the job to the host
-	pause      func() bool                           // waits before the next attempt; false if the caller has left
-	maxTries   int                                   // attempts to find a holder before a job is refused
+	findHolder func() (address string, ok bool)                       // returns the pool's current holder; false if none is known
+	submitTo   func(address string, handedOver bool) scheduler.Answer // submits the job to the host; handedOver: a former holder handed it over
+	pause      func() bool                                            // waits before the next attempt; false if the caller has left
+	maxTries   int                                                    // attempts to find a holder before a job is refused
 }
 
 // submit submits the job to one holder after another until one has an answer. If no
@@ -24,7 +24,7 @@
 			address, ok, nextHolder = nextHolder, true, ""
 		}
 		if ok {
-			answer = r.submitTo(address)
+			answer = r.submitTo(address, handedOver)
 			if answer.Outcome != scheduler.Moved {
 				return unknownIfHandedOver(answer, handedOver)
 			}
--- a/internal/process/fleet/route_test.go
+++ b/internal/process/fleet/route_test.go
@@ -15,7 +15,7 @@
 func scriptedRoute(asked *[]string, answers ...scheduler.Answer) route {
 	return route{
 		findHolder: func() (string, bool) { return "old", true },
-		submitTo: func(address string) scheduler.Answer {
+		submitTo: func(address string, _ bool) scheduler.Answer {
 			*asked = append(*asked, address)
 			a := answers[min(len(*asked), len(answers))-1]
 			return a
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -59,7 +59,11 @@
 func (n *Node) submitToPool(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
 	r := route{
 		findHolder: func() (string, bool) { return n.holderOf(pool) },
-		submitTo:   func(address string) scheduler.Answer { return n.submitToHost(ctx, address, pool, j) },
+		submitTo: func(address string, handedOver bool) scheduler.Answer {
+			resubmitted := j
+			resubmitted.Resubmitted = handedOver
+			return n.submitToHost(ctx, address, pool, resubmitted)
+		},
 		pause: func() bool {
 			select {
 			case <-ctx.Done():
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -59,7 +59,8 @@
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
 // Submit admits, spills or refuses a job, or adds the waiter to the job if it is
-// already in progress. The Reply that answers the job names the waiter.
+// already in progress. The Reply that answers the job names the waiter. A resubmitted
+// job that is unknown here has run or may run elsewhere, so its outcome is unknown.
 func (c *Core) Submit(j Job, waiter uint64, now time.Time) []Effect {
 	if s, ok := c.jobs[j.ID]; ok {
 		s.waiters = append(s.waiters, waiter)
@@ -70,6 +71,10 @@
 		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: kept.answer})
 		return c.drainEffects()
 	}
+	if j.Resubmitted {
+		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: Answer{Outcome: Broken, Kind: failure.OutcomeUnknown, Reason: "the job was handed over and is not known here any more"}})
+		return c.drainEffects()
+	}
 	s := newJobState(c.refineEstimates(j))
 	s.waiters = []uint64{waiter}
 	if answer, ok := c.admit(s, now); !ok {
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -402,6 +402,23 @@
 	g.Expect(stops(successor.Tick(at(10).Add(handoverRetention + time.Millisecond)))).To(HaveLen(1))
 }
 
+// A caller's host that was paused resubmits a handed-over job after the new holder has
+// dropped it. Its tasks have run, and a first run may still be stopping.
+func TestAHandedOverJobThatIsResubmittedTooLateIsNotStartedAgain(t *testing.T) {
+	g := NewWithT(t)
+	former, successor := newCore(2), newCore(2)
+	job := newDeskJob("j", 1)
+	g.Expect(starts(former.Submit(job, 1, at(0)))).To(HaveLen(1))
+	successor.ImportJobs(former.ExportJobs(), at(10))
+	dropped := at(10).Add(handoverRetention + time.Millisecond)
+	successor.Tick(dropped)
+	job.Resubmitted = true
+	effects := successor.Submit(job, 2, dropped)
+	g.Expect(starts(effects)).To(BeEmpty())
+	g.Expect(replies(effects)).To(HaveLen(1))
+	g.Expect(replies(effects)[0].Answer.Outcome).To(Equal(Broken))
+}
+
 func TestFairSharesMeetSmallDemandsInFull(t *testing.T) {
 	g := NewWithT(t)
 	s := newFairShares()
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -54,6 +54,7 @@
 	ArrivedAt     time.Time // at the host that the caller submitted it to
 	Deadline      time.Time // when the caller stops waiting
 	Spilled       bool      // came from another pool; not to be spilled again
+	Resubmitted   bool      // the pool's former holder handed the job over; to be continued, but never started anew
 }
 
 // TaskCount returns the number of tasks in all steps of the job.
