--- a/internal/process/fleet/shards_test.go
+++ b/internal/process/fleet/shards_test.go
@@ -84,6 +84,7 @@
 func TestANewlyStartedHostTakesAShardWithItsRunningTasks(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 3*time.Second)
+	f.lease = testTimeout // no lease expires on a busy machine, after which its runs would rightly start again
 	f.start("disk", "south")
 	f.start("a", "north")
 	f.activateCatalog("a")
