Send jobs to another domain while their own has no reachable holder

Cause: after the holder of a domain's only pool is killed, its callers' jobs were refused for the 1.2 s until another host holds the pool, while the targets of other domains had room. Change: a job that no holder of the domain accepted goes to a pool of another domain that has free capacity for it (the freer of two drawn). Shown first: TestJobsGoToAnotherDomainWhileTheirOwnHasNoHolder fails without it (refused, "the pool's holder cannot be reached").

--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -153,3 +153,27 @@
 	second := f.startAt(name[other], "north", other.address)
 	f.g.Eventually(func() bool { return first.Holds("north") || second.Holds("north") }, 10*time.Second, 20*time.Millisecond).Should(BeTrue(), "nobody holds the pool")
 }
+
+// The holder of a domain's only pool is killed. Until another host holds the pool, the
+// jobs of the domain's callers go to a domain that has free capacity.
+func TestJobsGoToAnotherDomainWhileTheirOwnHasNoHolder(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 10*time.Millisecond)
+	far := f.start("far", "south")
+	f.start("a", "north")
+	f.start("b", "north")
+	f.activateCatalog("far", "a", "b")
+	f.announce(far, "south", 4)
+	for _, name := range []string{"a", "b"} {
+		f.announce(f.nodes[name], "north", 4)
+	}
+	holder, other := f.holderAndOther()
+	f.g.Expect(f.submit(far, job("first", 1)).Outcome).To(Equal(scheduler.Completed))
+	f.g.Expect(f.submit(other, job("second", 1)).Outcome).To(Equal(scheduler.Completed))
+	f.g.Eventually(func() int { return other.FreeTasksOf("south") }, testTimeout, 5*time.Millisecond).Should(BeNumerically(">", 1))
+	holder.stop()
+	j := job("third", 1)
+	j.TargetLatency = 100 * time.Millisecond
+	a := other.Submit(context.Background(), j)
+	f.g.Expect(a.Outcome).To(Equal(scheduler.Completed), a.Reason)
+}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -342,6 +343,25 @@
 	return out
 }
 
+// loadsOfOtherDomains returns the loads of the pools of other domains that have a holder,
+// ordered by name.
+func (n *Node) loadsOfOtherDomains() []shards.Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	var out []shards.Load
+	for _, name := range slices.Sorted(maps.Keys(n.claims)) {
+		id, err := shards.ParsePool(name)
+		if err != nil || id.Domain == n.config.Self.Domain {
+			continue
+		}
+		if l, ok := n.poolLoad(name, now); ok {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // freeCapacityExcept returns how many tasks each pool other than the given one could
 // start at once.
 func (n *Node) freeCapacityExcept(except shards.Pool) []scheduler.PoolCapacity {
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -27,19 +27,34 @@
 // Submit runs a job and returns its answer. The job is withdrawn when ctx ends.
 func (n *Node) Submit(ctx context.Context, j scheduler.Job) scheduler.Answer {
 	a := n.submitInDomain(ctx, j)
-	if a.Outcome != scheduler.Spill {
-		return a
-	}
-	n.log.Info("A job is sent to another pool.", "job", j.ID, "pool", a.Pool, "reason", a.Reason, "age", time.Since(j.ArrivedAt))
-	j.Spilled = true
-	spilled := a
-	a = n.submitToPool(ctx, spilled.Pool, j)
-	if a.Outcome == scheduler.Refused && a.Kind != failure.NeverRunnable {
-		return n.submitInDomain(ctx, j)
+	switch {
+	case a.Outcome == scheduler.Spill:
+		n.log.Info("A job is sent to another pool.", "job", j.ID, "pool", a.Pool, "reason", a.Reason, "age", time.Since(j.ArrivedAt))
+		j.Spilled = true
+		a = n.submitToPool(ctx, a.Pool, j)
+		if a.Outcome == scheduler.Refused && a.Kind != failure.NeverRunnable {
+			return n.submitInDomain(ctx, j)
+		}
+	case a.Outcome == scheduler.Refused && a.Kind == failure.NotReady:
+		return n.submitToOtherDomain(ctx, j, a)
 	}
 	return a
 }
 
+// submitToOtherDomain runs a job that no holder in this host's domain accepted in a pool
+// of another domain with free capacity for it, or returns the refusal if there is none.
+// It answers the load of the seconds after the holder of a domain's only pool was lost,
+// until another host holds it.
+func (n *Node) submitToOtherDomain(ctx context.Context, j scheduler.Job, refusal scheduler.Answer) scheduler.Answer {
+	pool, ok := shards.ChooseFreePool(n.loadsOfOtherDomains(), j.TaskCount(), rand.IntN)
+	if !ok || ctx.Err() != nil {
+		return refusal
+	}
+	n.log.Info("A job is sent to another domain.", "job", j.ID, "pool", pool, "reason", refusal.Reason, "age", time.Since(j.ArrivedAt))
+	j.Spilled = true
+	return n.submitToPool(ctx, pool, j)
+}
+
 // submitInDomain runs a job in one of the pools of this host's domain, or in another
 // of them if the holder of the first cannot be reached.
 func (n *Node) submitInDomain(ctx context.Context, j scheduler.Job) scheduler.Answer {
--- a/internal/process/shards/shards.go
+++ b/internal/process/shards/shards.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -104,11 +105,27 @@
 			return l.Pool
 		}
 	}
-	switch len(loads) {
-	case 0:
+	if len(loads) == 0 {
 		return ""
-	case 1:
-		return loads[0].Pool
+	}
+	return freerOfTwo(loads, randomBelow).Pool
+}
+
+// ChooseFreePool returns the name of the pool, of two drawn from those with enough free
+// capacity for a job, that has more of it. It returns false if no pool has enough.
+func ChooseFreePool(loads []Load, tasks int, randomBelow func(below int) int) (string, bool) {
+	free := slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return l.freeCapacity() < tasks })
+	if len(free) == 0 {
+		return "", false
+	}
+	return freerOfTwo(free, randomBelow).Pool, true
+}
+
+// freerOfTwo draws two of the loads, of which there is at least one, and returns the one
+// with more free capacity.
+func freerOfTwo(loads []Load, randomBelow func(below int) int) Load {
+	if len(loads) == 1 {
+		return loads[0]
 	}
 	first := randomBelow(len(loads))
 	second := randomBelow(len(loads) - 1)
@@ -116,7 +133,7 @@
 		second++
 	}
 	if loads[second].freeCapacity() > loads[first].freeCapacity() {
-		return loads[second].Pool
+		return loads[second]
 	}
-	return loads[first].Pool
+	return loads[first]
 }
--- a/internal/process/shards/shards_test.go
+++ b/internal/process/shards/shards_test.go
@@ -112,3 +112,13 @@
 	loads[0].QueuedTasks = 1
 	g.Expect(shards.ChoosePool(loads, 4, second)).To(Equal("far"))
 }
+
+func TestOnlyAPoolWithEnoughFreeCapacityIsChosenAsFree(t *testing.T) {
+	g := NewWithT(t)
+	loads := []shards.Load{{Pool: "full", FreeTasks: 9, QueuedTasks: 8}, {Pool: "free", FreeTasks: 8}, {Pool: "small", FreeTasks: 2}}
+	pool, ok := shards.ChooseFreePool(loads, 4, func(int) int { return 0 })
+	g.Expect(ok).To(BeTrue())
+	g.Expect(pool).To(Equal("free"))
+	_, ok = shards.ChooseFreePool(loads, 9, func(int) int { return 0 })
+	g.Expect(ok).To(BeFalse())
+}
