Keep lists of hosts between entry hosts short while many start at once

Cause, from reading: a hello message's answer lists all known hosts while the two digests differ. When 153 hosts start at once, all pairs of entry hosts exchange lists of up to 12 KB over links of 25 Mbit/s. Entry hosts asked hosts with a disk, which know all, only every 2 s. Change: in a large system only lists from and to hosts with a disk are complete; entry hosts of a domain list that domain, others the hosts with a disk. For 3 s after its start an entry host exchanges hello messages with hosts with a disk each 250 ms. Shown first: TestListsBetweenEntryHostsOfALargeSystemAreShort has 150 hosts in each list without it. Not measured on the large site yet.

--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -43,7 +43,8 @@
 func (n *Node) helloInterval(address string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h, age, ok := n.hostTable.Get(address, time.Now())
+	now := time.Now()
+	h, age, ok := n.hostTable.Get(address, now)
 	switch {
 	case !ok:
 		return helloFirstInterval
@@ -51,6 +52,8 @@
 		return n.entryHelloInterval(h)
 	case h.Entry && age < 2*helloDiskInterval:
 		return 2 * helloDiskInterval
+	case n.config.Self.Entry && now.Sub(n.startedAt) < startPhase:
+		return helloEntryInterval
 	case n.config.Self.Entry && !n.isSmallSystem():
 		return helloDiskLargeInterval
 	}
@@ -125,7 +128,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	conn := link.Current()
-	reply, err := fleetpb.NewFleetClient(conn).Exchange(callCtx, n.helloMessage(0))
+	reply, err := fleetpb.NewFleetClient(conn).Exchange(callCtx, n.helloMessage(nil, 0))
 	link.RecordExchange(conn, err)
 	if err != nil {
 		return false
@@ -135,10 +138,10 @@
 	return true
 }
 
-// helloMessage returns this host's hello message. The argument is the other host's
-// digest of the hosts that it knows, or 0 if that is unknown. The message includes the
-// list of hosts if the digest is known and differs from this host's.
-func (n *Node) helloMessage(digest uint64) *fleetpb.Greeting {
+// helloMessage returns this host's hello message. The arguments are the host that it
+// goes to and its digest of the hosts that it knows, or 0 if that is unknown. The message
+// includes a list of hosts if the digest is known and differs from this host's.
+func (n *Node) helloMessage(to *fleetpb.Host, digest uint64) *fleetpb.Greeting {
 	self := n.Self()
 	hello := &fleetpb.Greeting{
 		From:            hostMessage(self, 0),
@@ -151,6 +154,9 @@
 	hello.HostsDigest = n.hostTable.Digest(self)
 	if digest != 0 && digest != hello.HostsDigest {
 		for _, h := range n.hostTable.All(now) {
+			if !n.listsHost(h, to) {
+				continue
+			}
 			_, age, _ := n.hostTable.Get(h.Address, now)
 			hello.Hosts = append(hello.Hosts, hostMessage(h, age))
 		}
@@ -158,6 +164,17 @@
 	return hello
 }
 
+// listsHost reports whether this host's lists to another host include a third one. In a
+// large system, only lists from and to hosts with a disk, which all hosts exchange hello
+// messages with, are complete. Otherwise all pairs of entry hosts would exchange complete
+// lists while many hosts start at once. The caller holds the lock.
+func (n *Node) listsHost(h discovery.Host, to *fleetpb.Host) bool {
+	if n.isSmallSystem() || n.config.Self.HasDisk || to.GetDisk() || h.HasDisk {
+		return true
+	}
+	return to.GetDomain() == n.config.Self.Domain && h.Domain == n.config.Self.Domain
+}
+
 // receiveHello processes a hello message.
 func (n *Node) receiveHello(hello *fleetpb.Greeting) {
 	now := time.Now()
--- a/internal/process/fleet/hello_test.go
+++ b/internal/process/fleet/hello_test.go
@@ -15,7 +15,7 @@
 )
 
 // hellosPerSecond returns how many hello messages an entry host that holds no pool
-// sends in a system of 4 domains with one pool each and 8 disks.
+// sends after its start phase in a system of 4 domains with one pool each and 8 disks.
 func hellosPerSecond(t *testing.T, entryHosts int) float64 {
 	t.Helper()
 	g := NewWithT(t)
@@ -24,6 +24,7 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	now := time.Now()
+	n.startedAt = now.Add(-startPhase)
 	sum := 0.0
 	var hosts []discovery.Host
 	for i := range entryHosts {
@@ -69,3 +70,39 @@
 	n.fetchCatalog(t.Context(), "other", 5)
 	g.Expect(lines.String()).To(ContainSubstring("was not fetched"))
 }
+
+// helloOfLargeSystem returns the hello message, to a host that knows other hosts than
+// the sender, of a sender in a system of 6 domains with a number of entry hosts and a
+// host with a disk in each.
+func helloOfLargeSystem(t *testing.T, sender discovery.Host, to *fleetpb.Host, entryHosts int) *fleetpb.Greeting {
+	t.Helper()
+	n, err := New(Config{Self: sender, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	for i := range entryHosts {
+		n.hostTable.Record(discovery.Host{Address: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%6), Entry: true}, 0, now)
+	}
+	for i := range 6 {
+		n.hostTable.Record(discovery.Host{Address: fmt.Sprint("c", i), Domain: fmt.Sprint("d", i), HasDisk: true}, 0, now)
+	}
+	return n.helloMessage(to, 1)
+}
+
+// When many hosts start at once, their digests differ for a while. The lists that a
+// pair of entry hosts exchange then must not grow with the size of the whole system.
+func TestListsBetweenEntryHostsOfALargeSystemAreShort(t *testing.T) {
+	g := NewWithT(t)
+	entry := discovery.Host{Address: "self", Domain: "d0", Entry: true}
+	disk := discovery.Host{Address: "self", Domain: "d0", HasDisk: true}
+	far, near, toDisk := &fleetpb.Host{Domain: "d1", Entry: true}, &fleetpb.Host{Domain: "d0", Entry: true}, &fleetpb.Host{Domain: "d1", Disk: true}
+	g.Expect(helloOfLargeSystem(t, entry, far, 144).GetHosts()).To(HaveLen(6))
+	g.Expect(helloOfLargeSystem(t, entry, near, 144).GetHosts()).To(HaveLen(6 + 24))
+	for _, complete := range []*fleetpb.Greeting{
+		helloOfLargeSystem(t, disk, far, 144), helloOfLargeSystem(t, entry, toDisk, 144), // through hosts with a disk
+	} {
+		g.Expect(complete.GetHosts()).To(HaveLen(150))
+	}
+	g.Expect(helloOfLargeSystem(t, entry, far, 12).GetHosts()).To(HaveLen(18), "a small system")
+}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -43,6 +43,7 @@
 	catalogs       *catalogs
 	announcements  *announcementTable // from targets, directly or through other hosts
 	toForward      chan Announcement  // to other hosts
+	startedAt      time.Time
 	leaving        atomic.Bool
 	catalogFetchMu sync.Mutex // held while a newer catalog is fetched
 	runCtx         context.Context
@@ -73,6 +74,7 @@
 	n := &Node{
 		config:        config,
 		log:           logging.For(config.Log, "fleet"),
+		startedAt:     time.Now(),
 		hostTable:     discovery.NewTable(config.Self.Address),
 		links:         map[string]*hostlink.Link{},
 		claims:        map[string]remoteClaim{},
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -22,7 +22,7 @@
 // Exchange implements fleetpb.FleetServer.
 func (s *service) Exchange(ctx context.Context, hello *fleetpb.Greeting) (*fleetpb.Greeting, error) {
 	s.node.receiveHello(hello)
-	return s.node.helloMessage(max(1, hello.GetHostsDigest())), nil
+	return s.node.helloMessage(hello.GetFrom(), max(1, hello.GetHostsDigest())), nil
 }
 
 // Announce implements fleetpb.FleetServer.
