--- a/internal/process/fleet/catalogs.go
+++ b/internal/process/fleet/catalogs.go
@@ -85,16 +85,31 @@
 	return active, nil
 }
 
-// put proposes a document and returns once a version at least as high is replicated.
-// It does not wait for its own proposal once such a version is active here: active
-// catalogs are replicated, and an older document changes nothing. Otherwise each of
-// several operators' proposals would need a round of disk writes of its own, during
-// which the proposals of different hosts outbid each other.
+// put checks a document, replicates it unless a newer one is, and logs the outcome. It
+// returns the version that is replicated.
 func (c *catalogs) put(ctx context.Context, document []byte) (uint64, error) {
+	startedAt := time.Now()
 	next, err := c.parse(document)
 	if err != nil {
 		return 0, err
 	}
+	inForceBefore, _ := c.activeVersion()
+	version, err := c.replicate(ctx, catalog.Stored{Version: next.Version, Document: document})
+	level, reason := slog.LevelInfo, ""
+	if err != nil {
+		level, reason = slog.LevelWarn, err.Error()
+	}
+	c.log.Log(ctx, level, "A catalog was proposed.", "version", next.Version, "accepted", err == nil, "replicated", version,
+		"in_force_before", inForceBefore, "bytes", len(document), "took", time.Since(startedAt), "reason", reason)
+	return version, err
+}
+
+// replicate proposes a document and returns once a version at least as high is replicated.
+// It does not wait for its own proposal once such a version is active here: active
+// catalogs are replicated, and an older document changes nothing. Otherwise each of
+// several operators' proposals would need a round of disk writes of its own, during
+// which the proposals of different hosts outbid each other.
+func (c *catalogs) replicate(ctx context.Context, next catalog.Stored) (uint64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
@@ -110,7 +125,7 @@
 		if proposal == nil {
 			proposal = make(chan result, 1)
 			go func() {
-				version, err := c.propose(ctx, catalog.Stored{Version: next.Version, Document: document})
+				version, err := c.propose(ctx, next)
 				proposal <- result{version, err}
 			}()
 		}
