Send jobs elsewhere while the holder of their pool is silent

Cause, from reading: a frozen holder counts as alive for 0.9 s and its connections stay open, so jobs sent to its pool in that time wait for a second until they are lost. Change: a holder that has missed hello messages for half of that time gets no new jobs while another pool of the domain, or one of another domain with free capacity, can take them. Not measured on the sites yet.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -28,6 +28,7 @@
 	helloFirstInterval      = 100 * time.Millisecond // between hello messages to a host that was never heard from
 	helloTimeout            = 400 * time.Millisecond // of one exchange of hello messages; after two consecutive timeouts the connection is replaced
 	aliveTimeout            = 900 * time.Millisecond // a host not heard from for longer is not alive; time for three hello messages, and less than the 1 s of a lease
+	silentWindowDivisor     = 2                      // a host not heard from for its alive window divided by this is silent: it gets no new jobs while others can take them
 	idleAliveIntervals      = 4                      // hello intervals after which a host that sends hello messages rarely no longer counts as alive
 	voterLostAfter          = 3 * time.Second        // a voter silent for this long loses its vote to a standby
 	leaveTimeout            = time.Second            // for a stopping host to give up its vote
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -327,7 +327,13 @@
 		return shards.Load{Pool: pool, FreeTasks: int(c.GetFreeSlots()), QueuedTasks: int(c.GetQueued()), HeldHere: true}, c != nil
 	}
 	c, ok := n.claims[pool]
-	return shards.Load{Pool: pool, FreeTasks: c.freeTasks, QueuedTasks: c.queuedTasks}, ok && n.holderAlive(c, now)
+	if !ok || !n.holderAlive(c, now) {
+		return shards.Load{}, false
+	}
+	h, age, _ := n.hostTable.Get(c.claim.Holder, now)
+	return shards.Load{
+		Pool: pool, FreeTasks: c.freeTasks, QueuedTasks: c.queuedTasks, Silent: age > n.aliveWindow(h)/silentWindowDivisor,
+	}, true
 }
 
 // domainLoads returns the loads of a domain's pools that have a holder, in the order
@@ -380,7 +386,7 @@
 	var out []scheduler.PoolCapacity
 	for name := range names {
 		id, err := shards.ParsePool(name)
-		if l, ok := n.poolLoad(name, now); ok && l.FreeTasks > 0 && id != except {
+		if l, ok := n.poolLoad(name, now); ok && l.FreeTasks > 0 && !l.Silent && id != except {
 			out = append(out, scheduler.PoolCapacity{Pool: name, FreeTasks: l.FreeTasks, SameDomain: err == nil && id.Domain == except.Domain})
 		}
 	}
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -26,6 +26,12 @@
 
 // Submit runs a job and returns its answer. The job is withdrawn when ctx ends.
 func (n *Node) Submit(ctx context.Context, j scheduler.Job) scheduler.Answer {
+	if loads := n.domainLoads(n.config.Self.Domain); len(loads) > 0 && len(shards.Responsive(loads)) == 0 {
+		refusal := refusalAnswer(failure.New(failure.NotReady, "the holders of the domain's pools are silent"))
+		if a := n.submitToOtherDomain(ctx, j, refusal); a.Outcome != scheduler.Refused {
+			return a
+		}
+	}
 	a := n.submitInDomain(ctx, j)
 	switch {
 	case a.Outcome == scheduler.Spill:
@@ -41,12 +47,12 @@
 	return a
 }
 
-// submitToOtherDomain runs a job that no holder in this host's domain accepted in a pool
+// submitToOtherDomain runs a job that no holder in this host's domain accepts in a pool
 // of another domain with free capacity for it, or returns the refusal if there is none.
-// It answers the load of the seconds after the holder of a domain's only pool was lost,
-// until another host holds it.
+// It answers the load of the seconds after the holder of a domain's only pool was lost or
+// froze, until another host holds it.
 func (n *Node) submitToOtherDomain(ctx context.Context, j scheduler.Job, refusal scheduler.Answer) scheduler.Answer {
-	pool, ok := shards.ChooseFreePool(n.loadsOfOtherDomains(), j.TaskCount(), rand.IntN)
+	pool, ok := shards.ChooseFreePool(shards.Responsive(n.loadsOfOtherDomains()), j.TaskCount(), rand.IntN)
 	if !ok || ctx.Err() != nil {
 		return refusal
 	}
@@ -59,6 +65,9 @@
 // of them if the holder of the first cannot be reached.
 func (n *Node) submitInDomain(ctx context.Context, j scheduler.Job) scheduler.Answer {
 	loads := n.domainLoads(n.config.Self.Domain)
+	if responsive := shards.Responsive(loads); len(responsive) > 0 {
+		loads = responsive
+	}
 	pool := cmp.Or(shards.ChoosePool(loads, j.TaskCount(), rand.IntN), n.config.Self.Domain)
 	a := n.submitToPool(ctx, pool, j)
 	if a.Outcome != scheduler.Refused || a.Kind != failure.NotReady || len(loads) < 2 {
--- a/internal/process/shards/shards.go
+++ b/internal/process/shards/shards.go
@@ -80,6 +80,12 @@
 	FreeTasks   int    // tasks of the usual size that would start at once
 	QueuedTasks int    // tasks that wait
 	HeldHere    bool   // the choosing host holds the pool, so the numbers are current
+	Silent      bool   // the holder has missed hello messages, but still counts as alive
+}
+
+// Responsive returns the loads of the pools whose holders have not missed hello messages.
+func Responsive(loads []Load) []Load {
+	return slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return l.Silent })
 }
 
 // freeCapacity is the number of tasks that could start beyond the queued ones, negative
