--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/process/discovery"
@@ -22,10 +23,12 @@
 	smallSystemHosts        = 20                     // in a system of up to this many other hosts, all entry hosts exchange hello messages often
 	helloDiskInterval       = time.Second            // between hello messages to or among hosts with a disk
 	helloDiskLargeInterval  = 2 * time.Second        // the same from an entry host in a large system; below voterLostAfter
+	startPhase              = 3 * time.Second        // for this long after its start, an entry host exchanges hello messages with hosts with a disk often, which list the hosts that have started since
 	farIdleFactor           = 4                      // an idle entry host of another domain gets a hello message this many times less often than one of the own domain
 	helloFirstInterval      = 100 * time.Millisecond // between hello messages to a host that was never heard from
 	helloTimeout            = 400 * time.Millisecond // of one exchange of hello messages; after two consecutive timeouts the connection is replaced
 	aliveTimeout            = 900 * time.Millisecond // a host not heard from for longer is not alive; time for three hello messages, and less than the 1 s of a lease
+	silentWindowDivisor     = 2                      // a host not heard from for its alive window divided by this is silent: it gets no new jobs while others can take them
 	idleAliveIntervals      = 4                      // hello intervals after which a host that sends hello messages rarely no longer counts as alive
 	voterLostAfter          = 3 * time.Second        // a voter silent for this long loses its vote to a standby
 	leaveTimeout            = time.Second            // for a stopping host to give up its vote
@@ -36,7 +39,8 @@
 	fencedClaimDelay        = 5 * time.Second        // how long a host that was fenced and hears from no other host claims nothing
 	tokenRaiseWindow        = 3 * time.Second        // for this long after its start, a host assumes that a higher token is its own from before the restart
 	returnHomeDelay         = time.Second            // an entry host is heard from for this long before its domain's pool returns to it
-	handoverTimeout         = 500 * time.Millisecond // for another host to take over a pool
+	handoverTimeout         = 500 * time.Millisecond // for another host to answer the state of a pool
+	maxHandoverTries        = 4                      // how often the state is sent to a host that is alive but does not answer
 	tickInterval            = 20 * time.Millisecond  // between scheduler ticks of a pool that this host holds
 	orphanCheckInterval     = 200 * time.Millisecond // between checks for domains without entry hosts
 	idleTickInterval        = 100 * time.Millisecond // between ticks of a pool that another host holds
@@ -108,6 +112,12 @@
 	Ended       []EndedRun
 }
 
+// lists reports whether the target lists a run as running or ended.
+func (r TargetReport) lists(run scheduler.Run) bool {
+	return slices.ContainsFunc(r.Running, func(l RunningRun) bool { return l.Run == run }) ||
+		slices.ContainsFunc(r.Ended, func(e EndedRun) bool { return e.Run == run })
+}
+
 // Errors of a TargetClient. After any other error it is unknown whether the target
 // carried out the request or still will.
 var (
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -42,6 +43,7 @@
 	catalogs       *catalogs
 	announcements  *announcementTable // from targets, directly or through other hosts
 	toForward      chan Announcement  // to other hosts
+	startedAt      time.Time
 	leaving        atomic.Bool
 	catalogFetchMu sync.Mutex // held while a newer catalog is fetched
 	runCtx         context.Context
@@ -72,6 +74,7 @@
 	n := &Node{
 		config:        config,
 		log:           logging.For(config.Log, "fleet"),
+		startedAt:     time.Now(),
 		hostTable:     discovery.NewTable(config.Self.Address),
 		links:         map[string]*hostlink.Link{},
 		claims:        map[string]remoteClaim{},
@@ -100,7 +103,7 @@
 		return nil, failure.Wrap(failure.Internal, "fleet", err)
 	}
 	n.controller = c
-	n.catalogs = &catalogs{controller: c, parse: config.Parse, log: n.log, startedAt: time.Now()}
+	n.catalogs = newCatalogs(c, config.Parse, n.log)
 	return n, nil
 }
 
@@ -324,7 +327,13 @@
 		return shards.Load{Pool: pool, FreeTasks: int(c.GetFreeSlots()), QueuedTasks: int(c.GetQueued()), HeldHere: true}, c != nil
 	}
 	c, ok := n.claims[pool]
-	return shards.Load{Pool: pool, FreeTasks: c.freeTasks, QueuedTasks: c.queuedTasks}, ok && n.holderAlive(c, now)
+	if !ok || !n.holderAlive(c, now) {
+		return shards.Load{}, false
+	}
+	h, age, _ := n.hostTable.Get(c.claim.Holder, now)
+	return shards.Load{
+		Pool: pool, FreeTasks: c.freeTasks, QueuedTasks: c.queuedTasks, Silent: age > n.aliveWindow(h)/silentWindowDivisor,
+	}, true
 }
 
 // domainLoads returns the loads of a domain's pools that have a holder, in the order
@@ -342,6 +351,25 @@
 	return out
 }
 
+// loadsOfOtherDomains returns the loads of the pools of other domains that have a holder,
+// ordered by name.
+func (n *Node) loadsOfOtherDomains() []shards.Load {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	var out []shards.Load
+	for _, name := range slices.Sorted(maps.Keys(n.claims)) {
+		id, err := shards.ParsePool(name)
+		if err != nil || id.Domain == n.config.Self.Domain {
+			continue
+		}
+		if l, ok := n.poolLoad(name, now); ok {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // freeCapacityExcept returns how many tasks each pool other than the given one could
 // start at once.
 func (n *Node) freeCapacityExcept(except shards.Pool) []scheduler.PoolCapacity {
@@ -358,7 +386,7 @@
 	var out []scheduler.PoolCapacity
 	for name := range names {
 		id, err := shards.ParsePool(name)
-		if l, ok := n.poolLoad(name, now); ok && l.FreeTasks > 0 && id != except {
+		if l, ok := n.poolLoad(name, now); ok && l.FreeTasks > 0 && !l.Silent && id != except {
 			out = append(out, scheduler.PoolCapacity{Pool: name, FreeTasks: l.FreeTasks, SameDomain: err == nil && id.Domain == except.Domain})
 		}
 	}
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -54,6 +54,7 @@
 	ArrivedAt     time.Time // at the host that the caller submitted it to
 	Deadline      time.Time // when the caller stops waiting
 	Spilled       bool      // came from another pool; not to be spilled again
+	Resubmitted   bool      // the pool's former holder handed the job over; to be continued, but never started anew
 }
 
 // TaskCount returns the number of tasks in all steps of the job.
@@ -132,9 +133,10 @@
 // Stop is a request to a target to stop a run, and to reject a start request for
 // that run that arrives later.
 type Stop struct {
-	Target string
-	Run    Run
-	Reason string
+	Target     string
+	Run        Run
+	Reason     string
+	Unanswered bool // the start request was not answered, so the run is probably not there
 }
 
 // Reply delivers the answer of a job to a waiting caller.
--- a/internal/process/shards/shards.go
+++ b/internal/process/shards/shards.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -79,6 +80,12 @@
 	FreeTasks   int    // tasks of the usual size that would start at once
 	QueuedTasks int    // tasks that wait
 	HeldHere    bool   // the choosing host holds the pool, so the numbers are current
+	Silent      bool   // the holder has missed hello messages, but still counts as alive
+}
+
+// Responsive returns the loads of the pools whose holders have not missed hello messages.
+func Responsive(loads []Load) []Load {
+	return slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return l.Silent })
 }
 
 // freeCapacity is the number of tasks that could start beyond the queued ones, negative
@@ -104,11 +111,27 @@
 			return l.Pool
 		}
 	}
-	switch len(loads) {
-	case 0:
+	if len(loads) == 0 {
 		return ""
-	case 1:
-		return loads[0].Pool
+	}
+	return freerOfTwo(loads, randomBelow).Pool
+}
+
+// ChooseFreePool returns the name of the pool, of two drawn from those with enough free
+// capacity for a job, that has more of it. It returns false if no pool has enough.
+func ChooseFreePool(loads []Load, tasks int, randomBelow func(below int) int) (string, bool) {
+	free := slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return l.freeCapacity() < tasks })
+	if len(free) == 0 {
+		return "", false
+	}
+	return freerOfTwo(free, randomBelow).Pool, true
+}
+
+// freerOfTwo draws two of the loads, of which there is at least one, and returns the one
+// with more free capacity.
+func freerOfTwo(loads []Load, randomBelow func(below int) int) Load {
+	if len(loads) == 1 {
+		return loads[0]
 	}
 	first := randomBelow(len(loads))
 	second := randomBelow(len(loads) - 1)
@@ -116,7 +139,7 @@
 		second++
 	}
 	if loads[second].freeCapacity() > loads[first].freeCapacity() {
-		return loads[second].Pool
+		return loads[second]
 	}
-	return loads[first].Pool
+	return loads[first]
 }
