Try a refused job at several pools before the caller is told no

A pool that is full sent a job only to a pool that had reported room for all of it, and knows that from a report up to 250 ms old, in which tasks of 60 to 900 ms end and start. Change: a job that its pool would refuse is tried at up to three pools, one after the other. Each starts all its tasks at once or says no; it waits nowhere but at home. A job that comes back is not counted twice in the demand of its queue.

--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -81,13 +81,13 @@
 func replyMessage(a scheduler.Answer) *fleetpb.JobReply {
 	return &fleetpb.JobReply{
 		Outcome: uint32(a.Outcome), Kind: string(a.Kind), Reason: a.Reason,
-		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Pool: a.Pool, Holder: a.Holder, Handed: a.HandedOver,
+		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), Pools: a.Pools, Holder: a.Holder, Handed: a.HandedOver,
 	}
 }
 
 func answerFrom(m *fleetpb.JobReply) scheduler.Answer {
 	return scheduler.Answer{
 		Outcome: scheduler.Outcome(m.GetOutcome()), Kind: failure.Kind(m.GetKind()), Reason: m.GetReason(),
-		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Pool: m.GetPool(), Holder: m.GetHolder(), HandedOver: m.GetHanded(),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Pools: m.GetPools(), Holder: m.GetHolder(), HandedOver: m.GetHanded(),
 	}
 }
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -35,18 +35,29 @@
 	a := n.submitInDomain(ctx, j)
 	switch {
 	case a.Outcome == scheduler.Spill:
-		n.log.Info("A job is sent to another pool.", "job", j.ID, "pool", a.Pool, "reason", a.Reason, "age", time.Since(j.ArrivedAt))
-		j.Spilled = true
-		a = n.submitToPool(ctx, a.Pool, j)
-		if a.Outcome == scheduler.Refused && a.Kind != failure.NeverRunnable {
-			return n.submitInDomain(ctx, j)
-		}
+		return n.submitSpilled(ctx, j, a)
 	case a.Outcome == scheduler.Refused && a.Kind == failure.NotReady:
 		return n.submitToOtherDomain(ctx, j, a)
 	}
 	return a
 }
 
+// submitSpilled sends a job to the pools that its own pool has named, one after the other,
+// until one starts it at once. If none does, the job's own domain runs or refuses it.
+func (n *Node) submitSpilled(ctx context.Context, j scheduler.Job, spilled scheduler.Answer) scheduler.Answer {
+	j.Spilled = true
+	trial := j
+	trial.OnlyAtOnce = true
+	for _, pool := range spilled.Pools {
+		n.log.Info("A job is sent to another pool.", "job", j.ID, "pool", pool, "reason", spilled.Reason, "age", time.Since(j.ArrivedAt))
+		if a := n.submitToPool(ctx, pool, trial); a.Outcome != scheduler.Refused {
+			return a
+		}
+	}
+	j.Returned = true
+	return n.submitInDomain(ctx, j)
+}
+
 // submitToOtherDomain runs a job that no holder in this host's domain accepts in a pool
 // of another domain with free capacity for it, or returns the refusal if there is none.
 // It answers the load of the seconds after the holder of a domain's only pool was lost or
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -51,9 +53,13 @@
 	if a, ok := c.checkRunnable(s); !ok {
 		return c.spillOrRefuse(s, a)
 	}
+	startable := c.startableNow(s, now)
+	if s.OnlyAtOnce && !startable {
+		return c.newRefusal(failure.Overloaded, "the pool has no free capacity for the whole job", now), false
+	}
 	work, cores := float64(s.pendingWork()), float64(c.usableCPUMilli(s.Service, now))/1000
-	withinShare := c.shares.offer(s.Queue, work, cores*c.config.UsableFraction, now)
-	if c.startableNow(s, now) {
+	withinShare := c.shares.offer(s.Queue, work, cores*c.config.UsableFraction, s.Returned, now)
+	if startable {
 		return Answer{}, true
 	}
 	if !withinShare && cores > 0 {
@@ -63,17 +69,23 @@
 		reason := fmt.Sprintf("the job would end %v after its due time, behind %d waiting jobs", end.Sub(s.dueAt).Round(time.Millisecond), len(c.waitingJobs))
 		return c.spillOrRefuse(s, c.newRefusal(failure.DeadlineTooShort, reason, now))
 	}
-	if pool, ok := c.chooseSpillPool(s); ok {
-		return Answer{Outcome: Spill, Pool: pool, Reason: "this pool has no free capacity now, the other one has"}, false
+	if c.anyPoolReportsRoom(s.pendingTasks) {
+		if pools := c.chooseSpillPools(s); len(pools) > 0 {
+			return Answer{Outcome: Spill, Pools: pools, Reason: "this pool has no free capacity now, another one has"}, false
+		}
 	}
 	return Answer{}, true
 }
 
-// spillOrRefuse spills a job to a pool with free capacity for it, or else returns the
-// refusal.
+// spillOrRefuse spills a job to pools that may have free capacity for it, or else
+// returns the refusal.
+//
+// It answers the load of short bursts in one domain while others have room: what the
+// pools reported last is up to one hello interval old, in which tasks of a few hundred
+// milliseconds end and start, so a pool is asked also if it reported too little room.
 func (c *Core) spillOrRefuse(s *jobState, refusal Answer) (Answer, bool) {
-	if pool, ok := c.chooseSpillPool(s); ok {
-		return Answer{Outcome: Spill, Pool: pool, Reason: refusal.Reason}, false
+	if pools := c.chooseSpillPools(s); len(pools) > 0 {
+		return Answer{Outcome: Spill, Pools: pools, Reason: refusal.Reason}, false
 	}
 	return refusal, false
 }
@@ -157,33 +169,52 @@
 	return max(0, c.freeTasks("", now)-queued), queued
 }
 
-// chooseSpillPool returns another pool with free capacity for the whole job. It
-// prefers pools of the same domain, then the pool with the most free capacity, and
-// subtracts the job from that pool's capacity until the next report. A job that was
-// already spilled is never spilled again.
-func (c *Core) chooseSpillPool(s *jobState) (string, bool) {
+// anyPoolReportsRoom reports whether another pool last reported free capacity for a
+// number of tasks.
+func (c *Core) anyPoolReportsRoom(tasks int) bool {
+	return slices.ContainsFunc(c.poolCapacities, func(r PoolCapacity) bool { return r.FreeTasks >= tasks })
+}
+
+// chooseSpillPools returns the pools to try for a job, at most Config.SpillTries. Pools that
+// reported room for the whole job come first, then those of the same domain, then those
+// with the most free capacity. The job is subtracted from the first pool's capacity until
+// the next report. A job that was already spilled is never spilled again.
+func (c *Core) chooseSpillPools(s *jobState) []string {
 	if s.Spilled {
-		return "", false
+		return nil
 	}
-	best := -1
-	for i, r := range c.poolCapacities {
-		if r.FreeTasks >= s.pendingTasks && (best < 0 || r.preferredOver(c.poolCapacities[best])) {
-			best = i
-		}
+	candidates := slices.Clone(c.poolCapacities)
+	slices.SortFunc(candidates, func(a, b PoolCapacity) int { return a.compareForSpill(b, s.pendingTasks) })
+	var pools []string
+	for _, candidate := range candidates[:min(len(candidates), c.config.SpillTries)] {
+		pools = append(pools, candidate.Pool)
 	}
-	if best < 0 {
-		return "", false
+	if len(pools) > 0 {
+		i := slices.IndexFunc(c.poolCapacities, func(r PoolCapacity) bool { return r.Pool == pools[0] })
+		c.poolCapacities[i].FreeTasks -= s.pendingTasks
 	}
-	c.poolCapacities[best].FreeTasks -= s.pendingTasks
-	return c.poolCapacities[best].Pool, true
+	return pools
+}
+
+// compareForSpill orders pools for spilling a job with a number of tasks, the preferred
+// one first.
+func (r PoolCapacity) compareForSpill(o PoolCapacity, tasks int) int {
+	return cmp.Or(
+		compareTrueFirst(r.FreeTasks >= tasks, o.FreeTasks >= tasks),
+		compareTrueFirst(r.SameDomain, o.SameDomain),
+		cmp.Compare(o.FreeTasks, r.FreeTasks),
+		cmp.Compare(r.Pool, o.Pool),
+	)
 }
 
-// preferredOver reports whether a job is spilled to r rather than to o.
-func (r PoolCapacity) preferredOver(o PoolCapacity) bool {
-	if r.SameDomain != o.SameDomain {
-		return r.SameDomain
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
 	}
-	return r.FreeTasks > o.FreeTasks
+	return 1
 }
 
 // newRefusal returns the answer for a job of which no task has started. Its
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -14,12 +14,13 @@
 type Config struct {
 	LearnedRunTimeWeight float64 // weight of a queue's learned run time against the declared one, 0 to 1
 	UsableFraction       float64 // share of the targets' cores that tasks can fill; the rest is too small for a task
+	SpillTries           int     // other pools that a spilled job is sent to at most, one after the other; a try takes a round trip
 }
 
 // DefaultConfig returns the values for tasks whose estimates are off by up to
 // two fifths and whose run times vary by as much again.
 func DefaultConfig() Config {
-	return Config{LearnedRunTimeWeight: 0.5, UsableFraction: 0.65}
+	return Config{LearnedRunTimeWeight: 0.5, UsableFraction: 0.65, SpillTries: 3}
 }
 
 // PoolCapacity is the free capacity of another pool.
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -360,10 +360,31 @@
 	answer := replies(c.Submit(newDeskJob("there", 2), 2, at(1)))
 	g.Expect(answer).To(HaveLen(1))
 	g.Expect(answer[0].Answer.Outcome).To(Equal(Spill))
-	g.Expect(answer[0].Answer.Pool).To(Equal("south"))
+	g.Expect(answer[0].Answer.Pools).To(Equal([]string{"south"}))
 	g.Expect(replies(c.Submit(newDeskJob("none", 1), 3, at(2)))).To(BeEmpty(), "the free capacity there is used up")
 }
 
+// The reports of other pools are up to a hello interval old, so a job that would be
+// refused is tried at pools that reported too little room too, but it waits nowhere else.
+func TestAJobIsTriedAtOtherPoolsBeforeItIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(1)
+	c.SetPoolCapacities([]PoolCapacity{{Pool: "a", FreeTasks: 1}, {Pool: "b", FreeTasks: 9}, {Pool: "c", FreeTasks: 3, SameDomain: true}, {Pool: "d", FreeTasks: 2}})
+	wide := newDeskJob("wide", 40) // would end after its due time
+	answer := replies(c.Submit(wide, 1, at(0)))
+	g.Expect(answer).To(HaveLen(1))
+	g.Expect(answer[0].Answer.Outcome).To(Equal(Spill))
+	g.Expect(answer[0].Answer.Pools).To(Equal([]string{"c", "b", "d"}))
+
+	trial := newDeskJob("trial", 3)
+	trial.Spilled, trial.OnlyAtOnce = true, true
+	answer = replies(c.Submit(trial, 2, at(0)))
+	g.Expect(answer).To(HaveLen(1), "two of three tasks fit")
+	g.Expect(answer[0].Answer.Outcome).To(Equal(Refused))
+	trial.ID, trial.Steps[0].Count = "small", 2
+	g.Expect(starts(c.Submit(trial, 3, at(0)))).To(HaveLen(2))
+}
+
 func TestAbandoningJobsMovesOnlyThoseThatHaveNotStarted(t *testing.T) {
 	g := NewWithT(t)
 	c := newCore(1)
@@ -425,10 +446,10 @@
 	refused := map[string]int{}
 	// The capacity is 10 cores; one queue demands 2, the other 20.
 	for ms := 0; ms < 10_000; ms += 10 {
-		if !s.offer("small", 20, 10, at(ms)) {
+		if !s.offer("small", 20, 10, false, at(ms)) {
 			refused["small"]++
 		}
-		if !s.offer("large", 200, 10, at(ms)) && ms >= 4000 {
+		if !s.offer("large", 200, 10, false, at(ms)) && ms >= 4000 {
 			refused["large"]++
 		}
 	}
--- a/internal/process/scheduler/load_test.go
+++ b/internal/process/scheduler/load_test.go
@@ -39,6 +39,7 @@
 type classResult struct {
 	submitted, onTime, late, refused int
 	earnedValue, offeredValue        float64
+	refusedWithRoom                  float64 // value of refused jobs that another pool could have started at once
 }
 
 func (r classResult) valueShare() float64 { return r.earnedValue / r.offeredValue }
@@ -62,7 +63,8 @@
 
 type simulatedJob struct {
 	class       jobClass
-	firstPool   int // the pool that the job was submitted to first
+	firstPool   int      // the pool that the job was submitted to first
+	poolsToTry  []string // that the job has been spilled to and not sent to yet
 	job         Job
 	taskTimes   []time.Duration // nominal run time of each task
 	submittedAt time.Time
@@ -265,17 +267,16 @@
 func (s *simulation) handleReply(pool int, e Reply) {
 	j := s.jobsByWaiter[e.Waiter]
 	if e.Answer.Outcome == Spill {
-		var spillPool int
-		_, _ = fmt.Sscanf(e.Answer.Pool, "z%d", &spillPool)
-		j.job.Spilled = true
-		s.after(2*networkDelay, func() { s.applyEffects(spillPool, s.pools[spillPool].Submit(j.job, e.Waiter, s.now)) })
-		return
+		j.job.Spilled, j.job.OnlyAtOnce, j.poolsToTry = true, true, e.Answer.Pools
 	}
-	if e.Answer.Outcome == Refused && j.job.Spilled && pool != j.firstPool {
-		s.after(2*networkDelay, func() { s.applyEffects(j.firstPool, s.pools[j.firstPool].Submit(j.job, e.Waiter, s.now)) })
+	if e.Answer.Outcome == Spill || e.Answer.Outcome == Refused && j.job.OnlyAtOnce {
+		s.submitToNextPool(e.Waiter, j)
 		return
 	}
 	delete(s.jobsByWaiter, e.Waiter)
+	if e.Answer.Outcome == Refused && s.anyPoolHasRoom(j.job) {
+		s.resultOfClass(j.class.name).refusedWithRoom += j.value
+	}
 	took := s.now.Sub(j.submittedAt) + clientDelay/2
 	for _, x := range []*classResult{s.resultOfClass(j.class.name), s.windowAt(j.submittedAt), s.resultOfDomain(j.firstPool)} {
 		switch {
@@ -291,6 +292,24 @@
 	}
 }
 
+// anyPoolHasRoom reports whether a pool could start all tasks of a job now.
+func (s *simulation) anyPoolHasRoom(j Job) bool {
+	return slices.ContainsFunc(s.pools, func(core *Core) bool { return core.startableNow(newJobState(j), s.now) })
+}
+
+// submitToNextPool sends a spilled job to the next of the pools to try, or back to its
+// own pool if there is none left.
+func (s *simulation) submitToNextPool(waiter uint64, j *simulatedJob) {
+	next := j.firstPool
+	if len(j.poolsToTry) > 0 {
+		_, _ = fmt.Sscanf(j.poolsToTry[0], "z%d", &next)
+		j.poolsToTry = j.poolsToTry[1:]
+	} else {
+		j.job.OnlyAtOnce, j.job.Returned = false, true
+	}
+	s.after(2*networkDelay, func() { s.applyEffects(next, s.pools[next].Submit(j.job, waiter, s.now)) })
+}
+
 func (s *simulation) windowAt(t time.Time) *classResult {
 	return s.resultsByWindow[int(t.Sub(s.startedAt)/(2*time.Second))]
 }
@@ -339,6 +358,7 @@
 		sum.refused += r.refused
 		sum.earnedValue += r.earnedValue
 		sum.offeredValue += r.offeredValue
+		sum.refusedWithRoom += r.refusedWithRoom
 	}
 	return sum
 }
@@ -416,6 +436,26 @@
 	g.Expect(with.total().valueShare()).To(BeNumerically(">", without.total().valueShare()))
 }
 
+// TestJobsAreTriedElsewhereBeforeTheyAreRefused compares sending a job that its pool
+// refuses to several pools, which start it at once or not at all, with sending it to one.
+// The free capacity that the pools report is up to 250 ms old.
+func TestJobsAreTriedElsewhereBeforeTheyAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	var several, one classResult
+	for seed := range uint64(3) {
+		for tries, sum := range map[int]*classResult{DefaultConfig().SpillTries: &several, 1: &one} {
+			r := runHutopsWith(func(c *Config) { c.SpillTries = tries }, seed, constantLoad(1.2), 20*time.Second).total()
+			sum.earnedValue += r.earnedValue
+			sum.offeredValue += r.offeredValue
+			sum.refusedWithRoom += r.refusedWithRoom
+		}
+	}
+	t.Logf("value share with several tries %.3f, with one %.3f; refused while a pool had room %.3f and %.3f",
+		several.valueShare(), one.valueShare(), several.refusedWithRoom/several.offeredValue, one.refusedWithRoom/one.offeredValue)
+	g.Expect(several.valueShare()).To(BeNumerically(">", one.valueShare()))
+	g.Expect(several.refusedWithRoom).To(BeNumerically("<", one.refusedWithRoom/2))
+}
+
 // TestLowLoadIsServedInFull simulates 0.6 times the load of the sheet.
 func TestLowLoadIsServedInFull(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/process/scheduler/shares.go
+++ b/internal/process/scheduler/shares.go
@@ -44,9 +44,10 @@
 	s.decayedAt = now
 }
 
-// offer adds a job's work (in core-milliseconds) to the demand of its queue and
-// reports whether the job is within the queue's share of the capacity (in cores).
-func (s *fairShares) offer(queue string, work, cores float64, now time.Time) bool {
+// offer adds a job's work (in core-milliseconds) to the demand of its queue, unless it
+// is counted already, and reports whether the job is within the queue's share of the
+// capacity (in cores).
+func (s *fairShares) offer(queue string, work, cores float64, counted bool, now time.Time) bool {
 	q, ok := s.queues[queue]
 	if !ok {
 		q = &queueShare{credit: math.Inf(1)}
@@ -57,7 +58,9 @@
 	for _, each := range s.queues {
 		each.decay(now)
 	}
-	q.offeredWork += work
+	if !counted {
+		q.offeredWork += work
+	}
 	level := s.waterLevel(cores * float64(demandTimeConstant.Milliseconds()))
 	s.lastLevel = level
 	if q.offeredWork <= level {
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -54,6 +54,8 @@
 	ArrivedAt     time.Time // at the host that the caller submitted it to
 	Deadline      time.Time // when the caller stops waiting
 	Spilled       bool      // came from another pool; not to be spilled again
+	OnlyAtOnce    bool      // spilled on trial: to be refused unless all its tasks can start at once
+	Returned      bool      // refused by the pools that it was spilled to; its demand is counted already
 	Resubmitted   bool      // the pool's former holder handed the job over; to be continued, but never started anew
 }
 
@@ -115,7 +117,7 @@
 	Kind       failure.Kind  // set for Refused, Broken, Failed and some Moved jobs
 	Reason     string        // why, for the log
 	RetryAfter time.Duration // for a refused job: delay before the next attempt
-	Pool       string        // for a spilled job: the pool that it goes to
+	Pools      []string      // for a spilled job: the pools to try, the most promising one first
 	HandedOver bool          // for a moved job: the new holder continues it
 	Holder     string        // for a moved job: the host that holds the pool; empty if unknown
 }
