Leave a change in progress to its proposer when reads meet it

A read that met a change in progress completed it at once: it outbid the proposer, its disk writes (9 ms a voter) lengthened the window, more reads fell into it. Change: a read that finds an unchosen entry inspects again each 30 to 90 ms. Only hosts with a disk complete such an entry, after four inspections, or at once until their first confirmed read.

--- a/internal/process/controller/config.go
+++ b/internal/process/controller/config.go
@@ -21,6 +21,8 @@
 	peerRingSize      = 32                      // messages that wait for one peer
 	firstReadInterval = 100 * time.Millisecond  // interval of reads until one is confirmed; covers a few round trips
 	emptyReadInterval = 2 * time.Second         // the same on a host without a value: every voter replies to a read with the whole value, while fetching it needs only one peer
+	settleInterval    = 60 * time.Millisecond   // mean interval of a read's inspections while a change is in progress; a change takes a few disk writes
+	diskReadPatience  = 4                       // inspections after which a read of a host with a disk completes the change of another host
 	fetchTimeout      = 1500 * time.Millisecond // for fetching a value from a peer; the largest value takes 1 s on the slowest known link
 	bootstrapSurveys  = 8                       // consecutive empty surveys after which the register is bootstrapped although some host has not reported
 )
--- a/internal/process/controller/loop.go
+++ b/internal/process/controller/loop.go
@@ -205,6 +205,7 @@
 	c.failedAttempts = 0
 	c.backingOff = false
 	c.attemptTimer.Reset(c.retryInterval(o))
+	c.proposer.SetPatience(c.readPatience())
 	if o.change == nil {
 		c.sendAll(c.proposer.Read())
 	} else {
@@ -220,10 +221,28 @@
 		c.finishOperation(*r)
 		return
 	}
-	if c.proposer.Outbid() && !c.backingOff {
+	switch {
+	case c.backingOff:
+	case c.proposer.Outbid():
 		c.backingOff = true
 		c.attemptTimer.Reset(register.Backoff(c.failedAttempts, c.config.Random))
+	case c.proposer.Unsettled():
+		c.backingOff = true
+		c.attemptTimer.Reset(settleInterval/2 + time.Duration(c.config.Random.Int64N(int64(settleInterval))))
+	}
+}
+
+// readPatience returns the patience of this host's reads. Hosts with a disk complete an
+// entry whose proposer has stopped midway, at once just after their start, as all may have
+// lost power. Those without a disk are many, and their next reads find it completed.
+func (c *Controller) readPatience() int {
+	switch {
+	case c.config.Folder == nil:
+		return register.NeverComplete
+	case c.isUnconfirmed():
+		return 0
 	}
+	return diskReadPatience
 }
 
 // retryOperation starts another attempt at the current operation, if there is
--- a/internal/process/fleet/export_test.go
+++ b/internal/process/fleet/export_test.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"google.golang.org/grpc/connectivity"
+)
 
 // FreeTasksOf returns how many tasks could start at once in another host's pool, as far
 // as this host knows.
@@ -10,3 +14,9 @@
 	l, _ := n.poolLoad(pool, time.Now())
 	return l.FreeTasks
 }
+
+// Reaches reports whether the link to another host is connected.
+func (n *Node) Reaches(address string) bool {
+	link, ok := n.link(address)
+	return ok && link.Current().GetState() == connectivity.Ready
+}
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -172,6 +172,7 @@
 	f.g.Expect(f.submit(other, job("second", 1)).Outcome).To(Equal(scheduler.Completed))
 	f.g.Eventually(func() int { return other.FreeTasksOf("south") }, testTimeout, 5*time.Millisecond).Should(BeNumerically(">", 1))
 	holder.stop()
+	f.g.Eventually(func() bool { return other.Reaches(holder.address) }, testTimeout, time.Millisecond).Should(BeFalse())
 	j := job("third", 1)
 	j.TargetLatency = 100 * time.Millisecond
 	a := other.Submit(context.Background(), j)
--- a/internal/version/register/proposer.go
+++ b/internal/version/register/proposer.go
@@ -45,6 +45,7 @@
 type Proposer struct {
 	id            uint64
 	seeds         []string // hosts to inspect in addition to the known voters
+	patience      int      // see SetPatience
 	highestBallot Ballot   // the highest ballot seen so far
 	newestChosen  Entry    // the newest entry known to be chosen
 	voters        []Member // the newest known voters
@@ -62,6 +63,8 @@
 	chosenBallot      Ballot          // of the last entry that this operation got chosen or proved chosen
 	outbid            bool            // a voter has promised a higher ballot
 	voterReplaced     bool            // a voter has replied NotVoter, mostly because its identity has changed
+	unsettledCount    int             // inspections of this operation that found an entry of which it is not known whether it is chosen
+	unsettled         bool            // the last inspection found one, and is to be repeated
 	result            *Result
 }
 
@@ -74,6 +77,16 @@
 // SetSeeds replaces the hosts to inspect in addition to the known voters.
 func (p *Proposer) SetSeeds(seeds []string) { p.seeds = seeds }
 
+// NeverComplete is the patience of a proposer whose reads complete no entries of others.
+const NeverComplete = -1
+
+// SetPatience sets how many inspections of a read may find a newer entry that is not
+// known to be chosen before the read completes that entry itself. A proposer that is
+// about to get it chosen mostly exists. To complete the entry, a read outbids that
+// proposer and costs each voter disk writes. With patience 0, the reads of many hosts
+// that fall into one change outbid each other and the change for seconds.
+func (p *Proposer) SetPatience(inspections int) { p.patience = inspections }
+
 // Learn informs the proposer of an entry that is known to be chosen.
 func (p *Proposer) Learn(e Entry) {
 	if e.newerThan(p.newestChosen) {
@@ -121,6 +134,10 @@
 // should be retried after a random delay.
 func (p *Proposer) Outbid() bool { return p.outbid }
 
+// Unsettled reports whether a read waits for another proposer to get an entry chosen.
+// The caller should call Retry after about the duration of a change.
+func (p *Proposer) Unsettled() bool { return p.unsettled }
+
 // Handle processes a reply and returns the next requests.
 func (p *Proposer) Handle(r Reply) []OutboundRequest {
 	switch r := r.(type) {
@@ -140,6 +157,7 @@
 	p.result = nil
 	p.changeProposed = false
 	p.chosenBallot = Ballot{}
+	p.unsettledCount = 0
 }
 
 // startAttempt starts a phase under a new ballot.
@@ -152,6 +170,7 @@
 	p.asked = map[Member]bool{}
 	p.outbid = false
 	p.voterReplaced = false
+	p.unsettled = false
 }
 
 func (p *Proposer) startInspecting() []OutboundRequest {
@@ -202,10 +221,19 @@
 	if newest.IsZero() {
 		return requests
 	}
-	if p.change == nil && p.isChosen(newest) {
-		p.recordChosen(newest)
-		p.finish(Result{Entry: newest})
-		return nil
+	if p.change == nil {
+		if p.isChosen(newest) {
+			p.recordChosen(newest)
+			p.finish(Result{Entry: newest})
+			return nil
+		}
+		if p.unsettled {
+			return nil
+		}
+		if p.unsettledCount++; p.patience == NeverComplete || p.unsettledCount <= p.patience {
+			p.unsettled = true // a later report of this inspection may still prove the entry chosen
+			return requests
+		}
 	}
 	p.voters = newest.Value.Voters()
 	return p.startPreparing()
--- a/internal/version/register/register_test.go
+++ b/internal/version/register/register_test.go
@@ -251,3 +251,78 @@
 	g.Expect(fresh.Result()).NotTo(BeNil())
 	g.Expect(fresh.Result().Changed).To(BeTrue())
 }
+
+// changeInProgress returns a cluster in which one of three voters has accepted a change,
+// and the requests that are still under way to the others.
+func changeInProgress(writer *register.Proposer) (*cluster, []register.OutboundRequest) {
+	c := newCluster(memberA, memberB, memberC)
+	writer.Learn(register.InitialEntry([]register.Member{memberA, memberB, memberC}))
+	var accepts []register.OutboundRequest
+	for _, s := range writer.Change(set("one")) {
+		accepts = append(accepts, c.handle(writer, s)...)
+	}
+	c.handle(writer, accepts[0])
+	return c, accepts[1:]
+}
+
+// handle delivers a request and its reply, and returns the next requests.
+func (c *cluster) handle(p *register.Proposer, s register.OutboundRequest) []register.OutboundRequest {
+	effect := c.states[s.Host].Handle(s.Request)
+	c.states[s.Host] = effect.State
+	c.requests++
+	if effect.Persist {
+		c.persists++
+	}
+	return p.Handle(effect.Reply)
+}
+
+// All hosts confirm their copies about once a second, so a change among many hosts meets
+// some of their reads. If these completed the change, they would outbid the proposer and
+// each other, and each attempt costs disk writes: with 153 hosts no change was chosen for
+// four seconds.
+func TestReadsDuringAChangeLeaveItToItsProposer(t *testing.T) {
+	for _, readers := range []int{10, 50, 150} {
+		g := NewWithT(t)
+		writer := register.NewProposer(1, []string{"a", "b", "c"})
+		c, accepts := changeInProgress(writer)
+		c.persists = 0
+		var reads []*register.Proposer
+		for i := range readers {
+			r := register.NewProposer(uint64(10+i), []string{"a", "b", "c"})
+			r.SetPatience(register.NeverComplete)
+			r.Learn(register.InitialEntry([]register.Member{memberA, memberB, memberC}))
+			for _, s := range r.Read() {
+				g.Expect(c.handle(r, s)).To(BeEmpty(), "the read does more than inspect")
+			}
+			g.Expect(r.Unsettled()).To(BeTrue())
+			reads = append(reads, r)
+		}
+		g.Expect(c.persists).To(BeZero(), "%d readers cost the voters disk writes", readers)
+		for _, s := range accepts {
+			c.handle(writer, s)
+		}
+		g.Expect(writer.Result()).NotTo(BeNil(), "the change was outbid")
+		for _, r := range reads {
+			g.Expect(c.run(r, r.Retry()).Entry.Value.Version).To(Equal(uint64(1)))
+		}
+	}
+}
+
+// The proposer of a change has stopped midway. A read completes the change once its
+// patience is used up.
+func TestAReadCompletesAnAbandonedChange(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := changeInProgress(register.NewProposer(1, []string{"a", "b", "c"}))
+	r := register.NewProposer(2, []string{"a", "b", "c"})
+	r.SetPatience(2)
+	r.Learn(register.InitialEntry([]register.Member{memberA, memberB, memberC}))
+	requests := r.Read()
+	for range 2 {
+		for _, s := range requests {
+			g.Expect(c.handle(r, s)).To(BeEmpty())
+		}
+		g.Expect(r.Unsettled()).To(BeTrue())
+		requests = r.Retry()
+	}
+	g.Expect(string(c.run(r, requests).Entry.Value.Content)).To(Equal("one"))
+}
