Keep former claims out and hear all hosts of a domain before a claim

A hello message of a holder's former process that is processed after the first one of its new process recorded the claim anew under the new incarnation. Shown first: both tests of restart_test.go fail without their check.

--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -187,6 +187,12 @@
 	}
 	n.mu.Lock()
 	record(hello.GetFrom())
+	sender, _, _ := n.hostTable.Get(hello.GetFrom().GetAddress(), now)
+	if sender.Incarnation > hello.GetFrom().GetIncarnation() {
+		n.mu.Unlock()
+		return // the sender has restarted since, and no longer knows of the claims
+	}
+	n.heardDirectly[sender.Address] = true
 	for _, h := range hello.GetHosts() {
 		record(h)
 	}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -56,6 +56,7 @@
 	remoteHolders map[string]bool        // hosts with a claim in claims
 	pools         map[string]*pool       // by name: those that this host holds or may hold; none on a host that accepts no jobs
 	shardCounts   map[string]int         // by domain; one shard where it is missing
+	heardDirectly map[string]bool        // addresses of the hosts from which a hello message has come since the start
 }
 
 // remoteClaim is another host's claim on a pool, with the load that the host reported.
@@ -81,6 +82,7 @@
 		remoteHolders: map[string]bool{},
 		pools:         map[string]*pool{},
 		shardCounts:   map[string]int{},
+		heardDirectly: map[string]bool{},
 		announcements: newAnnouncementTable(),
 
 		toForward: make(chan Announcement, forwardRing),
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -196,7 +196,7 @@
 	if p.id.Domain != p.node.config.Self.Domain && !p.targetsReachable(now) {
 		return
 	}
-	if p.holderView.HeldHere() {
+	if p.holderView.HeldHere() || p.node.awaitsHello(p.id.Domain, now) {
 		return
 	}
 	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.isAlive(host) }
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -85,6 +85,18 @@
 	return out
 }
 
+// awaitsHello reports whether this host has just started and has not yet heard from an
+// entry host of a domain that is alive by the lists of others. That host may hold a pool
+// of the domain, and a claim with a higher token would take it away with its jobs.
+func (n *Node) awaitsHello(domain string, now time.Time) bool {
+	if now.Sub(n.startedAt) > claimAloneDelay {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.aliveEntryHosts(domain, now), func(address string) bool { return !n.heardDirectly[address] })
+}
+
 // holderCandidates returns the entry hosts that may hold a pool, in order of
 // preference: those of its domain by address, starting with a different one for each
 // shard; if there are none, those of all domains, starting at an offset that differs
--- /dev/null
+++ b/internal/process/fleet/restart_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+)
+
+// A holder is killed and restarts. A hello message of its former process is processed
+// after the first one of the new process. The claim in it must not come back: as the
+// holder is alive and does not know of its claim, nobody would ever hold the pool.
+func TestTheClaimOfAFormerProcessDoesNotComeBack(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	n := newTestPool(t, "127.0.0.1:1").node
+	former := &fleetpb.Greeting{
+		From:   &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 5},
+		Claims: []*fleetpb.Claim{{Pool: "north", Holder: "127.0.0.1:2", FencingToken: 9}},
+	}
+	restarted := &fleetpb.Greeting{From: &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 6}}
+	n.receiveHello(former)
+	g.Expect(n.claims).To(HaveKey("north"))
+	n.receiveHello(restarted)
+	g.Expect(n.claims).NotTo(HaveKey("north"))
+	n.receiveHello(former)
+	g.Expect(n.claims).NotTo(HaveKey("north"), "the claim of the former process came back")
+}
+
+// A host that starts learns from a list that another host of its domain is alive. It must
+// not claim the domain's pool before it has heard from that host, which may hold it, even
+// if that takes longer than it usually listens.
+func TestAStartedHostHearsFromTheHostsOfItsDomainBeforeItClaims(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	disk := &fleetpb.Host{Address: "127.0.0.1:3", Domain: "south", Disk: true, Incarnation: 1}
+	holder := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 1}
+	n.receiveHello(&fleetpb.Greeting{From: disk, Hosts: []*fleetpb.Host{holder}})
+	p.decideClaim(n.startedAt) // contact with another host starts the time to listen
+	listened := n.startedAt.Add(2 * claimListenTime)
+	p.decideClaim(listened)
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "claimed without hearing from a host of the domain")
+	n.receiveHello(&fleetpb.Greeting{From: holder})
+	p.decideClaim(listened.Add(time.Millisecond))
+	g.Expect(p.heldHere.Load()).To(BeTrue())
+}
