--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -23,7 +23,7 @@
 func newTestPool(t *testing.T, host string) *pool {
 	t.Helper()
 	n, err := New(Config{
-		Self: discovery.Host{Address: host, Domain: "north", Entry: true}, MaxLease: time.Second, VoterCount: 1,
+		Self: discovery.Host{Address: host, Domain: "north", Entry: true, Incarnation: uint64(time.Now().UnixMilli())}, MaxLease: time.Second, VoterCount: 1,
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil),
 	})
 	if err != nil {
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -86,15 +86,20 @@
 }
 
 // awaitsHello reports whether this host has just started and has not yet heard from an
-// entry host of a domain that is alive by the lists of others. That host may hold a pool
-// of the domain, and a claim with a higher token would take it away with its jobs.
+// entry host of a domain that is alive by the lists of others and started long before.
+// That host may hold a pool of the domain, and a claim with a higher token would take it
+// away with its jobs. Hosts that have started together need not wait for each other.
 func (n *Node) awaitsHello(domain string, now time.Time) bool {
 	if now.Sub(n.startedAt) > claimAloneDelay {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.ContainsFunc(n.aliveEntryHosts(domain, now), func(address string) bool { return !n.heardDirectly[address] })
+	return slices.ContainsFunc(n.aliveEntryHosts(domain, now), func(address string) bool {
+		h, _, _ := n.hostTable.Get(address, now)
+		startedBefore := int64(n.config.Self.Incarnation) - int64(h.Incarnation)
+		return !n.heardDirectly[address] && startedBefore > startPhase.Milliseconds()
+	})
 }
 
 // holderCandidates returns the entry hosts that may hold a pool, in order of
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -48,3 +48,18 @@
 	p.decideClaim(listened.Add(time.Millisecond))
 	g.Expect(p.heldHere.Load()).To(BeTrue())
 }
+
+// After a loss of power, the hosts of a domain start together. None holds a pool, so none
+// waits for another that is slow to say hello.
+func TestHostsThatStartTogetherDoNotWaitForEachOther(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	disk := &fleetpb.Host{Address: "127.0.0.1:3", Domain: "south", Disk: true, Incarnation: 1}
+	other := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: n.config.Self.Incarnation - 500}
+	n.receiveHello(&fleetpb.Greeting{From: disk, Hosts: []*fleetpb.Host{other}})
+	p.decideClaim(n.startedAt)
+	p.decideClaim(n.startedAt.Add(2 * claimListenTime))
+	g.Expect(p.heldHere.Load()).To(BeTrue())
+}
