--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -34,6 +34,16 @@
 	return newPool(n, shards.Pool{Domain: "north"})
 }
 
+// newHeldTestPool returns a test pool that its host holds, and the time since when.
+func newHeldTestPool(t *testing.T) (*pool, time.Time) {
+	t.Helper()
+	p := newTestPool(t, "127.0.0.1:1")
+	now := time.Now()
+	p.holderView.AcceptHandover(6, now)
+	p.takeOver(now, "test")
+	return p, now
+}
+
 func handoverTestJob(id string, now time.Time) scheduler.Job {
 	return scheduler.Job{
 		ID: id, Queue: "q", Service: "desk", MaxAttempts: 2, SlackFactor: 2, ArrivedAt: now, Deadline: now.Add(time.Minute),
@@ -76,10 +86,7 @@
 func TestAHandoverWithAnUnknownOutcomeIsNotContinuedByBothHosts(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	p := newTestPool(t, "127.0.0.1:1")
-	now := time.Now()
-	p.holderView.AcceptHandover(6, now)
-	p.takeOver(now, "test")
+	p, now := newHeldTestPool(t)
 	p.core.UpdateTarget(scheduler.Target{ID: "t", Service: "desk", Domain: "north", Incarnation: 1, Capacity: scheduler.Resources{CPUMilli: 8000}}, true, now)
 	answer := make(chan scheduler.Answer, 1)
 	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: answer}}.apply(p, now)
@@ -143,10 +150,7 @@
 func TestANewShardTakesItsTargetsWhenItsWaitEnds(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	p := newTestPool(t, "127.0.0.1:1")
-	now := time.Now()
-	p.holderView.AcceptHandover(6, now)
-	p.takeOver(now, "test")
+	p, now := newHeldTestPool(t)
 	p.formerPoolUntil = now.Add(newPoolDelay)
 	a := Announcement{Target: scheduler.Target{ID: "t", Domain: "north", Incarnation: 1}, Sequence: 1, ReceivedAt: now}
 	p.node.announcements.record(a)
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -9,6 +9,9 @@
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 )
 
+// diskHost is a host with a disk that lists the entry hosts of another domain.
+var diskHost = &fleetpb.Host{Address: "127.0.0.1:3", Domain: "south", Disk: true, Incarnation: 1}
+
 // A holder is killed and restarts. A hello message of its former process is processed
 // after the first one of the new process. The claim in it must not come back: as the
 // holder is alive and does not know of its claim, nobody would ever hold the pool.
@@ -37,9 +40,8 @@
 	g := NewWithT(t)
 	p := newTestPool(t, "127.0.0.1:1")
 	n := p.node
-	disk := &fleetpb.Host{Address: "127.0.0.1:3", Domain: "south", Disk: true, Incarnation: 1}
 	holder := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 1}
-	n.receiveHello(&fleetpb.Greeting{From: disk, Hosts: []*fleetpb.Host{holder}})
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{holder}})
 	p.decideClaim(n.startedAt) // contact with another host starts the time to listen
 	listened := n.startedAt.Add(2 * claimListenTime)
 	p.decideClaim(listened)
@@ -56,9 +58,8 @@
 	g := NewWithT(t)
 	p := newTestPool(t, "127.0.0.1:1")
 	n := p.node
-	disk := &fleetpb.Host{Address: "127.0.0.1:3", Domain: "south", Disk: true, Incarnation: 1}
 	other := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: n.config.Self.Incarnation - 500}
-	n.receiveHello(&fleetpb.Greeting{From: disk, Hosts: []*fleetpb.Host{other}})
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{other}})
 	p.decideClaim(n.startedAt)
 	p.decideClaim(n.startedAt.Add(2 * claimListenTime))
 	g.Expect(p.heldHere.Load()).To(BeTrue())
