--- a/internal/process/fleet/catalogs.go
+++ b/internal/process/fleet/catalogs.go
@@ -110,31 +110,30 @@
 // several operators' proposals would need a round of disk writes of its own, during
 // which the proposals of different hosts outbid each other.
 func (c *catalogs) replicate(ctx context.Context, next catalog.Stored) (uint64, error) {
+	version, activated := c.activeVersion()
+	if version >= next.Version {
+		return version, nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
 		version uint64
 		err     error
 	}
-	var proposal chan result // nil until the proposal is made
-	for {
-		version, activated := c.activeVersion()
-		if version >= next.Version {
-			return version, nil
-		}
-		if proposal == nil {
-			proposal = make(chan result, 1)
-			go func() {
-				version, err := c.propose(ctx, next)
-				proposal <- result{version, err}
-			}()
-		}
+	proposal := make(chan result, 1)
+	go func() {
+		version, err := c.propose(ctx, next)
+		proposal <- result{version, err}
+	}()
+	for version < next.Version {
 		select {
 		case r := <-proposal:
 			return r.version, r.err
 		case <-activated:
+			version, activated = c.activeVersion()
 		}
 	}
+	return version, nil
 }
 
 // activeVersion returns the version of the active catalog, 0 if there is none, and a
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -23,7 +23,7 @@
 	smallSystemHosts        = 20                     // in a system of up to this many other hosts, all entry hosts exchange hello messages often
 	helloDiskInterval       = time.Second            // between hello messages to or among hosts with a disk
 	helloDiskLargeInterval  = 2 * time.Second        // the same from an entry host in a large system; below voterLostAfter
-	startPhase              = 3 * time.Second        // for this long after its start, an entry host exchanges hello messages with hosts with a disk often, which list the hosts that have started since
+	startPhase              = 3 * time.Second        // a host counts as just started for this long: as an entry host it exchanges hello messages with hosts with a disk often, and its new pools have no former pool
 	farIdleFactor           = 4                      // an idle entry host of another domain gets a hello message this many times less often than one of the own domain
 	helloFirstInterval      = 100 * time.Millisecond // between hello messages to a host that was never heard from
 	helloTimeout            = 400 * time.Millisecond // of one exchange of hello messages; after two consecutive timeouts the connection is replaced
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -26,13 +26,14 @@
 
 // Submit runs a job and returns its answer. The job is withdrawn when ctx ends.
 func (n *Node) Submit(ctx context.Context, j scheduler.Job) scheduler.Answer {
-	if loads := n.domainLoads(n.config.Self.Domain); len(loads) > 0 && len(shards.Responsive(loads)) == 0 {
+	loads := n.domainLoads(n.config.Self.Domain)
+	if shards.AllSilent(loads) {
 		refusal := refusalAnswer(failure.New(failure.NotReady, "the holders of the domain's pools are silent"))
 		if a := n.submitToOtherDomain(ctx, j, refusal); a.Outcome != scheduler.Refused {
 			return a
 		}
 	}
-	a := n.submitInDomain(ctx, j)
+	a := n.submitInDomain(ctx, j, loads)
 	switch {
 	case a.Outcome == scheduler.Spill:
 		return n.submitSpilled(ctx, j, a)
@@ -55,7 +56,7 @@
 		}
 	}
 	j.Returned = true
-	return n.submitInDomain(ctx, j)
+	return n.submitInDomain(ctx, j, n.domainLoads(n.config.Self.Domain))
 }
 
 // submitToOtherDomain runs a job that no holder in this host's domain accepts in a pool
@@ -72,12 +73,11 @@
 	return n.submitToPool(ctx, pool, j)
 }
 
-// submitInDomain runs a job in one of the pools of this host's domain, or in another
-// of them if the holder of the first cannot be reached.
-func (n *Node) submitInDomain(ctx context.Context, j scheduler.Job) scheduler.Answer {
-	loads := n.domainLoads(n.config.Self.Domain)
-	if responsive := shards.Responsive(loads); len(responsive) > 0 {
-		loads = responsive
+// submitInDomain runs a job in one of the pools of this host's domain, whose loads are
+// given, or in another of them if the holder of the first cannot be reached.
+func (n *Node) submitInDomain(ctx context.Context, j scheduler.Job, loads []shards.Load) scheduler.Answer {
+	if !shards.AllSilent(loads) {
+		loads = shards.Responsive(loads)
 	}
 	pool := cmp.Or(shards.ChoosePool(loads, j.TaskCount(), rand.IntN), n.config.Self.Domain)
 	a := n.submitToPool(ctx, pool, j)
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -183,15 +183,13 @@
 	if s.Spilled {
 		return nil
 	}
-	candidates := slices.Clone(c.poolCapacities)
-	slices.SortFunc(candidates, func(a, b PoolCapacity) int { return a.compareForSpill(b, s.pendingTasks) })
+	slices.SortFunc(c.poolCapacities, func(a, b PoolCapacity) int { return a.compareForSpill(b, s.pendingTasks) })
 	var pools []string
-	for _, candidate := range candidates[:min(len(candidates), c.config.SpillTries)] {
+	for _, candidate := range c.poolCapacities[:min(len(c.poolCapacities), c.config.SpillTries)] {
 		pools = append(pools, candidate.Pool)
 	}
 	if len(pools) > 0 {
-		i := slices.IndexFunc(c.poolCapacities, func(r PoolCapacity) bool { return r.Pool == pools[0] })
-		c.poolCapacities[i].FreeTasks -= s.pendingTasks
+		c.poolCapacities[0].FreeTasks -= s.pendingTasks
 	}
 	return pools
 }
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -466,9 +466,8 @@
 	if r.state == stopping {
 		return
 	}
-	unanswered := r.state == starting
+	c.emit(Stop{Target: r.targetID, Run: r.id, Reason: reason, Unanswered: r.state == starting})
 	r.state = stopping
-	c.emit(Stop{Target: r.targetID, Run: r.id, Reason: reason, Unanswered: unanswered})
 }
 
 // enqueue inserts a job with waiting tasks into the ordered queue.
--- a/internal/process/shards/shards.go
+++ b/internal/process/shards/shards.go
@@ -83,6 +83,12 @@
 	Silent      bool   // the holder has missed hello messages, but still counts as alive
 }
 
+// AllSilent reports whether there are pools, all of whose holders have missed hello
+// messages.
+func AllSilent(loads []Load) bool {
+	return len(loads) > 0 && !slices.ContainsFunc(loads, func(l Load) bool { return !l.Silent })
+}
+
 // Responsive returns the loads of the pools whose holders have not missed hello messages.
 func Responsive(loads []Load) []Load {
 	return slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return l.Silent })
