Log and count each run that is lost with its target

The hypotheses of docs/incidents/deadly-tasks.md can't be told apart by the logs: they say that leases expired or that a target was removed, not which runs were there, how the target was lost and how many tasks shared its fate.

One line and one count for each such run, with the cause (leases expired, restarted, replaced at its address, deregistered, moved to another shard), the target's start time and the number of other runs. No decision changes.

--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -36,6 +36,11 @@
 	m.scope.Tagged(map[string]string{"result": r.String()}).Counter("starts").Inc(1)
 }
 
+// recordLoss counts a run that was lost with its target.
+func (m *poolMetrics) recordLoss(c scheduler.LossCause) {
+	m.scope.Tagged(map[string]string{"cause": c.String()}).Counter("runs_lost").Inc(1)
+}
+
 // recordLoad sets the numbers of tasks that would start at once and that wait.
 func (m *poolMetrics) recordLoad(free, queued int) {
 	m.freeTasks.Update(float64(free))
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -276,7 +276,7 @@
 		return
 	}
 	if a.Deregistered {
-		p.removeTarget(id, now)
+		p.removeTarget(id, scheduler.TargetLeft, now)
 		return
 	}
 	s, ok := p.sessions[id]
@@ -307,12 +307,12 @@
 	p.handleAnnouncement(a, now)
 }
 
-func (p *pool) removeTarget(id string, now time.Time) {
+func (p *pool) removeTarget(id string, cause scheduler.LossCause, now time.Time) {
 	if s, ok := p.sessions[id]; ok {
 		s.close()
 		delete(p.sessions, id)
 	}
-	p.applyEffects(p.core.RemoveTarget(id, now), now)
+	p.applyEffects(p.core.RemoveTarget(id, cause, now), now)
 }
 
 // withdrawLostSenders withdraws the jobs that were forwarded by hosts that are no
@@ -340,6 +340,10 @@
 			if s, ok := p.sessions[e.Target]; ok {
 				s.requestStop(e.Run, e.Unanswered)
 			}
+		case scheduler.RunLost:
+			p.metrics.recordLoss(e.Cause)
+			p.log.Info("A run was lost with its target.", "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target,
+				"born", e.Incarnation, "cause", e.Cause.String(), "other_runs", e.OtherRuns, "age", e.Age)
 		case scheduler.Reply:
 			p.reply(e, now)
 		case scheduler.LogEntry:
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -157,7 +157,7 @@
 			}
 			p.applyEffects(p.core.HandleStartResult(s.ref.ID, e.Run, result, now), now)
 			if result == scheduler.WrongTarget {
-				p.removeTarget(s.ref.ID, now)
+				p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now)
 			}
 		})
 	}()
@@ -184,7 +184,7 @@
 				s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
 				return
 			case errors.Is(err, ErrWrongTarget):
-				s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, now) })
+				s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
 				return
 			}
 			time.Sleep(renewRetryDelay)
@@ -220,7 +220,7 @@
 			s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
 			s.pause(claimListenTime)
 		case errors.Is(err, ErrWrongTarget):
-			s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, now) })
+			s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
 			return
 		default:
 			s.handleUnanswered(err)
--- a/internal/process/fleet/shards.go
+++ b/internal/process/fleet/shards.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
@@ -114,7 +115,7 @@
 	}
 	for id, s := range p.sessions {
 		if s.movingAway && (p.core.RunCount(id) == 0 || !s.fencedAt.IsZero() && s.leaseExpired(now)) {
-			p.removeTarget(id, now)
+			p.removeTarget(id, scheduler.TargetMoved, now)
 		}
 	}
 }
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -118,7 +118,7 @@
 		c.targetIDs = append(c.targetIDs, t.ID)
 		slices.Sort(c.targetIDs)
 	case known.Incarnation < t.Incarnation || known.Address != t.Address:
-		c.handleRestart(known, t)
+		c.handleRestart(known, t, now)
 	default:
 		known.Target = t
 	}
@@ -133,11 +133,11 @@
 // address. The runs of the former incarnation are gone, but a start request in flight
 // may have reached the new one. Each run is therefore stopped there before its task
 // waits again.
-func (c *Core) handleRestart(known *target, t Target) {
+func (c *Core) handleRestart(known *target, t Target, now time.Time) {
 	c.emit(LogEntry{Message: "A target restarted.", Target: t.ID, Reason: fmt.Sprintf("%d runs are being stopped there", len(known.runs))})
 	restarted := newTarget(t)
 	c.targets[t.ID] = restarted
-	for _, r := range known.sortedRuns() {
+	for _, r := range c.loseRuns(known, TargetRestarted, now) {
 		restarted.addRun(r)
 		r.state = starting // an earlier stop request went to the former incarnation
 		c.stopRun(r, "the target restarted")
@@ -145,22 +145,17 @@
 }
 
 // RemoveTarget removes a target that left the pool. Tasks that ran there wait again.
-func (c *Core) RemoveTarget(id string, now time.Time) []Effect {
+func (c *Core) RemoveTarget(id string, cause LossCause, now time.Time) []Effect {
 	if t, ok := c.targets[id]; ok {
-		c.dropTarget(t, "the target left the pool", now)
+		c.releaseRuns(c.loseRuns(t, cause, now))
+		delete(c.targets, id)
+		c.targetIDs = slices.DeleteFunc(c.targetIDs, func(other string) bool { return other == id })
+		c.emit(LogEntry{Message: "A target was removed.", Target: id, Reason: cause.String()})
 		c.placeTasks(now)
 	}
 	return c.drainEffects()
 }
 
-// dropTarget removes a target; tasks that ran there wait again.
-func (c *Core) dropTarget(t *target, reason string, now time.Time) {
-	c.releaseRuns(t)
-	delete(c.targets, t.ID)
-	c.targetIDs = slices.DeleteFunc(c.targetIDs, func(id string) bool { return id == t.ID })
-	c.emit(LogEntry{Message: "A target was removed.", Target: t.ID, Reason: reason})
-}
-
 // SetClearing sets whether runs of a former holder may still be on a target. The
 // target gets no work until these runs are gone.
 func (c *Core) SetClearing(id string, clearing bool, now time.Time) []Effect {
@@ -200,7 +195,7 @@
 	if !ok || len(t.runs) == 0 {
 		return nil
 	}
-	c.releaseRuns(t)
+	c.releaseRuns(c.loseRuns(t, LeasesExpired, now))
 	c.emit(LogEntry{Message: "The leases of a target expired.", Target: id})
 	c.placeTasks(now)
 	return c.drainEffects()
@@ -369,9 +364,8 @@
 	return t, t.runs[r]
 }
 
-// releaseRuns releases all runs of a target.
-func (c *Core) releaseRuns(t *target) {
-	for _, r := range t.sortedRuns() {
+func (c *Core) releaseRuns(runs []*run) {
+	for _, r := range runs {
 		c.releaseRun(r)
 	}
 }
