Show that a task which crashes its targets is started without end

In memory, a task crashes each target that starts it; the target is back 0.4 s later under a new id at its old address.

--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -32,6 +33,9 @@
 	starts      map[string]int // by task
 	overlapping []string       // tasks that had two runs in progress at once
 	runDuration time.Duration
+	deadly      map[string]bool              // tasks that crash each target that starts them
+	down        map[string]bool              // ids of targets that have crashed
+	onCrash     func(target fleet.TargetRef) // called without the lock
 }
 
 type fakeTarget struct {
@@ -44,7 +48,25 @@
 }
 
 func newFakeTargets(runDuration time.Duration) *fakeTargets {
-	return &fakeTargets{byID: map[string]*fakeTarget{}, starts: map[string]int{}, runDuration: runDuration}
+	return &fakeTargets{
+		byID: map[string]*fakeTarget{}, starts: map[string]int{}, runDuration: runDuration, deadly: map[string]bool{}, down: map[string]bool{},
+	}
+}
+
+// errDown is the result of a request to a target that has crashed.
+var errDown = errors.New("connection refused")
+
+// crash ends all runs of a target without a trace.
+func (f *fakeTargets) crash(t fleet.TargetRef) {
+	f.down[t.ID] = true
+	target := f.get(t.ID)
+	target.running = map[scheduler.Run]time.Time{}
+	target.ended = nil
+	close(target.changed)
+	target.changed = make(chan struct{})
+	if f.onCrash != nil {
+		go f.onCrash(t)
+	}
 }
 
 func (f *fakeTargets) get(id string) *fakeTarget {
@@ -102,6 +124,9 @@
 	defer f.mu.Unlock()
 	target := f.get(t.ID)
 	f.endExpired(t.ID)
+	if f.down[t.ID] {
+		return scheduler.Unhealthy, 0
+	}
 	if request.Token < target.token {
 		return scheduler.Fenced, targetClockMS()
 	}
@@ -119,6 +144,10 @@
 		}
 	}
 	f.starts[request.Run.TaskID()]++
+	if f.deadly[request.Run.TaskID()] {
+		f.crash(t)
+		return scheduler.Started, targetClockMS()
+	}
 	target.running[request.Run] = time.Now()
 	time.AfterFunc(f.runDuration, func() {
 		f.mu.Lock()
@@ -132,6 +161,9 @@
 func (f *fakeTargets) Stop(_ context.Context, t fleet.TargetRef, r scheduler.Run, token uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.down[t.ID] {
+		return errDown
+	}
 	if token < f.get(t.ID).token {
 		return fleet.ErrFenced
 	}
@@ -143,6 +175,10 @@
 	f.mu.Lock()
 	target := f.get(t.ID)
 	f.endExpired(t.ID)
+	if f.down[t.ID] {
+		f.mu.Unlock()
+		return fleet.TargetReport{}, errDown
+	}
 	if r.Token < target.token {
 		f.mu.Unlock()
 		return fleet.TargetReport{}, fleet.ErrFenced
@@ -165,6 +201,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endExpired(t.ID)
+	if f.down[t.ID] {
+		return fleet.TargetReport{}, errDown
+	}
 	report := fleet.TargetReport{ClockMS: targetClockMS(), Ended: append([]fleet.EndedRun(nil), target.ended...)}
 	for run, startedAt := range target.running {
 		percent := int(min(99, 100*time.Since(startedAt)/f.runDuration))
@@ -268,15 +307,18 @@
 // announce sends a host announcements of a number of targets of a domain.
 func (f *fixture) announce(to *runningNode, domain string, count int) {
 	for i := range count {
-		id := fmt.Sprintf("%s-%d", domain, i)
-		clock := targetClockMS() // before ReceivedAt, as a target reads it before the message arrives
-		to.Announce(fleet.Announcement{
-			Target: scheduler.Target{
-				ID: id, Service: "desk", Address: "127.0.0.1:1", Domain: domain, Incarnation: 1,
-				Capacity: scheduler.Resources{CPUMilli: 16000, MemoryMB: 1024},
-			},
-			Sequence: uint64(time.Now().UnixMilli()), ReceivedAt: time.Now(), ClockMS: clock,
-		})
+		to.Announce(newAnnouncement(fleet.TargetRef{ID: fmt.Sprintf("%s-%d", domain, i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)}, domain, 1))
+	}
+}
+
+func newAnnouncement(t fleet.TargetRef, domain string, incarnation uint64) fleet.Announcement {
+	clock := targetClockMS() // before ReceivedAt, as a target reads it before the message arrives
+	return fleet.Announcement{
+		Target: scheduler.Target{
+			ID: t.ID, Service: "desk", Address: t.Address, Domain: domain, Incarnation: incarnation,
+			Capacity: scheduler.Resources{CPUMilli: 16000, MemoryMB: 1024},
+		},
+		Sequence: uint64(time.Now().UnixMilli()), ReceivedAt: time.Now(), ClockMS: clock,
 	}
 }
 
