Give up a task under which two targets have crashed

Cause: a run that is lost with its target returned its task to the queue without a trace. Ends are counted from reports of targets, and a target that crashes takes its report along. Only the caller's patience ended the series. The class: state that is known only from the reports of the part that fails.

Why it works: the holder records each lost run under its task and the target's incarnation. While two lost targets may have crashed, the task is not started; once both did, its job is answered as failed (kind task_crashed). Losses are told to the other entry hosts of the domain, and go along with submitted and handed-over jobs and with answers, so that the count outlasts the holder, the job and its attempt.

Ruled out: counting a refused connection as a crash (a cut link may refuse too); giving up at the first crash (the tasks beside it are innocent).

--- a/internal/process/fleet/announcements.go
+++ b/internal/process/fleet/announcements.go
@@ -14,7 +14,7 @@
 	// forgetTargetAfter is how long a target without announcements is remembered:
 	// several announcement intervals, as an unreachable target may come back.
 	forgetTargetAfter = 30 * time.Second
-	// forwardTimeout bounds forwarding an announcement to another host; the next
+	// forwardTimeout bounds telling another host of announcements or losses. The next
 	// announcement makes up for a lost one.
 	forwardTimeout = 500 * time.Millisecond
 	// maxBatchDelay is how long announcements wait to be sent to the same hosts in one
@@ -92,25 +92,34 @@
 // large domain, one message for each announcement would be most of the work of its hosts.
 func (n *Node) forwardAnnouncements(ctx context.Context) error {
 	for {
-		var batch []Announcement
+		batch := collectBatch(ctx, n.toForward, n.batchDelay)
+		if batch == nil {
+			return nil
+		}
+		n.sendAnnouncements(batch)
+	}
+}
+
+// collectBatch waits for an entry and returns it with those that follow within the delay,
+// or nil once ctx is cancelled.
+func collectBatch[T any](ctx context.Context, entries <-chan T, delay func() time.Duration) []T {
+	var batch []T
+	select {
+	case <-ctx.Done():
+		return nil
+	case e := <-entries:
+		batch = append(batch, e)
+	}
+	batchEnd := time.After(delay())
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case a := <-n.toForward:
-			batch = append(batch, a)
+		case e := <-entries:
+			batch = append(batch, e)
+		case <-batchEnd:
+			return batch
 		}
-		batchEnd := time.After(n.batchDelay())
-		for collecting := true; collecting; {
-			select {
-			case <-ctx.Done():
-				return nil
-			case a := <-n.toForward:
-				batch = append(batch, a)
-			case <-batchEnd:
-				collecting = false
-			}
-		}
-		n.sendAnnouncements(batch)
 	}
 }
 
@@ -141,22 +150,30 @@
 		}
 	}
 	for address, m := range messages {
-		link, ok := n.link(address)
-		if !ok {
-			continue
-		}
-		n.group.Go(func() error {
-			ctx, cancel := context.WithTimeout(n.runCtx, forwardTimeout)
-			defer cancel()
-			if _, err := fleetpb.NewFleetClient(link).Announce(ctx, m); err != nil {
+		n.sendLater(address, func(ctx context.Context, client fleetpb.FleetClient) {
+			if _, err := client.Announce(ctx, m); err != nil {
 				n.log.Warn("Announcements were not forwarded.", "count", len(m.GetAnnouncements()),
 					"target", m.GetAnnouncements()[0].GetId(), "peer", address, "error", err)
 			}
-			return nil
 		})
 	}
 }
 
+// sendLater sends a message to another host, concurrently and within forwardTimeout. It
+// does nothing if the host is not known.
+func (n *Node) sendLater(address string, send func(context.Context, fleetpb.FleetClient)) {
+	link, ok := n.link(address)
+	if !ok {
+		return
+	}
+	n.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(n.runCtx, forwardTimeout)
+		defer cancel()
+		send(ctx, fleetpb.NewFleetClient(link))
+		return nil
+	})
+}
+
 // announcementReceivers returns those of the hosts that get a target's announcements:
 // the entry hosts of its domain and the holder of its pool, or all entry hosts if
 // there is none of these.
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -130,7 +130,7 @@
 	}
 	p.tokenRaisedAt = now
 	p.applyEffects(p.core.AbandonJobs(), now)
-	p.core = scheduler.NewCore(scheduler.DefaultConfig())
+	p.core = p.newCore()
 	p.holderView.RaiseToken(now)
 	p.takeOver(now, "the token was too low")
 }
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -137,7 +137,7 @@
 		p.heldHere.Store(false)
 		p.sessions = map[string]*session{}
 		p.applyEffects(p.core.CompleteHandover(e.to), now)
-		p.core = scheduler.NewCore(scheduler.DefaultConfig())
+		p.core = p.newCore()
 		p.log.Info("Another host holds the pool.", "pool", p.name, "peer", e.to, "token", e.claim.GetFencingToken())
 	case handoverRefused:
 		p.log.Warn("The pool was not handed over.", "pool", p.name, "peer", e.to, "error", e.err)
@@ -147,7 +147,7 @@
 		// continued. Runs on the targets are stopped before the targets get work.
 		p.log.Warn("The outcome of a handover is not known; its jobs are given up.", "pool", p.name, "peer", e.to, "error", e.err)
 		p.applyEffects(p.core.CompleteHandover(e.to), now)
-		p.core = scheduler.NewCore(scheduler.DefaultConfig())
+		p.core = p.newCore()
 		p.holderView.RaiseToken(now)
 		p.takeOver(now, "the host that was to take the pool over does not answer")
 	}
@@ -193,7 +193,9 @@
 		}
 	}
 	for _, j := range p.core.ExportJobs() {
-		m.Jobs = append(m.Jobs, runningJobMessage(j, now))
+		job := runningJobMessage(j, now)
+		job.Request.Losses = p.node.lossMessages(j.Job.ID, now)
+		m.Jobs = append(m.Jobs, job)
 	}
 	return m
 }
@@ -250,6 +252,7 @@
 	p.takeOver(now, "its holder handed it over")
 	var jobs []scheduler.HandoverJob
 	for _, j := range e.message.GetJobs() {
+		p.node.recordLosses(j.GetRequest().GetLosses())
 		jobs = append(jobs, runningJobFrom(j, now))
 	}
 	p.applyEffects(p.core.ImportJobs(jobs, now), now)
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -27,6 +27,7 @@
 	"wasabifield.example/wasabifield/internal/process/discovery"
 	"wasabifield.example/wasabifield/internal/process/holder"
 	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/losses"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/process/shards"
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -43,20 +44,23 @@
 	catalogs       *catalogs
 	announcements  *announcementTable // from targets, directly or through other hosts
 	toForward      chan Announcement  // to other hosts
+	losses         *losses.Table
+	lossReports    chan lossReport // to other hosts
 	startedAt      time.Time
 	leaving        atomic.Bool
 	catalogFetchMu sync.Mutex // held while a newer catalog is fetched
 	runCtx         context.Context
 	group          *errgroup.Group
 
-	mu            sync.Mutex
-	hostTable     *discovery.Table
-	links         map[string]*hostlink.Link
-	claims        map[string]remoteClaim // by pool
-	remoteHolders map[string]bool        // hosts with a claim in claims
-	pools         map[string]*pool       // by name: those that this host holds or may hold; none on a host that accepts no jobs
-	shardCounts   map[string]int         // by domain; one shard where it is missing
-	heardDirectly map[string]bool        // addresses of the hosts from which a hello message has come since the start
+	mu               sync.Mutex
+	hostTable        *discovery.Table
+	links            map[string]*hostlink.Link
+	claims           map[string]remoteClaim // by pool
+	remoteHolders    map[string]bool        // hosts with a claim in claims
+	pools            map[string]*pool       // by name: those that this host holds or may hold; none on a host that accepts no jobs
+	shardCounts      map[string]int         // by domain; one shard where it is missing
+	heardDirectly    map[string]bool        // addresses of the hosts from which a hello message has come since the start
+	lossesResolvedAt time.Time              // when lost targets were last looked for
 }
 
 // remoteClaim is another host's claim on a pool, with the load that the host reported.
@@ -85,7 +89,9 @@
 		heardDirectly: map[string]bool{},
 		announcements: newAnnouncementTable(),
 
-		toForward: make(chan Announcement, forwardRing),
+		toForward:   make(chan Announcement, forwardRing),
+		losses:      losses.NewTable(),
+		lossReports: make(chan lossReport, lossRing),
 	}
 	timing := controller.DefaultTiming()
 	timing.ConfirmInterval = catalogConfirmInterval
@@ -136,6 +142,7 @@
 	group.Go(func() error { return n.controller.Run(ctx) })
 	group.Go(func() error { return n.catalogs.follow(ctx) })
 	group.Go(func() error { return n.forwardAnnouncements(ctx) })
+	group.Go(func() error { return n.reportLosses(ctx) })
 	n.openOwnPools()
 	n.AddSeeds(n.config.Seeds)
 	return group.Wait()
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -77,11 +77,19 @@
 		waiters:    map[uint64]waiter{},
 		metrics:    newPoolMetrics(n.config.Metrics, name),
 	}
-	p.core = scheduler.NewCore(scheduler.DefaultConfig())
+	p.core = p.newCore()
 	p.formerPoolUntil = formerPoolUntil(id, n.startedAt, time.Now())
 	return p
 }
 
+// newCore returns a scheduler without jobs and targets, which knows the losses that this
+// host has heard of.
+func (p *pool) newCore() *scheduler.Core {
+	config := scheduler.DefaultConfig()
+	config.Losses = p.node.losses
+	return scheduler.NewCore(config)
+}
+
 // run processes events and ticks until ctx is cancelled.
 func (p *pool) run(ctx context.Context) error {
 	defer close(p.stopped)
@@ -177,6 +185,7 @@
 		p.takeFromFormerPool(now)
 		p.balancePools(now)
 		p.core.SetPoolCapacities(p.node.freeCapacityExcept(p.id))
+		p.node.resolveLosses(now)
 		p.applyEffects(p.core.Tick(now), now)
 		p.withdrawLostSenders(now)
 	}
@@ -230,7 +239,7 @@
 	p.heldHere.Store(false)
 	p.closeSessions()
 	p.applyEffects(p.core.AbandonJobs(), now)
-	p.core = scheduler.NewCore(scheduler.DefaultConfig())
+	p.core = p.newCore()
 	p.publishClaim(now)
 }
 
@@ -344,6 +353,8 @@
 			p.metrics.recordLoss(e.Cause)
 			p.log.Info("A run was lost with its target.", "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target,
 				"born", e.Incarnation, "cause", e.Cause.String(), "other_runs", e.OtherRuns, "age", e.Age)
+		case scheduler.LossRecorded:
+			p.node.reportLoss(e.Loss, p.id.Domain)
 		case scheduler.Reply:
 			p.reply(e, now)
 		case scheduler.LogEntry:
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -63,7 +63,10 @@
 
 // Submit implements fleetpb.FleetServer.
 func (s *service) Submit(ctx context.Context, m *fleetpb.JobRequest) (*fleetpb.JobReply, error) {
-	return replyMessage(s.node.submitLocally(ctx, m.GetPool(), jobFrom(m, time.Now()), m.GetSender())), nil
+	s.node.recordLosses(m.GetLosses())
+	reply := replyMessage(s.node.submitLocally(ctx, m.GetPool(), jobFrom(m, time.Now()), m.GetSender()))
+	reply.Losses = s.node.lossMessages(m.GetId(), time.Now())
+	return reply, nil
 }
 
 // HandOver implements fleetpb.FleetServer.
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -144,6 +144,7 @@
 	message := jobMessage(j, time.Now())
 	message.Pool = pool
 	message.Sender = n.config.Self.Address
+	message.Losses = n.lossMessages(j.ID, time.Now())
 	var reply *fleetpb.JobReply
 	err := link.CallWithProbes(ctx, conn, func(ctx context.Context) error {
 		var err error
@@ -154,5 +155,8 @@
 		n.log.Warn("The answer to a job was lost.", "job", j.ID, "peer", address, "pool", pool, "error", err, "age", time.Since(j.ArrivedAt))
 		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.AnswerLost, Reason: "the pool's holder did not answer"}
 	}
+	for _, l := range n.recordLosses(reply.GetLosses()) {
+		n.reportLoss(l, n.config.Self.Domain) // the caller's next attempt comes to a host of this domain
+	}
 	return answerFrom(reply)
 }
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -7,14 +7,16 @@
 	"slices"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/process/losses"
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
 
 // Config configures a Core.
 type Config struct {
-	LearnedRunTimeWeight float64 // weight of a queue's learned run time against the declared one, 0 to 1
-	UsableFraction       float64 // share of the targets' cores that tasks can fill; the rest is too small for a task
-	SpillTries           int     // other pools that a spilled job is sent to at most, one after the other; a try takes a round trip
+	LearnedRunTimeWeight float64       // weight of a queue's learned run time against the declared one, 0 to 1
+	UsableFraction       float64       // share of the targets' cores that tasks can fill; the rest is too small for a task
+	SpillTries           int           // other pools that a spilled job is sent to at most, one after the other; a try takes a round trip
+	Losses               *losses.Table // shared by the pools of a host; nil for a table of the Core's own
 }
 
 // DefaultConfig returns the values for tasks whose estimates are off by up to
@@ -43,11 +45,15 @@
 	retainedAnswers map[string]retainedAnswer // by job id, of imported jobs
 	runTimes        runTimeEstimator
 	shares          fairShares
+	losses          *losses.Table // of targets, under tasks of any pool
 }
 
 // NewCore returns a Core without targets.
 func NewCore(config Config) *Core {
-	return &Core{config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
+	if config.Losses == nil {
+		config.Losses = losses.NewTable()
+	}
+	return &Core{losses: config.Losses, config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
 }
 
 // drainEffects returns the effects emitted since the last call.
@@ -78,6 +84,11 @@
 	}
 	s := newJobState(c.refineEstimates(j))
 	s.waiters = []uint64{waiter}
+	c.recallLosses(s)
+	if s.deadlyTask(c) != nil {
+		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: crashedAnswer})
+		return c.drainEffects()
+	}
 	if answer, ok := c.admit(s, now); !ok {
 		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: answer})
 		return c.drainEffects()
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -64,6 +64,7 @@
 		for _, t := range h.Tasks {
 			c.importTask(s, t, now)
 		}
+		c.recallLosses(s)
 		if s.pendingTasks > 0 {
 			c.enqueue(s)
 		}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -12,6 +12,7 @@
 	done          bool
 	run           *run   // in progress; nil while the task waits or once it is done
 	avoidTargetID string // target of the last released run; used again only if no other fits
+	suspect       bool   // a target was lost under the task, here or at another host
 }
 
 // jobState is a job in progress with the state of its tasks.
--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -1,6 +1,19 @@
 package scheduler
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/losses"
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// crashLimit is how many targets may crash under a task before it is given up. One
+// crash shows nothing: the tasks that ran beside the one that caused it are lost too.
+const crashLimit = 2
+
+// crashedAnswer is the answer to a job with a task that is given up.
+var crashedAnswer = Answer{Outcome: Failed, Kind: failure.TaskCrashed, Reason: fmt.Sprintf("%d targets have crashed under a task", crashLimit)}
 
 // LossCause is how a target was lost while runs were on it.
 type LossCause int
@@ -31,13 +44,90 @@
 
 func (RunLost) effect() {}
 
-// loseRuns reports the runs of a target that was lost, and returns them.
+// verdict returns what the cause says of the target's end. A target that left or moved
+// did not crash; of these, no loss is recorded.
+func (c LossCause) verdict() (v losses.Verdict, mayHaveCrashed bool) {
+	switch c {
+	case TargetRestarted, TargetReplaced:
+		return losses.Crashed, true
+	case LeasesExpired:
+		return losses.Unresolved, true
+	}
+	return losses.Unresolved, false
+}
+
+// loseRuns records and reports the runs of a target that was lost, and returns them. A
+// draining target was about to end: its loss is no sign of a crash.
 func (c *Core) loseRuns(t *target, cause LossCause, now time.Time) []*run {
 	runs := t.sortedRuns()
+	verdict, mayHaveCrashed := cause.verdict()
 	for _, r := range runs {
 		c.emit(RunLost{
 			Target: t.ID, Incarnation: t.Incarnation, Run: r.id, Cause: cause, OtherRuns: len(runs) - 1, Age: now.Sub(r.requestedAt),
 		})
+		if !mayHaveCrashed || t.Draining {
+			continue
+		}
+		loss := losses.Loss{Task: lossTask(r.id), Life: losses.Life{Target: t.ID, Address: t.Address, Incarnation: t.Incarnation}, LostAt: now, Verdict: verdict}
+		if c.losses.Record(loss, now) {
+			c.emit(LossRecorded{loss})
+		}
+		if s, ok := c.jobs[r.id.Job]; ok {
+			if task := s.taskOf(r.id); task != nil {
+				task.suspect = true
+			}
+		}
 	}
 	return runs
 }
+
+// LossRecorded asks to report a loss to the hosts that may run the task next.
+type LossRecorded struct{ Loss losses.Loss }
+
+func (LossRecorded) effect() {}
+
+func lossTask(r Run) losses.Task { return losses.Task{Job: r.Job, Step: r.Step, Index: r.Index} }
+
+// recallLosses marks the tasks of a job under which targets were lost before: the job
+// was handed over or is sent again.
+func (c *Core) recallLosses(s *jobState) {
+	if !c.losses.Knows(s.ID) {
+		return
+	}
+	for _, t := range s.tasks {
+		t.suspect = c.lossCount(s, t).Sum() > 0
+	}
+}
+
+func (c *Core) lossCount(s *jobState, t *task) losses.Count {
+	return c.losses.Count(losses.Task{Job: s.ID, Step: t.step, Index: t.index})
+}
+
+// mayStart reports whether a task may be started, as far as lost targets tell. A task
+// that may have crashed crashLimit targets waits until it is known what became of them.
+func (c *Core) mayStart(s *jobState, t *task) bool {
+	return !t.suspect || c.lossCount(s, t).Sum() < crashLimit
+}
+
+// deadlyTask returns a task of the job under which crashLimit targets have crashed, or
+// nil if there is none.
+func (s *jobState) deadlyTask(c *Core) *task {
+	for _, t := range s.tasks {
+		if t.suspect && !t.done && c.lossCount(s, t).Crashed >= crashLimit {
+			return t
+		}
+	}
+	return nil
+}
+
+// giveUpDeadly answers a job with a deadly task, and reports whether there is one.
+func (c *Core) giveUpDeadly(s *jobState) bool {
+	t := s.deadlyTask(c)
+	if t == nil {
+		return false
+	}
+	id := Run{Job: s.ID, Step: t.step, Index: t.index}
+	c.emit(LogEntry{Message: "A task was given up.", Job: s.ID, Reason: fmt.Sprintf("%d targets have crashed under task %s", c.lossCount(s, t).Crashed, id.TaskID())})
+	c.answerJob(s, crashedAnswer)
+	return true
+}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -43,7 +43,7 @@
 // whether it started any.
 func (c *Core) placeJob(s *jobState, maxFree int64, now time.Time) (started bool) {
 	for _, t := range s.tasks {
-		if t.done || t.run != nil || !s.ready(t) {
+		if t.done || t.run != nil || !s.ready(t) || !c.mayStart(s, t) {
 			continue
 		}
 		if s.Steps[t.step].Need.CPUMilli > maxFree {
@@ -117,12 +117,14 @@
 	c.emit(Start{Target: chosen.ID, Run: r.id, Spec: s.Spec})
 }
 
-// Tick drops imported jobs that were not submitted again, refuses or expires waiting
-// jobs that can no longer end in time, stops stalled runs and places waiting tasks.
+// Tick drops imported jobs that were not submitted again, gives up jobs with deadly
+// tasks, refuses or expires waiting jobs that can no longer end in time, stops stalled runs and places waiting tasks.
 func (c *Core) Tick(now time.Time) []Effect {
 	c.expireHandedOver(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
-		c.reviewWaiting(s, now)
+		if !c.giveUpDeadly(s) {
+			c.reviewWaiting(s, now)
+		}
 	}
 	for _, id := range c.targetIDs {
 		c.stopStalledRuns(c.targets[id], now)
--- a/internal/request/failure/kind.go
+++ b/internal/request/failure/kind.go
@@ -29,6 +29,7 @@
 	ExpiredQueued     Kind = "expired_queued"     // the deadline passed; no task was started
 	ExpiredRunning    Kind = "expired_running"    // the deadline passed; a task may have been started
 	TaskFailed        Kind = "task_failed"        // a target ran a task and reported an error
+	TaskCrashed       Kind = "task_crashed"       // targets crashed while they ran a task, which is not started again
 	NotPlaced         Kind = "not_placed"         // no target accepted one of the tasks; the job may have run in part
 	OutcomeUnknown    Kind = "outcome_unknown"    // a start request was sent and its answer was lost
 	AnswerLost        Kind = "answer_lost"        // the host that received the job gave no answer, or its answer was lost
--- a/internal/request/failure/table.go
+++ b/internal/request/failure/table.go
@@ -32,6 +32,7 @@
 	ExpiredQueued:     {http.StatusServiceUnavailable, No, No, shortRetryDelay},
 	ExpiredRunning:    {http.StatusGatewayTimeout, Unknown, Unknown, Never},
 	TaskFailed:        {http.StatusBadGateway, Yes, Yes, Never},
+	TaskCrashed:       {http.StatusBadGateway, Yes, Yes, Never},
 	NotPlaced:         {http.StatusBadGateway, Unknown, Unknown, Never},
 	OutcomeUnknown:    {http.StatusGatewayTimeout, Unknown, Unknown, Never},
 	AnswerLost:        {http.StatusGatewayTimeout, Unknown, Unknown, shortRetryDelay},
