Drop a target as soon as its address answers for another one

Cause: the refused run was released and placed while the target was still known; the target was removed one step later, with the new run on it.

The test failed before: 'sent to the same address again', one start. Now the target is removed before tasks are placed.

--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -158,15 +158,20 @@
 // RemoveTarget removes a target that left the pool. Tasks that ran there wait again.
 func (c *Core) RemoveTarget(id string, cause LossCause, now time.Time) []Effect {
 	if t, ok := c.targets[id]; ok {
-		c.releaseRuns(c.loseRuns(t, cause, now))
-		delete(c.targets, id)
-		c.targetIDs = slices.DeleteFunc(c.targetIDs, func(other string) bool { return other == id })
-		c.emit(LogEntry{Message: "A target was removed.", Target: id, Reason: cause.String()})
+		c.dropTarget(t, cause, now)
 		c.placeTasks(now)
 	}
 	return c.drainEffects()
 }
 
+// dropTarget removes a target; tasks that ran there wait again.
+func (c *Core) dropTarget(t *target, cause LossCause, now time.Time) {
+	c.releaseRuns(c.loseRuns(t, cause, now))
+	delete(c.targets, t.ID)
+	c.targetIDs = slices.DeleteFunc(c.targetIDs, func(id string) bool { return id == t.ID })
+	c.emit(LogEntry{Message: "A target was removed.", Target: t.ID, Reason: cause.String()})
+}
+
 // SetClearing sets whether runs of a former holder may still be on a target. The
 // target gets no work until these runs are gone.
 func (c *Core) SetClearing(id string, clearing bool, now time.Time) []Effect {
@@ -237,6 +242,9 @@
 	case NotAccepted:
 		c.rejectStart(t, active, now)
 		c.failTask(r, now)
+	case WrongTarget:
+		c.rejectStart(t, active, now)
+		c.dropTarget(t, TargetReplaced, now)
 	default:
 		c.rejectStart(t, active, now)
 	}
--- a/internal/process/scheduler/loss_test.go
+++ b/internal/process/scheduler/loss_test.go
@@ -88,6 +88,15 @@
 	g.Expect(c.losses.Count(lossTask(first.Run))).To(Equal(losses.Count{Crashed: 1}))
 }
 
+func TestAStartThatAnotherTargetRefusedIsNoLoss(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(1)
+	first := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0]
+	g.Expect(starts(c.HandleStartResult(first.Target, first.Run, WrongTarget, at(5)))).To(BeEmpty(), "sent to the same address again")
+	c.RemoveTarget(first.Target, TargetReplaced, at(6))
+	g.Expect(c.losses.Knows("j")).To(BeFalse())
+}
+
 // deadlyModel is a deadly task, the targets it crashes and the holder that orders them.
 type deadlyModel struct {
 	now              int // milliseconds
