Schedule targets whose capacity shrinks and grows

Causes, one class: the scheduler took a target's capacity for constant. 1. A target whose capacity shrank below what runs there had negative free capacity, which was subtracted from that of the others: the pool reported too little room to other pools. Test: 'expected 2', got less. 2. The forecast counted each run's end as a free slot, also on a target that stays full: jobs were admitted that could not end in time. Test: two slots where one will be. 3. A target that refuses for want of room was asked again every 30 ms until its next announcement, up to 1.5 s later. The pause now doubles with each refusal, up to 480 ms, until a start succeeds or the capacity changes. Test: more than five starts a second. 4. Events of two announcements that arrive at once could reach the pool in either order; the older one brought a former capacity (or a former state of draining) back until the next. Test: two tasks of 4 cores on a target of 4.

That no start exceeds the announced capacity, while it shrinks and grows and stopped runs still count, is checked by a property test; it held before.

Not changed: a waiting job that no target can take any more waits until its latest start.

--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -47,7 +47,15 @@
 // announcementEvent delivers a target's announcement.
 type announcementEvent struct{ announcement Announcement }
 
-func (e announcementEvent) apply(p *pool, now time.Time) { p.handleAnnouncement(e.announcement, now) }
+// apply uses the newest announcement of the target: events of two announcements that
+// arrived at once may be in either order, and the older one tells of a former capacity.
+func (e announcementEvent) apply(p *pool, now time.Time) {
+	a := e.announcement
+	if newest, ok := p.node.announcements.get(a.Target.ID); ok {
+		a = newest
+	}
+	p.handleAnnouncement(a, now)
+}
 
 // claimEvent delivers another host's claim on the pool.
 type claimEvent struct{ claim holder.Claim }
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -154,7 +154,7 @@
 	n := 0
 	for _, t := range c.targets {
 		if (service == "" || t.Service == service) && t.usable(now) {
-			n += int(float64(t.free().CPUMilli) / c.typicalNeed.cpuMilli)
+			n += int(float64(max(0, t.free().CPUMilli)) / c.typicalNeed.cpuMilli) // negative once the capacity has shrunk below what runs
 		}
 	}
 	return n
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -131,7 +131,7 @@
 	case known.Incarnation < t.Incarnation || known.Address != t.Address:
 		c.handleRestart(known, t, now)
 	default:
-		known.Target = t
+		c.updateDescription(known, t)
 	}
 	if clearing {
 		c.targets[t.ID].clearing = true
@@ -140,6 +140,16 @@
 	return c.drainEffects()
 }
 
+// updateDescription replaces what is known of a target. Its capacity may have shrunk
+// below what runs there, which goes on: it gets no work until enough has ended.
+func (c *Core) updateDescription(known *target, t Target) {
+	if known.Capacity != t.Capacity {
+		c.emit(LogEntry{Message: "The capacity of a target changed.", Target: t.ID, Reason: fmt.Sprintf("from %v to %v, %v in use", known.Capacity, t.Capacity, known.used)})
+		known.noRoomCount = 0
+	}
+	known.Target = t
+}
+
 // handleRestart replaces a target that restarted under the same id or changed its
 // address. The runs of the former incarnation are gone, but a start request in flight
 // may have reached the new one. Each run is therefore stopped there before its task
@@ -227,6 +237,7 @@
 	}
 	switch result {
 	case Started:
+		t.noRoomCount = 0
 		if active.state == starting {
 			active.state = running
 		}
@@ -234,7 +245,7 @@
 		t.markUnresponsive(now)
 		c.stopRun(active, "the start request was not answered")
 	case NoRoom:
-		t.pauseUntil(now.Add(noRoomPause))
+		t.recordNoRoom(now)
 		c.rejectStart(t, active, now)
 	case Unhealthy:
 		t.eject(now)
--- a/internal/process/scheduler/forecast.go
+++ b/internal/process/scheduler/forecast.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -35,9 +37,11 @@
 		if until := t.blockedUntil(); until.After(now) {
 			earliest = until
 		}
-		for range int(float64(t.free().CPUMilli) / c.typicalNeed.cpuMilli) {
+		free := int(math.Floor(float64(t.free().CPUMilli) / c.typicalNeed.cpuMilli))
+		for range free {
 			out = append(out, earliest)
 		}
+		var ends []time.Time
 		for _, r := range t.runs {
 			end := r.requestedAt.Add(time.Duration(float64(r.estimate) * t.slowdown))
 			if end.Before(now) {
@@ -46,8 +50,11 @@
 			if end.Before(earliest) {
 				end = earliest
 			}
-			out = append(out, end)
+			ends = append(ends, end)
 		}
+		// On a target whose capacity has shrunk below what runs, the first ends free nothing.
+		slices.SortFunc(ends, time.Time.Compare)
+		out = append(out, ends[min(len(ends), max(0, -free)):]...)
 	}
 	return out
 }
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -18,8 +18,11 @@
 	// the users' sheet.
 	ejectionThreshold = 2
 	// noRoomPause is how long a target gets no work after it refused a task for lack
-	// of capacity: long enough for it to report the runs that ended there.
-	noRoomPause = 30 * time.Millisecond
+	// of capacity: long enough for it to report the runs that ended there. It doubles
+	// with each further refusal, up to maxNoRoomPause: the target's capacity may have
+	// shrunk, which shows only with its next announcement.
+	noRoomPause    = 30 * time.Millisecond
+	maxNoRoomPause = 480 * time.Millisecond
 	// stallTimeout is how long a run that its target keeps reporting may show no
 	// progress. One percent of the longest task on the users' sheets takes 36 ms,
 	// and reports arrive up to 300 ms apart.
@@ -41,6 +44,7 @@
 	consecutiveFailures  int       // since the last success or ejection
 	consecutiveEjections int       // since the last success
 	pausedUntil          time.Time // gets no work before this; ejected or without capacity
+	noRoomCount          int       // refusals for lack of capacity since the last start or change of capacity
 	unansweredCount      int       // unanswered requests and renewals since the last answer
 	unresponsiveUntil    time.Time // gets no work before this unless it answers
 	slowdown             float64   // moving average of run time divided by estimate
@@ -184,6 +188,12 @@
 	t.unresponsiveUntil = time.Time{}
 }
 
+// recordNoRoom records a refusal for lack of capacity.
+func (t *target) recordNoRoom(now time.Time) {
+	t.pauseUntil(now.Add(min(noRoomPause<<min(t.noRoomCount, 8), maxNoRoomPause)))
+	t.noRoomCount++
+}
+
 // pauseUntil excludes the target from placement until end. It never shortens an
 // earlier pause.
 func (t *target) pauseUntil(end time.Time) {
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -14,6 +14,11 @@
 	GPUs     int64
 }
 
+// String returns the resources for logs.
+func (r Resources) String() string {
+	return fmt.Sprintf("%d millicores, %d MB, %d GPUs", r.CPUMilli, r.MemoryMB, r.GPUs)
+}
+
 // Plus returns the componentwise sum of r and o.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.CPUMilli + o.CPUMilli, r.MemoryMB + o.MemoryMB, r.GPUs + o.GPUs}
