Ascribe a crash once, and only to a task that the target had started

What callers saw: jobs answered as failed although no two targets had crashed under one of their tasks.

Change: a run counts once. A request still under way when a later incarnation answers counts not at all. A run that its target never confirmed may have crashed it, so it still holds further starts back, but a task is given up only for targets that had started it.

--- a/internal/process/fleet/losses.go
+++ b/internal/process/fleet/losses.go
@@ -146,7 +146,7 @@
 func lossMessage(l losses.Loss, now time.Time) *fleetpb.Loss {
 	return &fleetpb.Loss{
 		Job: l.Task.Job, Step: uint32(l.Task.Step), Index: uint32(l.Task.Index), Target: l.Life.Target, Address: l.Life.Address,
-		Born: l.Life.Incarnation, AgeMs: uint32(max(0, now.Sub(l.LostAt).Milliseconds())), Verdict: uint32(l.Verdict),
+		Born: l.Life.Incarnation, AgeMs: uint32(max(0, now.Sub(l.LostAt).Milliseconds())), Verdict: uint32(l.Verdict), Started: l.Started,
 	}
 }
 
@@ -156,5 +156,6 @@
 		Life:    losses.Life{Target: m.GetTarget(), Address: m.GetAddress(), Incarnation: m.GetBorn()},
 		LostAt:  now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 		Verdict: losses.Verdict(m.GetVerdict()),
+		Started: m.GetStarted(),
 	}
 }
--- a/internal/process/losses/table.go
+++ b/internal/process/losses/table.go
@@ -38,7 +38,7 @@
 const (
 	Unresolved Verdict = iota // nothing was heard of the target since
 	Survived                  // the same incarnation announced itself again
-	Crashed                   // a later incarnation has the target's id or address
+	Crashed                   // a later incarnation has the target's id or address, and the task had been started
 )
 
 var verdictNames = [...]string{"unresolved", "survived", "crashed"}
@@ -57,9 +57,18 @@
 	Task    Task
 	Life    Life
 	LostAt  time.Time
+	Started bool // the target had confirmed that it started the task
 	Verdict Verdict
 }
 
+// Resolve sets the verdict. A crash is only ascribed to a task that the target is known
+// to have started; the loss of any other stays unresolved.
+func (l *Loss) Resolve(v Verdict) {
+	if v == Survived || l.Started {
+		l.Verdict = v
+	}
+}
+
 // Count is how many targets were lost under a task, without those that survived.
 type Count struct{ Crashed, Unresolved int }
 
@@ -84,6 +93,7 @@
 	t.forget(now)
 	for _, known := range t.byJob[l.Task.Job] {
 		if known.Task == l.Task && known.Life == l.Life {
+			known.Started = known.Started || l.Started
 			known.Verdict = max(known.Verdict, l.Verdict)
 			return false
 		}
@@ -180,13 +190,15 @@
 		h, ok := heard[l.Life]
 		switch {
 		case ok && h.Incarnation > l.Life.Incarnation:
-			l.Verdict = Crashed
+			l.Resolve(Crashed)
 		case ok && h.Incarnation == l.Life.Incarnation && h.At.Sub(l.LostAt) > survivalDelay:
-			l.Verdict = Survived
+			l.Resolve(Survived)
 		default:
 			continue
 		}
-		decided = append(decided, *l)
+		if l.Verdict != Unresolved {
+			decided = append(decided, *l)
+		}
 	}
 	slices.SortFunc(decided, func(a, b Loss) int {
 		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index))
--- a/internal/process/losses/table_test.go
+++ b/internal/process/losses/table_test.go
@@ -11,7 +11,7 @@
 var epoch = time.Unix(1000, 0)
 
 func newLoss(task Task, target int, at time.Time) Loss {
-	return Loss{Task: task, Life: Life{Target: fmt.Sprint("t", target), Address: fmt.Sprint("10.0.0.", target), Incarnation: 1}, LostAt: at}
+	return Loss{Task: task, Life: Life{Target: fmt.Sprint("t", target), Address: fmt.Sprint("10.0.0.", target), Incarnation: 1}, LostAt: at, Started: true}
 }
 
 // heard returns what a table asks for: the same for each life in question.
@@ -44,6 +44,16 @@
 	}
 }
 
+func TestACrashIsNotAscribedToATaskThatWasNotSeenToStart(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	l := newLoss(Task{Job: "j"}, 1, epoch)
+	l.Started = false
+	table.Record(l, epoch)
+	table.Resolve(heard(Heard{2, epoch.Add(time.Second)}), epoch.Add(3*time.Second))
+	g.Expect(table.Count(l.Task)).To(Equal(Count{Unresolved: 1}))
+}
+
 func TestOnlyTargetsThatMayHaveCrashedAreCounted(t *testing.T) {
 	g := NewWithT(t)
 	table := NewTable()
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -238,6 +238,7 @@
 	switch result {
 	case Started:
 		t.noRoomCount = 0
+		active.confirmed = true
 		if active.state == starting {
 			active.state = running
 		}
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -93,7 +93,7 @@
 	step := s.Steps[t.step]
 	r := &run{
 		id:   Run{Job: s.ID, Step: t.step, Index: t.index, Number: t.lastRunNumber},
-		need: step.Need, targetID: h.Target, requestedAt: now, state: running, estimate: step.Estimate,
+		need: step.Need, targetID: h.Target, requestedAt: now, state: running, confirmed: true, estimate: step.Estimate,
 	}
 	t.run = r
 	to.addRun(r)
--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -44,43 +44,53 @@
 
 func (RunLost) effect() {}
 
-// verdict returns what the cause says of the target's end. A target that left or moved
-// did not crash; of these, no loss is recorded.
-func (c LossCause) verdict() (v losses.Verdict, mayHaveCrashed bool) {
-	switch c {
-	case TargetRestarted, TargetReplaced:
-		return losses.Crashed, true
-	case LeasesExpired:
-		return losses.Unresolved, true
+// showsCrash reports whether the cause shows that the target has crashed. It is false for
+// a target that may only be silent.
+func (c LossCause) showsCrash() bool { return c == TargetRestarted || c == TargetReplaced }
+
+// mayHaveCrashedTarget reports whether a run that was lost with a target may have crashed
+// it. A target that left, moved or drained did not crash. A start request that is still
+// under way when a later incarnation answers reached no target: to come back takes a
+// target longer than the timeout of the request.
+func mayHaveCrashedTarget(r *run, t *target, cause LossCause) bool {
+	if cause == TargetLeft || cause == TargetMoved || t.Draining || r.lost {
+		return false
 	}
-	return losses.Unresolved, false
+	return !cause.showsCrash() || r.state != starting
 }
 
-// loseRuns records and reports the runs of a target that was lost, and returns them. A
-// draining target was about to end: its loss is no sign of a crash.
+// loseRuns records and reports the runs of a target that was lost, and returns them.
 func (c *Core) loseRuns(t *target, cause LossCause, now time.Time) []*run {
 	runs := t.sortedRuns()
-	verdict, mayHaveCrashed := cause.verdict()
 	for _, r := range runs {
 		c.emit(RunLost{
 			Target: t.ID, Incarnation: t.Incarnation, Run: r.id, Cause: cause, OtherRuns: len(runs) - 1, Age: now.Sub(r.requestedAt),
 		})
-		if !mayHaveCrashed || t.Draining {
-			continue
-		}
-		loss := losses.Loss{Task: lossTask(r.id), Life: losses.Life{Target: t.ID, Address: t.Address, Incarnation: t.Incarnation}, LostAt: now, Verdict: verdict}
-		if c.losses.Record(loss, now) {
-			c.emit(LossRecorded{loss})
-		}
-		if s, ok := c.jobs[r.id.Job]; ok {
-			if task := s.taskOf(r.id); task != nil {
-				task.suspect = true
-			}
+		if mayHaveCrashedTarget(r, t, cause) {
+			c.recordLoss(r, t, cause, now)
 		}
+		r.lost = true
 	}
 	return runs
 }
 
+func (c *Core) recordLoss(r *run, t *target, cause LossCause, now time.Time) {
+	loss := losses.Loss{
+		Task: lossTask(r.id), Life: losses.Life{Target: t.ID, Address: t.Address, Incarnation: t.Incarnation}, LostAt: now, Started: r.confirmed,
+	}
+	if cause.showsCrash() {
+		loss.Resolve(losses.Crashed)
+	}
+	if c.losses.Record(loss, now) {
+		c.emit(LossRecorded{loss})
+	}
+	if s, ok := c.jobs[r.id.Job]; ok {
+		if task := s.taskOf(r.id); task != nil {
+			task.suspect = true
+		}
+	}
+}
+
 // LossRecorded asks to report a loss to the hosts that may run the task next.
 type LossRecorded struct{ Loss losses.Loss }
 
--- a/internal/process/scheduler/loss_test.go
+++ b/internal/process/scheduler/loss_test.go
@@ -82,12 +82,45 @@
 	g := NewWithT(t)
 	c := newCore(4)
 	first := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0]
+	c.HandleStartResult(first.Target, first.Run, Started, at(1))
 	restarted := c.targets[first.Target].Target
 	restarted.Incarnation++
 	c.UpdateTarget(restarted, false, at(5))
 	g.Expect(c.losses.Count(lossTask(first.Run))).To(Equal(losses.Count{Crashed: 1}))
 }
 
+func TestALossIsCountedOnceThoughTheTargetRestartsAgain(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(4)
+	first := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0]
+	c.HandleStartResult(first.Target, first.Run, Started, at(1))
+	restarted := c.targets[first.Target].Target
+	restarted.Incarnation++
+	c.UpdateTarget(restarted, false, at(5))
+	c.RemoveTarget(first.Target, TargetReplaced, at(6))
+	g.Expect(c.losses.Count(lossTask(first.Run)).Sum()).To(Equal(1), "the run was on one incarnation only")
+}
+
+func TestAStartOnTheWayToATargetThatWasGoneIsNoLoss(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(4)
+	first := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0]
+	c.RemoveTarget(first.Target, TargetReplaced, at(1))
+	g.Expect(c.losses.Knows("j")).To(BeFalse())
+}
+
+func TestATaskWhoseStartsWereNotAnsweredIsNotGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(4)
+	next := starts(c.Submit(newPatientJob("j"), 7, at(0)))
+	for i := range 2 {
+		c.HandleStartResult(next[0].Target, next[0].Run, Unanswered, at(1000*i+250))
+		next = starts(c.RemoveTarget(next[0].Target, TargetReplaced, at(1000*i+900)))
+		g.Expect(next).To(HaveLen(1-i), "a task that may have crashed two targets waits")
+	}
+	g.Expect(replies(c.Tick(at(3000)))).To(BeEmpty(), "given up though no target is known to have started it")
+}
+
 func TestAStartThatAnotherTargetRefusedIsNoLoss(t *testing.T) {
 	g := NewWithT(t)
 	c := newCore(1)
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -60,6 +60,8 @@
 	requestedAt  time.Time // when the start was requested, or the run imported
 	state        runState
 	estimate     time.Duration
+	confirmed    bool      // the target has answered that it started the run, or listed it
+	lost         bool      // with a former incarnation of the target; only its stop is awaited
 	percentDone  int       // as reported last
 	progressedAt time.Time // when percentDone was first reported
 	listedAt     time.Time // when the target reported the run last
@@ -81,6 +83,7 @@
 		r.progressedAt = now
 	}
 	r.listedAt = now
+	r.confirmed = true
 	if r.state == starting {
 		r.state = running
 	}
