Keep the connection of a start that is answered late, and bound needless restarts

Cause: a start request that was not answered within its timeout (60 ms and more) was cancelled, which closes its connection, and its task was stopped, looked for and started again, all over the same link. On a link that is nearly full an answer is late because of a queue; its time was not even learned. Retries that add to the load that caused them.

Change: the request is given up for the scheduler, but goes on until 250 ms. Its connection stays, and its late answer is a sample of the estimate and shows the timeout to be spurious (RFC 3522). At most one request in a hundred, and five at once, may be given up so; beyond that the full 250 ms are waited. A target that never answers costs nothing of this budget and is replaced as soon as before. A timer that fires late shows that the host itself was paused: it looks once more for the answer.

--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -130,39 +130,78 @@
 	return now.Sub(s.leaseSentAt) > s.pool.node.config.MaxLease+leaseMargin
 }
 
-// requestStart sends a start request, concurrently with other requests.
+// requestStart sends a start request, concurrently with other requests. A request that
+// is not answered within the start timeout is given up, but not cancelled until
+// maxStartTimeout: that would close its connection, and its answer, though late, shows
+// how long answers take.
 func (s *session) requestStart(e scheduler.Start) {
 	request := StartRequest{Run: e.Run, Spec: e.Spec, LeaseUntilMS: s.extendLease(), Token: s.token}
+	timeouts := &s.pool.startTimeout
+	timeouts.recordRequest()
 	go func() {
-		timeout := s.pool.startTimeout.get()
-		ctx, cancel := context.WithTimeout(s.ctx, timeout)
-		defer cancel()
 		sentAt := time.Now()
-		result, clock := s.pool.node.config.Targets.Start(ctx, s.ref, request)
-		if result == scheduler.Unanswered {
-			s.pool.startTimeout.observeUnanswered(timeout)
-		} else {
-			s.pool.startTimeout.observe(time.Since(sentAt))
-		}
-		s.syncClock(clock)
-		s.post(func(p *pool, now time.Time) {
-			if result != scheduler.Started {
-				p.log.Info("A start request did not succeed.", "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number,
-					"target", s.ref.ID, "result", result.String())
-			}
-			p.metrics.recordStart(result)
-			if result == scheduler.Fenced {
-				p.handleFenced(s, now)
+		answer := make(chan scheduler.StartResult, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(s.ctx, maxStartTimeout)
+			defer cancel()
+			result, clock := s.pool.node.config.Targets.Start(ctx, s.ref, request)
+			s.syncClock(clock)
+			answer <- result
+		}()
+		timeout := timeouts.get()
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
+		givenUp, paused := false, false
+		for {
+			select {
+			case result := <-answer:
+				if result == scheduler.Unanswered {
+					timeouts.observeUnanswered(timeout)
+				} else {
+					timeouts.observe(time.Since(sentAt))
+					if givenUp {
+						timeouts.recordSpuriousTimeout()
+					}
+				}
+				if result != scheduler.Unanswered || !givenUp {
+					s.handleStartResult(e.Run, result)
+				}
 				return
+			case <-timer.C:
+				late := time.Since(sentAt) - timeout
+				switch {
+				case timeout >= maxStartTimeout:
+				case late > timerSlack && !paused:
+					paused = true // this host was: the answer may have arrived meanwhile
+					timer.Reset(min(late, timeout))
+				default:
+					givenUp = true
+					s.handleStartResult(e.Run, scheduler.Unanswered)
+				}
 			}
-			p.applyEffects(p.core.HandleStartResult(s.ref.ID, e.Run, result, now), now)
-			if result == scheduler.WrongTarget {
-				p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now)
-			}
-		})
+		}
 	}()
 }
 
+// handleStartResult passes the result of a start request to the scheduler.
+func (s *session) handleStartResult(run scheduler.Run, result scheduler.StartResult) {
+	s.post(func(p *pool, now time.Time) {
+		if result != scheduler.Started {
+			p.log.Info("A start request did not succeed.", "job", run.Job, "task", run.TaskID(), "run", run.Number,
+				"target", s.ref.ID, "result", result.String())
+		}
+		p.metrics.recordStart(result)
+		if result == scheduler.Fenced {
+			p.handleFenced(s, now)
+			return
+		}
+		p.applyEffects(p.core.HandleStartResult(s.ref.ID, run, result, now), now)
+		if result == scheduler.WrongTarget {
+			p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now)
+		}
+	})
+}
+
 // requestStop sends stop requests for a run until the target confirms one or all
 // leases have expired. If the start request was not answered, the target is asked whether
 // the run is there: if not, its task need not wait for the run to end.
--- a/internal/process/fleet/starttimeout.go
+++ b/internal/process/fleet/starttimeout.go
@@ -10,28 +10,51 @@
 	// within a few milliseconds.
 	minStartTimeout = 60 * time.Millisecond
 	maxStartTimeout = requestTimeout
+	timerSlack      = 5 * time.Millisecond // a timer that fires later than this shows that the host itself was paused
 	// The weights of the newest answer time in the mean and in the deviation are those of
 	// RFC 6298.
 	newestAnswerTimeWeight = 1.0 / 8
 	newestDeviationWeight  = 1.0 / 4
 	deviationFactor        = 4
+	// spuriousTimeoutShare is the share of start requests that may be given up although
+	// their answer is only late, and maxSpuriousTimeouts how many of these may be saved
+	// up. Each costs a stop, a report and a second start. On a link that is nearly full,
+	// these would delay further answers.
+	spuriousTimeoutShare = 0.01
+	maxSpuriousTimeouts  = 5
 )
 
 // startTimeout estimates how long to wait for the answer to a start request, from the
 // times of former answers, as TCP does (RFC 6298). It answers the load of targets that
 // leave single requests unanswered: a task of 60 ms that waits for requestTimeout before
-// it is started elsewhere is late. It is safe for concurrent use.
+// it is started elsewhere is late. A timeout is spurious if the answer comes after it, as
+// in RFC 3522; a budget bounds these. It is safe for concurrent use.
 type startTimeout struct {
 	mu        sync.Mutex
 	mean      time.Duration // moving average of answer times; zero before the first
 	deviation time.Duration // moving average of their absolute differences from mean
+	spurious  float64       // spurious timeouts that are not made up for by later requests
+}
+
+// recordRequest records that a request is sent.
+func (s *startTimeout) recordRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spurious = max(0, s.spurious-spuriousTimeoutShare)
+}
+
+// recordSpuriousTimeout records that a request was answered after it had been given up.
+func (s *startTimeout) recordSpuriousTimeout() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spurious++
 }
 
 // get returns the time to wait for an answer.
 func (s *startTimeout) get() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mean == 0 {
+	if s.mean == 0 || s.spurious > maxSpuriousTimeouts-1 {
 		return maxStartTimeout
 	}
 	return min(max(s.mean+deviationFactor*s.deviation, minStartTimeout), maxStartTimeout)
--- a/internal/process/fleet/starttimeout_test.go
+++ b/internal/process/fleet/starttimeout_test.go
@@ -1,12 +1,15 @@
 package fleet
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
 func TestTheStartTimeoutFollowsTheAnswerTimes(t *testing.T) {
@@ -34,6 +37,88 @@
 	g.Expect(s.get()).To(Equal(maxStartTimeout))
 }
 
+// startLoad plays requests to a pool of 48 targets, one of which answers none. An answer
+// of the others takes 4 ms, or as long as the queue on the host's own link. It returns
+// how many requests were given up early: of the silent target, and of the others.
+func startLoad(s *startTimeout, requests int, queue func(i int) time.Duration) (silent, spurious int) {
+	for i := range requests {
+		isSilent, took := i%48 == 0, 4*time.Millisecond+queue(i)
+		s.recordRequest()
+		timeout := s.get()
+		switch {
+		case isSilent:
+			if timeout < maxStartTimeout {
+				silent++
+			}
+			s.observeUnanswered(timeout)
+		default:
+			s.observe(took)
+			if took > timeout && timeout < maxStartTimeout {
+				spurious++
+				s.recordSpuriousTimeout()
+			}
+		}
+	}
+	return silent, spurious
+}
+
+func TestASlowLinkDoesNotMultiplyStarts(t *testing.T) {
+	g := NewWithT(t)
+	const requests = 4800
+	var s startTimeout
+	_, spurious := startLoad(&s, requests, func(i int) time.Duration {
+		if i%20 == 7 {
+			return 200 * time.Millisecond
+		}
+		return 0
+	})
+	g.Expect(spurious).To(BeNumerically("<=", requests/100+5), "more than one in a hundred starts was needless")
+}
+
+func TestASilentTargetIsReplacedEarlyWhileTheLinkIsFree(t *testing.T) {
+	g := NewWithT(t)
+	const requests = 4800
+	var s startTimeout
+	s.observe(4 * time.Millisecond)
+	silent, spurious := startLoad(&s, requests, func(int) time.Duration { return 0 })
+	g.Expect(silent).To(Equal(requests / 48))
+	g.Expect(spurious).To(BeZero())
+}
+
+// slowTarget answers a start late and reports whether the request was cancelled before.
+type slowTarget struct {
+	silentTargets
+	cancelled chan error
+}
+
+func (s slowTarget) Start(ctx context.Context, _ TargetRef, _ StartRequest) (scheduler.StartResult, int64) {
+	time.Sleep(minStartTimeout + 40*time.Millisecond)
+	s.cancelled <- ctx.Err()
+	return scheduler.Started, 0
+}
+
+func TestAStartThatIsAnsweredLateKeepsItsConnection(t *testing.T) {
+	n := newTestPool(t, "127.0.0.1:1").node
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPool(n, shards.Pool{Domain: "north"})
+		p.startTimeout.observe(time.Millisecond)
+		client := slowTarget{cancelled: make(chan error, 1)}
+		p.node.config.Targets = client
+		s := newSession(p, deskTargetAnnouncement(1, 4000, time.Now()))
+		s.ctx, s.cancel = context.WithCancel(t.Context())
+		sentAt := time.Now()
+		s.requestStart(scheduler.Start{Target: "t", Run: scheduler.Run{Job: "j", Number: 1}})
+		<-p.events
+		g.Expect(time.Since(sentAt)).To(Equal(minStartTimeout), "the task waits longer than the start timeout")
+		<-p.events
+		g.Expect(<-client.cancelled).NotTo(HaveOccurred(), "the connection was closed")
+		g.Expect(p.startTimeout.get()).To(BeNumerically(">", minStartTimeout), "the late answer is not in the estimate")
+		s.close()
+		close(p.stopped)
+	})
+}
+
 // A stop confirms that a run cannot start later. Its task may wait again at once only if
 // the target lists the run neither as running nor as ended.
 func TestAStoppedRunIsAbsentOnlyIfTheTargetDoesNotListIt(t *testing.T) {
