Notice on time, and each time, that the leases of a silent target have expired

A task that was started on the same silent target again never got free: its job ended as expired.

Causes: the expiry was looked at after each failed renewal, and the pauses between these double up to 1 s; a renewal that was refused a connection counted as one that may have extended the lease; and the expiry was reported once until the target answered again, so not for leases that were sent after that.

The tests, in virtual time, failed before: 1.8 s where 1.1 s do; two starts within a minute where a third is due.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -125,6 +125,7 @@
 	ErrFenced      = errors.New("the target obeys another holder")
 	ErrWrongTarget = errors.New("another incarnation has the address")
 	ErrUnhealthy   = errors.New("the target refuses requests")
+	ErrNotSent     = errors.New("the request was not sent") // no connection could be opened
 )
 
 // TargetClient sends requests to targets.
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -40,15 +40,15 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 
-	mu          sync.Mutex
-	clockOffset int64     // the target's clock minus the local monotonic clock, milliseconds
-	leaseSentAt time.Time // when the last request with a lease was sent
+	mu           sync.Mutex
+	clockOffset  int64     // the target's clock minus the local monotonic clock, milliseconds
+	leaseSentAt  time.Time // when the last request with a lease was sent
+	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
 
 	// These belong to the goroutine of renewLoop.
-	recordedEnd         uint64 // sequence number of the last ended run that was recorded
-	acknowledgedEnd     uint64 // sequence number of the last ended run whose acknowledgement reached the target
-	unansweredRenewals  int    // in a row
-	leaseExpiryReported bool   // the scheduler was told that the leases have expired; reset by an answer
+	recordedEnd        uint64 // sequence number of the last ended run that was recorded
+	acknowledgedEnd    uint64 // sequence number of the last ended run whose acknowledgement reached the target
+	unansweredRenewals int    // in a row
 }
 
 // processStart is the origin of the local monotonic clock.
@@ -104,14 +104,20 @@
 	}
 }
 
-// extendLease returns the end of a full lease on the target's clock, in milliseconds,
-// and records that a request with that lease is being sent.
-func (s *session) extendLease() int64 {
+// lease is a lease that a request carries.
+type lease struct {
+	untilMS          int64     // end on the target's clock
+	sentAt, previous time.Time // of the request, and of the one with a lease before it
+}
+
+// extendLease returns a full lease and records that a request with it is being sent.
+func (s *session) extendLease() lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	l := lease{untilMS: monotonicMillis(now) + s.clockOffset + s.pool.node.config.MaxLease.Milliseconds(), sentAt: now, previous: s.leaseSentAt}
 	s.leaseSentAt = now
-	return monotonicMillis(now) + s.clockOffset + s.pool.node.config.MaxLease.Milliseconds()
+	return l
 }
 
 func (s *session) syncClock(clock int64) {
@@ -123,19 +129,37 @@
 	s.clockOffset = clock - monotonicMillis(time.Now())
 }
 
-// leaseExpired reports whether every lease that was sent has expired.
-func (s *session) leaseExpired(now time.Time) bool {
+// retractLease undoes extendLease for a request that was not sent, unless another one
+// has extended the lease since.
+func (s *session) retractLease(l lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaseSentAt.Equal(l.sentAt) {
+		s.leaseSentAt = l.previous
+	}
+}
+
+// leaseRemaining returns how long a lease that was sent may still be in force; zero or
+// less once every one has expired.
+func (s *session) leaseRemaining(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.leaseSentAt) > s.pool.node.config.MaxLease+leaseMargin
+	return s.leaseRemainingLocked(now)
 }
 
+// leaseRemainingLocked is leaseRemaining for a caller that holds the lock.
+func (s *session) leaseRemainingLocked(now time.Time) time.Duration {
+	return s.leaseSentAt.Add(s.pool.node.config.MaxLease + leaseMargin).Sub(now)
+}
+
+func (s *session) leaseExpired(now time.Time) bool { return s.leaseRemaining(now) <= 0 }
+
 // requestStart sends a start request, concurrently with other requests. A request that
 // is not answered within the start timeout is given up, but not cancelled until
 // maxStartTimeout: that would close its connection, and its answer, though late, shows
 // how long answers take.
 func (s *session) requestStart(e scheduler.Start) {
-	request := StartRequest{Run: e.Run, Spec: e.Spec, LeaseUntilMS: s.extendLease(), Token: s.token}
+	request := StartRequest{Run: e.Run, Spec: e.Spec, LeaseUntilMS: s.extendLease().untilMS, Token: s.token}
 	timeouts := &s.pool.startTimeout
 	timeouts.recordRequest()
 	go func() {
@@ -292,8 +316,10 @@
 // renewal and no runs of a former holder may be there.
 func (s *session) renew() (TargetReport, error) {
 	r := RenewRequest{Token: s.token, AckCursor: s.recordedEnd}
+	var extended lease
 	if s.activeRuns.Load() > 0 && s.unansweredRenewals < maxUnansweredLeases {
-		r.LeaseUntilMS = s.extendLease()
+		extended = s.extendLease()
+		r.LeaseUntilMS = extended.untilMS
 	}
 	if s.activeRuns.Load() > 0 && s.unansweredRenewals == 0 && !s.clearing.Load() {
 		r.MaxWait = min(renewMaxWait, s.pool.node.config.MaxLease/renewLeaseDivisor)
@@ -301,15 +327,17 @@
 	ctx, cancel := context.WithTimeout(s.ctx, r.MaxWait+renewAnswerMargin)
 	defer cancel()
 	report, err := s.pool.node.config.Targets.Renew(ctx, s.ref, r)
-	if err == nil {
+	switch {
+	case err == nil:
 		s.acknowledgedEnd = max(s.acknowledgedEnd, r.AckCursor)
+	case errors.Is(err, ErrNotSent):
+		s.retractLease(extended)
 	}
 	return report, err
 }
 
 func (s *session) handleReport(r TargetReport) {
 	s.unansweredRenewals = 0
-	s.leaseExpiryReported = false
 	s.syncClock(r.ClockMS)
 	for _, e := range r.Ended {
 		s.recordedEnd = max(s.recordedEnd, e.Sequence)
@@ -333,11 +361,28 @@
 		s.pool.log.Warn("A target does not answer.", "target", s.ref.ID, "error", err)
 	}
 	s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.MarkUnresponsive(s.ref.ID, now), now) })
-	if !s.leaseExpiryReported && s.leaseExpired(time.Now()) {
-		s.leaseExpiryReported = true
+	s.reportLeaseExpiry()
+	delay := min(renewRetryDelay<<min(s.unansweredRenewals, 4), time.Second)
+	if remaining := s.leaseRemaining(time.Now()); 0 < remaining && remaining < delay {
+		s.pause(remaining) // the tasks wait for the expiry
+		s.reportLeaseExpiry()
+		delay -= remaining
+	}
+	s.pause(delay)
+}
+
+// reportLeaseExpiry tells the scheduler that the leases have expired, once for each time
+// that they do.
+func (s *session) reportLeaseExpiry() {
+	s.mu.Lock()
+	due := s.leaseRemainingLocked(time.Now()) <= 0 && !s.expiredLease.Equal(s.leaseSentAt)
+	if due {
+		s.expiredLease = s.leaseSentAt
+	}
+	s.mu.Unlock()
+	if due {
 		s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.ExpireLeases(s.ref.ID, now), now) })
 	}
-	s.pause(min(renewRetryDelay<<min(s.unansweredRenewals, 4), time.Second))
 }
 
 func (s *session) pause(d time.Duration) {
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"wasabifield.example/wasabifield/internal/process/discovery"
 	"wasabifield.example/wasabifield/internal/process/metrics"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
@@ -64,3 +66,74 @@
 	g.Expect(s.leaseExpired(now.Add(n.config.MaxLease))).To(BeFalse())
 	g.Expect(s.leaseExpired(now.Add(n.config.MaxLease + 2*leaseMargin))).To(BeTrue())
 }
+
+// crashedTarget accepts one start and then refuses connections.
+type crashedTarget struct{ silentTargets }
+
+func (crashedTarget) Start(context.Context, TargetRef, StartRequest) (scheduler.StartResult, int64) {
+	return scheduler.Started, 0
+}
+
+func (crashedTarget) Renew(context.Context, TargetRef, RenewRequest) (TargetReport, error) {
+	return TargetReport{}, ErrNotSent
+}
+
+// runAtCrashedTarget submits a job of one task to a pool whose only target crashes, and
+// applies events until done reports true or a minute of virtual time has passed. It
+// returns how long that took.
+func runAtCrashedTarget(t *testing.T, p *pool, done func() bool) time.Duration {
+	t.Helper()
+	now := time.Now()
+	p.holderView.AcceptHandover(6, now)
+	p.takeOver(now, "test")
+	p.node.runCtx = t.Context()
+	p.node.config.Targets = crashedTarget{}
+	a := deskTargetAnnouncement(1, 4000, now)
+	s := newSession(p, a)
+	s.clearing.Store(false)
+	p.sessions["t"] = s
+	s.open(t.Context())
+	p.core.UpdateTarget(a.Target, false, now)
+	job := handoverTestJob("j", now)
+	job.Steps[0].Count = 1
+	job.TargetLatency = time.Minute
+	submitEvent{id: 1, job: job, waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, now)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for !done() && time.Since(now) < time.Minute {
+		select {
+		case e := <-p.events:
+			e.apply(p, time.Now())
+		case <-ticker.C:
+			p.applyEffects(p.core.Tick(time.Now()), time.Now())
+		}
+	}
+	s.close()
+	close(p.stopped)
+	return time.Since(now)
+}
+
+func TestTasksOfACrashedTargetWaitOnlyUntilItsLeaseExpires(t *testing.T) {
+	n := newTestPool(t, "127.0.0.1:1").node
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(n, shards.Pool{Domain: "north"})
+		took := runAtCrashedTarget(t, p, func() bool { return p.node.losses.Knows("j") })
+		NewWithT(t).Expect(took).To(BeNumerically("<=", p.node.config.MaxLease+leaseMargin))
+	})
+}
+
+func TestLeasesThatExpireAgainAreNoticedAgain(t *testing.T) {
+	n := newTestPool(t, "127.0.0.1:1").node
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(n, shards.Pool{Domain: "north"})
+		starts := func() int {
+			jobs := p.core.ExportJobs()
+			if len(jobs) == 0 {
+				return 0
+			}
+			return jobs[0].Tasks[0].LastRunNumber
+		}
+		took := runAtCrashedTarget(t, p, func() bool { return starts() == 3 })
+		NewWithT(t).Expect(took).To(BeNumerically("<", time.Minute), "the task was started %d times", starts())
+	})
+}
