--- a/internal/request/report/description.go
+++ b/internal/request/report/description.go
@@ -26,6 +26,7 @@
 	failure.ExpiredQueued:     "the time ran out before the work began",
 	failure.ExpiredRunning:    "the time ran out while the work was being done",
 	failure.TaskFailed:        "the work was begun and reported a fault",
+	failure.TaskCrashed:       "the work brought down what it ran on, twice, and was given up",
 	failure.NotPlaced:         "a part of the work found no place to run",
 	failure.OutcomeUnknown:    "the work was handed out and no result came back",
 	failure.AnswerLost:        "the result was lost between two machines of the service",
