--- a/internal/process/fleet/starttimeout.go
+++ b/internal/process/fleet/starttimeout.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"wasabifield.example/wasabifield/internal/process/scheduler"
 )
 
 const (
@@ -43,6 +45,19 @@
 	s.spurious = max(0, s.spurious-spuriousTimeoutShare)
 }
 
+// observeAnswer records the result of a request that took so long, for which timeout was
+// to be waited, and whether it had been given up.
+func (s *startTimeout) observeAnswer(result scheduler.StartResult, took, timeout time.Duration, givenUp bool) {
+	if result == scheduler.Unanswered {
+		s.observeUnanswered(timeout)
+		return
+	}
+	s.observe(took)
+	if givenUp {
+		s.recordSpuriousTimeout()
+	}
+}
+
 // recordSpuriousTimeout records that a request was answered after it had been given up.
 func (s *startTimeout) recordSpuriousTimeout() {
 	s.mu.Lock()
