--- a/internal/process/fleet/losses.go
+++ b/internal/process/fleet/losses.go
@@ -150,12 +150,18 @@
 	}
 }
 
+// lossFrom returns the loss that a message tells of. A verdict that this release does not
+// know counts as unresolved.
 func lossFrom(m *fleetpb.Loss, now time.Time) losses.Loss {
+	verdict := losses.Verdict(m.GetVerdict())
+	if verdict > losses.Crashed {
+		verdict = losses.Unresolved
+	}
 	return losses.Loss{
 		Task:    losses.Task{Job: m.GetJob(), Step: int(m.GetStep()), Index: int(m.GetIndex())},
 		Life:    losses.Life{Target: m.GetTarget(), Address: m.GetAddress(), Incarnation: m.GetBorn()},
 		LostAt:  now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
-		Verdict: losses.Verdict(m.GetVerdict()),
+		Verdict: verdict,
 		Started: m.GetStarted(),
 	}
 }
--- a/internal/process/losses/table.go
+++ b/internal/process/losses/table.go
@@ -43,14 +43,8 @@
 
 var verdictNames = [...]string{"unresolved", "survived", "crashed"}
 
-// String returns the verdict's name. An unknown one, as a newer host may send, counts
-// as unresolved.
-func (v Verdict) String() string {
-	if v < 0 || int(v) >= len(verdictNames) {
-		return verdictNames[Unresolved]
-	}
-	return verdictNames[v]
-}
+// String returns the verdict's name.
+func (v Verdict) String() string { return verdictNames[v] }
 
 // Loss is the loss of a target on which a task was running.
 type Loss struct {
@@ -133,8 +127,7 @@
 		switch l.Verdict {
 		case Crashed:
 			c.Crashed++
-		case Survived:
-		default:
+		case Unresolved:
 			c.Unresolved++
 		}
 	}
