--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -42,7 +42,11 @@
 	Age         time.Duration // since the run's start was requested
 }
 
-func (RunLost) effect() {}
+// LossRecorded asks to report a loss to the hosts that may run the task next.
+type LossRecorded struct{ Loss losses.Loss }
+
+func (RunLost) effect()      {}
+func (LossRecorded) effect() {}
 
 // showsCrash reports whether the cause shows that the target has crashed. It is false for
 // a target that may only be silent.
@@ -74,6 +78,7 @@
 	return runs
 }
 
+// recordLoss records the loss of a target under a run's task, which becomes a suspect.
 func (c *Core) recordLoss(r *run, t *target, cause LossCause, now time.Time) {
 	loss := losses.Loss{
 		Task: lossTask(r.id), Life: losses.Life{Target: t.ID, Address: t.Address, Incarnation: t.Incarnation}, LostAt: now, Started: r.confirmed,
@@ -91,11 +96,6 @@
 	}
 }
 
-// LossRecorded asks to report a loss to the hosts that may run the task next.
-type LossRecorded struct{ Loss losses.Loss }
-
-func (LossRecorded) effect() {}
-
 func lossTask(r Run) losses.Task { return losses.Task{Job: r.Job, Step: r.Step, Index: r.Index} }
 
 // recallLosses marks the tasks of a job under which targets were lost before: the job
