Compute all growing pauses of a target in one place

Found in the last reading of the change: the pause after a refusal for want of room repeated the doubling of backoff, which now takes the first and the longest pause. deadlyTask belongs to the Core, as what it reads does. Behaviour is unchanged: each longest pause is reached before maxDoublings.

--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -85,7 +85,7 @@
 	s := newJobState(c.refineEstimates(j))
 	s.waiters = []uint64{waiter}
 	c.recallLosses(s)
-	if s.deadlyTask(c) != nil {
+	if c.deadlyTask(s) != nil {
 		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: crashedAnswer})
 		return c.drainEffects()
 	}
--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -121,7 +121,7 @@
 
 // deadlyTask returns a task of the job under which crashLimit targets have crashed, or
 // nil if there is none.
-func (s *jobState) deadlyTask(c *Core) *task {
+func (c *Core) deadlyTask(s *jobState) *task {
 	for _, t := range s.tasks {
 		if t.suspect && !t.done && c.lossCount(s, t).Crashed >= crashLimit {
 			return t
@@ -132,7 +132,7 @@
 
 // giveUpDeadly answers a job with a deadly task, and reports whether there is one.
 func (c *Core) giveUpDeadly(s *jobState) bool {
-	t := s.deadlyTask(c)
+	t := c.deadlyTask(s)
 	if t == nil {
 		return false
 	}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -118,7 +118,8 @@
 }
 
 // Tick drops imported jobs that were not submitted again, gives up jobs with deadly
-// tasks, refuses or expires waiting jobs that can no longer end in time, stops stalled runs and places waiting tasks.
+// tasks, refuses or expires waiting jobs that can no longer end in time, stops stalled
+// runs and places waiting tasks.
 func (c *Core) Tick(now time.Time) []Effect {
 	c.expireHandedOver(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -164,14 +164,19 @@
 	return true
 }
 
+// maxDoublings keeps a pause from overflowing; every longest pause is reached before.
+const maxDoublings = 8
+
 // backoff returns how long a target is excluded from placement after a number of
-// previous consecutive exclusions.
-func backoff(previous int) time.Duration { return min(minEjection<<min(previous, 4), maxEjection) }
+// previous consecutive exclusions: it doubles with each, from the first to the longest.
+func backoff(first, longest time.Duration, previous int) time.Duration {
+	return min(first<<min(previous, maxDoublings), longest)
+}
 
 // eject excludes the target from placement for longer with each consecutive
 // ejection.
 func (t *target) eject(now time.Time) {
-	t.pauseUntil(now.Add(backoff(t.consecutiveEjections)))
+	t.pauseUntil(now.Add(backoff(minEjection, maxEjection, t.consecutiveEjections)))
 	t.consecutiveEjections++
 	t.consecutiveFailures = 0
 }
@@ -180,7 +185,7 @@
 // target is excluded from placement until it answers, or for a time that grows with
 // each unanswered request or renewal.
 func (t *target) markUnresponsive(now time.Time) {
-	t.unresponsiveUntil = now.Add(backoff(t.unansweredCount))
+	t.unresponsiveUntil = now.Add(backoff(minEjection, maxEjection, t.unansweredCount))
 	t.unansweredCount++
 }
 
@@ -193,7 +198,7 @@
 
 // recordNoRoom records a refusal for lack of capacity.
 func (t *target) recordNoRoom(now time.Time) {
-	t.pauseUntil(now.Add(min(noRoomPause<<min(t.noRoomCount, 8), maxNoRoomPause)))
+	t.pauseUntil(now.Add(backoff(noRoomPause, maxNoRoomPause, t.noRoomCount)))
 	t.noRoomCount++
 }
 
