Count a handed-over run as in progress until its lease expires

Cause: a host handed a pool over while a split moved some of the pool's targets to another shard. The state listed only the targets of the shard as split, so the new holder did not know the targets that move, and took the tasks that ran there for waiting ones. The former holder renewed the leases there until the hand-over. The same happened where the new holder knew of a split and the former one did not.

Change: a run on a target that the new holder does not know is detached: its task waits until the leases that the former holder sent have expired, which the state now tells for each run (lease_ms; hosts of former releases do not tell it, and the longest lease stands for it). A target that becomes known takes its runs over. In the same path: a new shard that is handed over before it has taken its targets still leaves them to the former pool (former_pool_ms), and runs whose answers were lost with their sessions are stopped again or expected in reports, in place of holding capacity until the deadline.

Ruled out by reading: starts given up by the estimated timeout are exported as stopping and stay so; targets excluded as silent keep their runs.

Result: TestAHandoverDuringASplitStartsNoTaskTwice and TestATaskOnATargetThatTheSuccessorDoesNotKnowIsNotStartedTwiceAtOnce fail with the former import and pass now.

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -142,6 +142,7 @@
 	case handoverRefused:
 		p.log.Warn("The pool was not handed over.", "pool", p.name, "peer", e.to, "error", e.err)
 		p.takeOver(now, "the handover was refused")
+		p.applyEffects(p.core.ResumeRuns(), now)
 	case handoverUnknown:
 		// The other host may have started tasks that wait here, so the jobs are not
 		// continued. Runs on the targets are stopped before the targets get work.
@@ -186,13 +187,15 @@
 func (p *pool) stateMessage(now time.Time) *fleetpb.PoolState {
 	m := &fleetpb.PoolState{
 		Pool: p.name, FencingToken: p.holderView.Claim().Token, Parts: uint32(p.node.shardCount(p.id.Domain)),
+		FormerPoolMs: uint32(max(0, p.formerPoolUntil.Sub(now).Milliseconds())),
 	}
 	for _, a := range p.node.announcements.recent(now) {
 		if p.contains(a.Target.ID, a.Target.Domain) {
 			m.Targets = append(m.Targets, announcementMessage(a, now))
 		}
 	}
-	for _, j := range p.core.ExportJobs() {
+	leaseRemaining := func(targetID string) time.Duration { return p.leaseRemaining(targetID, now) }
+	for _, j := range p.core.ExportJobs(leaseRemaining, now) {
 		job := runningJobMessage(j, now)
 		job.Request.Losses = p.node.lossMessages(j.Job.ID, now)
 		m.Jobs = append(m.Jobs, job)
@@ -200,6 +203,18 @@
 	return m
 }
 
+// leaseRemaining returns how long a lease that this host has sent to a target may still
+// be in force.
+func (p *pool) leaseRemaining(targetID string, now time.Time) time.Duration {
+	if s, ok := p.sessions[targetID]; ok {
+		return s.leaseRemaining(now)
+	}
+	return p.node.longestLease()
+}
+
+// longestLease returns how long a lease that has just been sent may be in force.
+func (n *Node) longestLease() time.Duration { return n.config.MaxLease + leaseMargin }
+
 // receivePool takes over the pool from another host and returns the new claim.
 func (p *pool) receivePool(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
 	answer := make(chan receivedPool, 1)
@@ -242,41 +257,64 @@
 	for _, a := range e.message.GetTargets() {
 		p.node.announcements.record(announcementFrom(a, now))
 	}
-	// All of the pool's targets must be known before its jobs: a task on an unknown
-	// target would be started a second time.
+	// The pool's targets must be known before its jobs, whose runs they take over. Those
+	// that belong to another shard by now stay unknown.
 	p.node.mu.Lock()
 	p.node.raiseShardCount(p.id.Domain, int(e.message.GetParts()))
 	p.node.mu.Unlock()
 	p.formerPoolUntil = time.Time{}
+	if ms := e.message.GetFormerPoolMs(); ms > 0 {
+		p.formerPoolUntil = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	p.holderView.AcceptHandover(e.message.GetFencingToken(), now)
 	p.takeOver(now, "its holder handed it over")
+	p.applyEffects(p.core.ResumeRuns(), now)
 	var jobs []scheduler.HandoverJob
 	for _, j := range e.message.GetJobs() {
 		p.node.recordLosses(j.GetRequest().GetLosses())
-		jobs = append(jobs, runningJobFrom(j, now))
+		job := runningJobFrom(j, p.node.longestLease(), now)
+		p.node.clearDeregistered(job.Tasks)
+		jobs = append(jobs, job)
 	}
 	p.applyEffects(p.core.ImportJobs(jobs, now), now)
 	p.log.Info("Jobs in progress were taken over.", "pool", p.name, "jobs", len(jobs))
 	e.answer <- receivedPool{claim: p.claimMessage()}
 }
 
+// clearDeregistered clears the targets of tasks that have deregistered, on which nothing
+// runs any more.
+func (n *Node) clearDeregistered(tasks []scheduler.HandoverTask) {
+	for i := range tasks {
+		if a, ok := n.announcements.get(tasks[i].Target); ok && a.Deregistered {
+			tasks[i].Target = ""
+		}
+	}
+}
+
 func runningJobMessage(j scheduler.HandoverJob, now time.Time) *fleetpb.RunningJob {
 	m := &fleetpb.RunningJob{Request: jobMessage(j.Job, now), Ran: j.HasStarted}
 	for _, t := range j.Tasks {
 		m.Tasks = append(m.Tasks, &fleetpb.Task{
 			Step: uint32(t.Step), Index: uint32(t.Index), Started: uint32(t.LastRunNumber), Failures: uint32(t.Failures),
-			Done: t.Done, Target: t.Target, Stopping: t.Stopping,
+			Done: t.Done, Target: t.Target, Stopping: t.Stopping, LeaseMs: uint32(t.LeaseRemaining.Milliseconds()) + 1,
 		})
 	}
 	return m
 }
 
-func runningJobFrom(m *fleetpb.RunningJob, now time.Time) scheduler.HandoverJob {
+// runningJobFrom returns the job that a message describes. Hosts of former releases do
+// not tell how long the leases of its runs may still be in force; longestLease stands for
+// it.
+func runningJobFrom(m *fleetpb.RunningJob, longestLease time.Duration, now time.Time) scheduler.HandoverJob {
 	j := scheduler.HandoverJob{Job: jobFrom(m.GetRequest(), now), HasStarted: m.GetRan()}
 	for _, t := range m.GetTasks() {
+		lease := longestLease
+		if t.GetLeaseMs() > 0 {
+			lease = time.Duration(t.GetLeaseMs()) * time.Millisecond
+		}
 		j.Tasks = append(j.Tasks, scheduler.HandoverTask{
 			Step: int(t.GetStep()), Index: int(t.GetIndex()), LastRunNumber: int(t.GetStarted()), Failures: int(t.GetFailures()),
-			Done: t.GetDone(), Target: t.GetTarget(), Stopping: t.GetStopping(),
+			Done: t.GetDone(), Target: t.GetTarget(), Stopping: t.GetStopping(), LeaseRemaining: lease,
 		})
 	}
 	return j
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -73,7 +73,7 @@
 	again := receive()
 	g.Expect(again.err).NotTo(HaveOccurred())
 	g.Expect(again.claim.GetFencingToken()).To(Equal(first.claim.GetFencingToken()))
-	g.Expect(p.core.ExportJobs()).To(BeEmpty(), "the job was imported again")
+	g.Expect(exportJobs(p)).To(BeEmpty(), "the job was imported again")
 
 	message.FencingToken = 3
 	stale := receive()
@@ -90,12 +90,12 @@
 	p.core.UpdateTarget(scheduler.Target{ID: "t", Service: "desk", Domain: "north", Incarnation: 1, Capacity: scheduler.Resources{CPUMilli: 8000}}, true, now)
 	answer := make(chan scheduler.Answer, 1)
 	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: answer}}.apply(p, now)
-	g.Expect(p.core.ExportJobs()).To(HaveLen(1))
+	g.Expect(exportJobs(p)).To(HaveLen(1))
 	tokenOfState := p.holderView.Claim().Token
 
 	p.handingOver = true
 	handedOverEvent{to: "127.0.0.1:2", outcome: handoverUnknown, done: make(chan struct{})}.apply(p, now)
-	g.Expect(p.core.ExportJobs()).To(BeEmpty(), "the job is continued here and may be continued there")
+	g.Expect(exportJobs(p)).To(BeEmpty(), "the job is continued here and may be continued there")
 	var a scheduler.Answer
 	g.Expect(answer).To(Receive(&a))
 	g.Expect(a.HandedOver).To(BeTrue(), "the job was answered as if it had not been handed over: %+v", a)
@@ -160,3 +160,51 @@
 	p.tick(now.Add(newPoolDelay))
 	g.Expect(p.sessions).To(HaveKey("t"))
 }
+
+func exportJobs(p *pool) []scheduler.HandoverJob {
+	return p.core.ExportJobs(func(string) time.Duration { return p.node.longestLease() }, time.Now())
+}
+
+// A host hands a pool over while a split moves one of its targets to another shard. The
+// new holder does not get that target, and started the task that ran there a second time.
+func TestAHandoverDuringASplitStartsNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	former, now := newHeldTestPool(t)
+	moved := Announcement{Target: scheduler.Target{ID: "moved", Service: "desk", Domain: "north", Incarnation: 1, Capacity: scheduler.Resources{CPUMilli: 8000}}, Sequence: 1, ReceivedAt: now}
+	for shards.ShardOf(moved.Target.ID, 2) != 1 {
+		moved.Target.ID += "-"
+	}
+	former.node.announcements.record(moved)
+	former.handleAnnouncement(moved, now)
+	former.core.SetClearing(moved.Target.ID, false, now)
+	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(former, now)
+	g.Expect(former.core.RunCount(moved.Target.ID)).To(Equal(2))
+	former.node.shardCounts["north"] = 2
+	former.releaseMovedTargets(now)
+
+	successor := newTestPool(t, "127.0.0.1:2")
+	kept := Announcement{Target: scheduler.Target{ID: "kept", Service: "desk", Domain: "north", Incarnation: 1, Capacity: scheduler.Resources{CPUMilli: 8000}}, Sequence: 1, ReceivedAt: now}
+	for shards.ShardOf(kept.Target.ID, 2) != 0 {
+		kept.Target.ID += "-"
+	}
+	successor.node.announcements.record(kept)
+	receivePoolEvent{message: former.stateMessage(now), answer: make(chan receivedPool, 1)}.apply(successor, now)
+	successor.applyEffects(successor.core.SetClearing(kept.Target.ID, false, now), now)
+	g.Expect(successor.core.RunCount(kept.Target.ID)).To(BeZero(), "the tasks run on the target that moves")
+	expired := now.Add(former.node.longestLease() + time.Millisecond)
+	successor.core.Tick(expired)
+	g.Expect(successor.core.RunCount(kept.Target.ID)).To(Equal(2), "the leases have expired")
+}
+
+// The holder of a new shard hands it over before it has taken its targets. The new holder
+// took them at once, and fenced the former pool, which still ran tasks there.
+func TestANewShardThatIsHandedOverStillWaitsForTheFormerPool(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	former, now := newHeldTestPool(t)
+	former.formerPoolUntil = now.Add(newPoolDelay)
+	successor := newTestPool(t, "127.0.0.1:2")
+	receivePoolEvent{message: former.stateMessage(now.Add(newPoolDelay / 4)), answer: make(chan receivedPool, 1)}.apply(successor, now.Add(newPoolDelay/4))
+	g.Expect(successor.formerPoolUntil).To(BeTemporally("~", now.Add(newPoolDelay), 2*time.Millisecond))
+}
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -149,7 +149,7 @@
 
 // leaseRemainingLocked is leaseRemaining for a caller that holds the lock.
 func (s *session) leaseRemainingLocked(now time.Time) time.Duration {
-	return s.leaseSentAt.Add(s.pool.node.config.MaxLease + leaseMargin).Sub(now)
+	return s.leaseSentAt.Add(s.pool.node.longestLease()).Sub(now)
 }
 
 func (s *session) leaseExpired(now time.Time) bool { return s.leaseRemaining(now) <= 0 }
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -127,7 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(n, shards.Pool{Domain: "north"})
 		starts := func() int {
-			jobs := p.core.ExportJobs()
+			jobs := exportJobs(p)
 			if len(jobs) == 0 {
 				return 0
 			}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -45,7 +45,8 @@
 	retainedAnswers map[string]retainedAnswer // by job id, of imported jobs
 	runTimes        runTimeEstimator
 	shares          fairShares
-	losses          *losses.Table // of targets, under tasks of any pool
+	losses          *losses.Table      // of targets, under tasks of any pool
+	detachedRuns    map[*run]time.Time // end of the lease by run
 }
 
 // NewCore returns a Core without targets.
@@ -53,7 +54,7 @@
 	if config.Losses == nil {
 		config.Losses = losses.NewTable()
 	}
-	return &Core{losses: config.Losses, config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
+	return &Core{losses: config.Losses, config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, detachedRuns: map[*run]time.Time{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
 }
 
 // drainEffects returns the effects emitted since the last call.
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -403,7 +403,7 @@
 	s := starts(former.Submit(newDeskJob("j", 3), 1, at(0)))
 	former.HandleRunEnded(s[0].Target, s[0].Run, EndDone, at(50))
 	successor := newCore(2)
-	g.Expect(starts(successor.ImportJobs(former.ExportJobs(), at(60)))).To(BeEmpty())
+	g.Expect(starts(successor.ImportJobs(former.ExportJobs(oneSecondLease, at(0)), at(60)))).To(BeEmpty())
 	for _, r := range replies(former.CompleteHandover("new")) {
 		g.Expect(r.Answer.HandedOver).To(BeTrue())
 	}
@@ -418,7 +418,7 @@
 	former := newCore(1)
 	former.Submit(newDeskJob("j", 1), 1, at(0))
 	successor := newCore(1)
-	successor.ImportJobs(former.ExportJobs(), at(10))
+	successor.ImportJobs(former.ExportJobs(oneSecondLease, at(0)), at(10))
 	g.Expect(stops(successor.Tick(at(1000)))).To(BeEmpty())
 	g.Expect(stops(successor.Tick(at(10).Add(handoverRetention + time.Millisecond)))).To(HaveLen(1))
 }
@@ -430,7 +430,7 @@
 	former, successor := newCore(2), newCore(2)
 	job := newDeskJob("j", 1)
 	g.Expect(starts(former.Submit(job, 1, at(0)))).To(HaveLen(1))
-	successor.ImportJobs(former.ExportJobs(), at(10))
+	successor.ImportJobs(former.ExportJobs(oneSecondLease, at(0)), at(10))
 	dropped := at(10).Add(handoverRetention + time.Millisecond)
 	successor.Tick(dropped)
 	job.Resubmitted = true
@@ -512,3 +512,48 @@
 	}
 	g.Expect(pauses).To(Equal([]time.Duration{minEjection, 2 * minEjection, 4 * minEjection, maxEjection, maxEjection}))
 }
+
+// oneSecondLease is the remaining lease of any target for ExportJobs.
+func oneSecondLease(string) time.Duration { return time.Second }
+
+// The domain was split, and the successor knows the target only as one of another shard.
+// The run goes on there until its lease expires.
+func TestATaskOnATargetThatTheSuccessorDoesNotKnowIsNotStartedTwiceAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	former, successor := newCore(1), NewCore(DefaultConfig())
+	g.Expect(starts(former.Submit(newDeskJob("j", 1), 1, at(0)))).To(HaveLen(1))
+	successor.UpdateTarget(newDeskTarget(1), false, at(0))
+	state := former.ExportJobs(func(string) time.Duration { return 400 * time.Millisecond }, at(100))
+	g.Expect(starts(successor.ImportJobs(state, at(110)))).To(BeEmpty(), "the run is in progress on t0")
+	successor.Submit(newDeskJob("j", 1), 2, at(120))
+	g.Expect(starts(successor.Tick(at(500)))).To(BeEmpty())
+
+	again := successor.ExportJobs(oneSecondLease, at(500)) // handed over once more meanwhile
+	g.Expect(again[0].Tasks[0].LeaseRemaining).To(Equal(10 * time.Millisecond))
+	g.Expect(starts(successor.Tick(at(510)))).To(HaveLen(1), "the lease has expired")
+}
+
+func TestATargetThatBecomesKnownTakesItsDetachedRunsOver(t *testing.T) {
+	g := NewWithT(t)
+	former, successor := newCore(1), NewCore(DefaultConfig())
+	s := starts(former.Submit(newDeskJob("j", 1), 1, at(0)))
+	successor.ImportJobs(former.ExportJobs(oneSecondLease, at(0)), at(0))
+	successor.Submit(newDeskJob("j", 1), 2, at(10))
+	successor.UpdateTarget(newDeskTarget(0), true, at(20))
+	g.Expect(successor.RecordProgress("t0", s[0].Run, 50, at(30))).To(BeTrue(), "the run would be stopped as an unknown one")
+	answers := replies(successor.HandleRunEnded("t0", s[0].Run, EndDone, at(100)))
+	g.Expect(answers).To(HaveLen(1))
+	g.Expect(answers[0].Answer.Outcome).To(Equal(Completed))
+	g.Expect(starts(successor.Tick(at(3000)))).To(BeEmpty())
+}
+
+// A handover is refused after the sessions with the targets were closed, so the answers
+// to the requests under way are lost. Their runs would hold their capacity for good.
+func TestRunsWhoseAnswersWereLostWithTheirSessionAreResolved(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(2)
+	s := starts(c.Submit(newDeskJob("j", 2), 1, at(0)))
+	c.HandleStartResult(s[1].Target, s[1].Run, Unanswered, at(60)) // its stop is under way
+	g.Expect(stops(c.ResumeRuns())).To(HaveLen(1), "the stop is requested again")
+	g.Expect(stops(c.StopUnlisted(s[0].Target, nil, at(800)))).To(HaveLen(1), "the start was lost")
+}
--- /dev/null
+++ b/internal/process/scheduler/detached.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// A detached run is a run of an imported job on a target that this pool does not have:
+// the target belongs to another shard since the domain was split, or has not announced
+// itself here. This host sends no requests to that target, so the run's task waits until
+// the leases that the former holder sent have expired. If the target becomes known here,
+// it takes its runs over.
+
+// detach records a run on an unknown target, whose lease has expired at leaseEnd.
+func (c *Core) detach(r *run, leaseEnd time.Time) { c.detachedRuns[r] = leaseEnd }
+
+// attachRuns moves the detached runs on a target to the target, which has become known.
+func (c *Core) attachRuns(t *target) {
+	for r := range c.detachedRuns {
+		if r.targetID == t.ID {
+			delete(c.detachedRuns, r)
+			t.addRun(r)
+		}
+	}
+}
+
+// expireDetachedRuns loses the detached runs whose leases have expired. Their tasks wait
+// again.
+func (c *Core) expireDetachedRuns(now time.Time) {
+	expired := slices.SortedFunc(maps.Keys(c.detachedRuns), compareRuns)
+	for _, r := range expired {
+		if now.Before(c.detachedRuns[r]) {
+			continue
+		}
+		delete(c.detachedRuns, r)
+		c.emit(RunLost{Target: r.targetID, Run: r.id, Cause: TargetMoved, Age: now.Sub(r.requestedAt)})
+		c.releaseRun(r)
+	}
+}
+
+// leaseRemaining returns how long the lease of a run may still be in force. ofTarget
+// returns it for the targets that are known here.
+func (c *Core) leaseRemaining(r *run, ofTarget func(targetID string) time.Duration, now time.Time) time.Duration {
+	if leaseEnd, ok := c.detachedRuns[r]; ok {
+		return max(0, leaseEnd.Sub(now))
+	}
+	return max(0, ofTarget(r.targetID))
+}
+
+// ResumeRuns prepares the runs for new sessions with their targets, in which the answers
+// to former requests are lost. A run whose start was not answered is expected in the
+// target's reports from now on, and each stop is requested again.
+func (c *Core) ResumeRuns() []Effect {
+	for _, id := range c.targetIDs {
+		for _, r := range c.targets[id].sortedRuns() {
+			switch r.state {
+			case starting:
+				r.state = running
+			case stopping:
+				c.emit(Stop{Target: id, Run: r.id, Reason: "the answer to the stop request was lost"})
+			}
+		}
+	}
+	return c.drainEffects()
+}
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -14,6 +14,8 @@
 	Done          bool
 	Target        string // id of the target of the run in progress; empty if the task waits
 	Stopping      bool   // the run in progress is being stopped
+	// LeaseRemaining is how long the lease of the run in progress may still be in force.
+	LeaseRemaining time.Duration
 }
 
 // HandoverJob is a job in progress that the new holder of a pool continues.
@@ -28,8 +30,9 @@
 const handoverRetention = 2 * time.Second
 
 // ExportJobs returns the jobs in progress for a handover, ordered by id. It does not
-// change them; see CompleteHandover.
-func (c *Core) ExportJobs() []HandoverJob {
+// change them; see CompleteHandover. leaseRemaining returns how long the leases that were
+// sent to a target may still be in force.
+func (c *Core) ExportJobs(leaseRemaining func(targetID string) time.Duration, now time.Time) []HandoverJob {
 	var out []HandoverJob
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		s := c.jobs[id]
@@ -39,6 +42,7 @@
 			if t.run != nil {
 				task.Target = t.run.targetID
 				task.Stopping = t.run.state == stopping
+				task.LeaseRemaining = c.leaseRemaining(t.run, leaseRemaining, now)
 			}
 			h.Tasks = append(h.Tasks, task)
 		}
@@ -48,9 +52,7 @@
 }
 
 // ImportJobs adds the jobs in progress of a former holder, except those already
-// known. All targets of the pool must be known before: a task with a run on an unknown
-// target would start a second time. The callers' hosts submit these jobs again, which
-// adds waiters to the jobs.
+// known. The callers' hosts submit these jobs again, which adds waiters to the jobs.
 func (c *Core) ImportJobs(jobs []HandoverJob, now time.Time) []Effect {
 	for _, h := range jobs {
 		if _, known := c.jobs[h.Job.ID]; known {
@@ -73,8 +75,8 @@
 	return c.drainEffects()
 }
 
-// importTask restores a task. Its run counts as in progress only if the target is
-// known here; otherwise the task waits.
+// importTask restores a task. A run on a target that is not known here is detached: its
+// task must not start again while the run may be in progress.
 func (c *Core) importTask(s *jobState, h HandoverTask, now time.Time) {
 	t := s.taskOf(Run{Step: h.Step, Index: h.Index})
 	if t == nil {
@@ -85,8 +87,7 @@
 		return
 	}
 	s.unfinishedTasks++
-	to, known := c.targets[h.Target]
-	if h.Target == "" || !known {
+	if h.Target == "" {
 		s.pendingTasks++
 		return
 	}
@@ -96,7 +97,11 @@
 		need: step.Need, targetID: h.Target, requestedAt: now, state: running, confirmed: true, estimate: step.Estimate,
 	}
 	t.run = r
-	to.addRun(r)
+	if to, known := c.targets[h.Target]; known {
+		to.addRun(r)
+	} else {
+		c.detach(r, now.Add(h.LeaseRemaining))
+	}
 	if h.Stopping {
 		c.stopRun(r, "the former holder was stopping it")
 	}
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -18,6 +18,7 @@
 		c.targets[t.ID] = newTarget(t)
 		c.targetIDs = append(c.targetIDs, t.ID)
 		slices.Sort(c.targetIDs)
+		c.attachRuns(c.targets[t.ID])
 	case known.Incarnation < t.Incarnation || known.Address != t.Address:
 		c.handleRestart(known, t, now)
 	default:
--- a/internal/process/scheduler/loss_test.go
+++ b/internal/process/scheduler/loss_test.go
@@ -235,7 +235,7 @@
 }
 
 func (m *deadlyModel) handOver() {
-	state, reported := m.holder.ExportJobs(), m.holder.losses.OfJob("j")
+	state, reported := m.holder.ExportJobs(oneSecondLease, at(m.now)), m.holder.losses.OfJob("j")
 	m.replaceHolder(reported)
 	m.handle(m.holder.ImportJobs(state, at(m.now)))
 	m.submit()
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -122,6 +122,7 @@
 // runs and places waiting tasks.
 func (c *Core) Tick(now time.Time) []Effect {
 	c.expireHandedOver(now)
+	c.expireDetachedRuns(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
 		if !c.giveUpDeadly(s) {
 			c.reviewWaiting(s, now)
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -102,10 +102,12 @@
 // sortedRuns returns the runs in a fixed order, so that equal inputs produce equal
 // effects.
 func (t *target) sortedRuns() []*run {
-	return slices.SortedFunc(maps.Values(t.runs), func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step),
-			cmp.Compare(a.id.Index, b.id.Index), cmp.Compare(a.id.Number, b.id.Number))
-	})
+	return slices.SortedFunc(maps.Values(t.runs), compareRuns)
+}
+
+func compareRuns(a, b *run) int {
+	return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step),
+		cmp.Compare(a.id.Index, b.id.Index), cmp.Compare(a.id.Number, b.id.Number))
 }
 
 // free returns the capacity that runs don't use.
