Charge the budget of spurious timeouts when a start is given up

Cause: the budget counted a spurious timeout once its late answer had come.

Change: a request is charged when it is given up. The charge is refunded if the target does not answer at all, and stays spent if the answer comes late. A request that the budget withholds from being given up waits its whole time, and counts in the estimate with the timeout that was estimated for it. Counters: starts_given_up (late, silent) and start_timeouts_withheld.

--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -36,6 +36,20 @@
 	m.scope.Tagged(map[string]string{"result": r.String()}).Counter("starts").Inc(1)
 }
 
+// recordGivenUpStart counts a start request that was given up before its answer, by
+// whether the target answered it late or not at all.
+func (m *poolMetrics) recordGivenUpStart(answered bool) {
+	result := "silent"
+	if answered {
+		result = "late"
+	}
+	m.scope.Tagged(map[string]string{"result": result}).Counter("starts_given_up").Inc(1)
+}
+
+// recordWithheldStartTimeout counts a start request that was not given up because the
+// budget of spurious timeouts is used up.
+func (m *poolMetrics) recordWithheldStartTimeout() { m.scope.Counter("start_timeouts_withheld").Inc(1) }
+
 // recordLoss counts a run that was lost with its target.
 func (m *poolMetrics) recordLoss(c scheduler.LossCause) {
 	m.scope.Tagged(map[string]string{"cause": c.String()}).Counter("runs_lost").Inc(1)
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -32,17 +32,22 @@
 }
 
 // awaitStart waits for the answer to a start request. It gives the request up once the
-// start timeout has passed, and still passes on the result if that comes later.
+// start timeout has passed and the budget allows it, and still passes on the result if
+// that comes later.
 func (s *session) awaitStart(run scheduler.Run, sentAt time.Time, answer <-chan scheduler.StartResult) {
 	timeouts := &s.pool.startTimeout
-	timeout := timeouts.get()
+	estimated := timeouts.get()
+	timeout := estimated // later the whole time if the budget does not allow less
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	givenUp, paused := false, false
 	for {
 		select {
 		case result := <-answer:
-			timeouts.observeAnswer(result, time.Since(sentAt), timeout, givenUp)
+			timeouts.observeAnswer(result, time.Since(sentAt), estimated, givenUp)
+			if givenUp {
+				s.pool.metrics.recordGivenUpStart(result != scheduler.Unanswered)
+			}
 			if result != scheduler.Unanswered || !givenUp {
 				s.handleStartResult(run, result)
 			}
@@ -54,6 +59,9 @@
 			case late > timerSlack && !paused:
 				paused = true // this host was: the answer may have arrived meanwhile
 				timer.Reset(min(late, timeout))
+			case !timeouts.tryGiveUp():
+				s.pool.metrics.recordWithheldStartTimeout()
+				timeout = maxStartTimeout
 			default:
 				givenUp = true
 				s.handleStartResult(run, scheduler.Unanswered)
--- a/internal/process/fleet/starttimeout.go
+++ b/internal/process/fleet/starttimeout.go
@@ -21,7 +21,8 @@
 	// spuriousTimeoutShare is the share of start requests that may be given up although
 	// their answer is only late, and maxSpuriousTimeouts how many of these may be saved
 	// up. Each costs a stop, a report and a second start. On a link that is nearly full,
-	// these would delay further answers.
+	// these would delay further answers. Requests whose answer is still open count as
+	// spurious, because a burst is given up before the first late answer comes.
 	spuriousTimeoutShare = 0.01
 	maxSpuriousTimeouts  = 5
 )
@@ -36,6 +37,7 @@
 	mean      time.Duration // moving average of answer times; zero before the first
 	deviation time.Duration // moving average of their absolute differences from mean
 	spurious  float64       // spurious timeouts that are not made up for by later requests
+	open      int           // requests given up of which it is not known yet whether the target answers late
 }
 
 // recordRequest records that a request is sent.
@@ -45,31 +47,52 @@
 	s.spurious = max(0, s.spurious-spuriousTimeoutShare)
 }
 
-// observeAnswer records the result of a request that took so long, for which timeout was
-// to be waited, and whether it had been given up.
+// tryGiveUp reports whether a request may be given up before its answer, and charges the
+// budget for it. observeAnswer settles the charge.
+func (s *startTimeout) tryGiveUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.exhausted() {
+		return false
+	}
+	s.open++
+	return true
+}
+
+// exhausted reports whether no further request may be given up. The caller holds the lock.
+func (s *startTimeout) exhausted() bool { return s.spurious+float64(s.open) > maxSpuriousTimeouts-1 }
+
+// observeAnswer records the result of a request that took so long, for which the
+// estimate was timeout, and whether it had been given up. The charge for a request that was given
+// up is refunded if the target did not answer at all.
 func (s *startTimeout) observeAnswer(result scheduler.StartResult, took, timeout time.Duration, givenUp bool) {
-	if result == scheduler.Unanswered {
+	answered := result != scheduler.Unanswered
+	if answered {
+		s.observe(took)
+	} else {
 		s.observeUnanswered(timeout)
-		return
 	}
-	s.observe(took)
 	if givenUp {
-		s.recordSpuriousTimeout()
+		s.settle(answered)
 	}
 }
 
-// recordSpuriousTimeout records that a request was answered after it had been given up.
-func (s *startTimeout) recordSpuriousTimeout() {
+// settle ends the charge for a request that was given up. It stays spent if the answer
+// came late.
+func (s *startTimeout) settle(answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.spurious++
+	s.open--
+	if answered {
+		s.spurious++
+	}
 }
 
 // get returns the time to wait for an answer.
 func (s *startTimeout) get() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mean == 0 || s.spurious > maxSpuriousTimeouts-1 {
+	if s.mean == 0 || s.exhausted() {
 		return maxStartTimeout
 	}
 	return min(max(s.mean+deviationFactor*s.deviation, minStartTimeout), maxStartTimeout)
--- a/internal/process/fleet/starttimeout_test.go
+++ b/internal/process/fleet/starttimeout_test.go
@@ -47,16 +47,17 @@
 		timeout := s.get()
 		switch {
 		case isSilent:
-			if timeout < maxStartTimeout {
+			givenUp := timeout < maxStartTimeout && s.tryGiveUp()
+			if givenUp {
 				silent++
 			}
-			s.observeUnanswered(timeout)
+			s.observeAnswer(scheduler.Unanswered, maxStartTimeout, timeout, givenUp)
 		default:
-			s.observe(took)
-			if took > timeout && timeout < maxStartTimeout {
+			givenUp := took > timeout && timeout < maxStartTimeout && s.tryGiveUp()
+			if givenUp {
 				spurious++
-				s.recordSpuriousTimeout()
 			}
+			s.observeAnswer(scheduler.Started, took, timeout, givenUp)
 		}
 	}
 	return silent, spurious
@@ -97,6 +98,48 @@
 	return scheduler.Started, 0
 }
 
+// All starts of a burst pass the start timeout before the first late answer shows that the
+// targets are only slow. The budget counted late answers alone, so each start was given up
+// and its task started twice.
+func TestABurstOfLateAnswersIsGivenUpWithinTheBudget(t *testing.T) {
+	n := newTestPool(t, "127.0.0.1:1").node
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const requests = 220
+		p := newPool(n, shards.Pool{Domain: "north"})
+		p.startTimeout.observe(time.Millisecond)
+		p.node.config.Targets = slowTarget{cancelled: make(chan error, requests)}
+		s := newSession(p, deskTargetAnnouncement(1, 4000, time.Now()))
+		s.ctx, s.cancel = context.WithCancel(t.Context())
+		for i := range requests {
+			s.requestStart(scheduler.Start{Target: "t", Run: scheduler.Run{Job: "j", Index: i, Number: 1}})
+		}
+		time.Sleep(maxStartTimeout)
+		synctest.Wait()
+		g.Expect(len(p.events)-requests).To(And(BeNumerically(">", 0), BeNumerically("<=", maxSpuriousTimeouts)), "starts given up, beside one late answer for each")
+		g.Expect(p.startTimeout.open).To(BeZero(), "a charge is not settled")
+		s.close()
+		close(p.stopped)
+	})
+}
+
+// A target that answers nothing uses none of the budget: five starts there are given up
+// early, and so is each later one.
+func TestAStartThatIsNeverAnsweredIsRefunded(t *testing.T) {
+	g := NewWithT(t)
+	var s startTimeout
+	s.observe(time.Millisecond)
+	for range 20 {
+		for range maxSpuriousTimeouts {
+			g.Expect(s.tryGiveUp()).To(BeTrue())
+		}
+		g.Expect(s.tryGiveUp()).To(BeFalse(), "more starts than the budget are open")
+		for range maxSpuriousTimeouts {
+			s.observeAnswer(scheduler.Unanswered, maxStartTimeout, minStartTimeout, true)
+		}
+	}
+}
+
 func TestAStartThatIsAnsweredLateKeepsItsConnection(t *testing.T) {
 	n := newTestPool(t, "127.0.0.1:1").node
 	synctest.Test(t, func(t *testing.T) {
