Let a started host hear from leaving hosts of its domain before it claims

Cause, from traces of TestANewlyStartedHostTakesAShardWithItsRunningTasks (two times six runs of the package at once, two processors each, -race): a host that stops does not know the host that has just started in its domain, so it hands its pool over to a host of another domain. The started host knows the stopping one from a list, has not heard from it, and did not wait for it because it is leaving. It claimed the pool 265 ms after the hand-over, and the host of the other domain lost it with its jobs ("another host took the pool over"). In a second trace the started host learned of the holder from a list 1.6 s after its start, and its wait for the holder's hello message ended at 2 s.

In both traces that host held the pool by a regular hand-over or not at all.

Shown failing first: TestAStartedHostHearsFromALeavingHostBeforeItClaims, with the former awaitsHello, claims the pool.

--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/discovery"
 	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
@@ -88,17 +89,22 @@
 // awaitsHello reports whether this host has just started and has not yet heard from an
 // entry host of a domain that is alive by the lists of others and started long before.
 // That host may hold a pool of the domain, and a claim with a higher token would take it
-// away with its jobs. Hosts that have started together need not wait for each other.
+// away with its jobs. A host that is leaving may hold one too, or hand it over to a host
+// that this one has not heard from. Hosts that have started together need not wait for
+// each other.
 func (n *Node) awaitsHello(domain string, now time.Time) bool {
-	if now.Sub(n.startedAt) > claimAloneDelay {
+	if now.Sub(n.startedAt) > maxHelloWait {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.ContainsFunc(n.aliveEntryHosts(domain, now), func(address string) bool {
-		h, _, _ := n.hostTable.Get(address, now)
+	return slices.ContainsFunc(n.hostTable.All(now), func(h discovery.Host) bool {
+		if !h.Entry || h.Domain != domain || n.heardDirectly[h.Address] {
+			return false
+		}
+		_, age, _ := n.hostTable.Get(h.Address, now)
 		startedBefore := int64(n.config.Self.Incarnation) - int64(h.Incarnation)
-		return !n.heardDirectly[address] && startedBefore > startPhase.Milliseconds()
+		return age <= n.aliveWindow(h) && startedBefore > startPhase.Milliseconds()
 	})
 }
 
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -51,6 +51,25 @@
 	g.Expect(p.heldHere.Load()).To(BeTrue())
 }
 
+// The holder of a pool is leaving while another host of its domain starts, and does not
+// know that host yet. It hands the pool over to another domain, and the started host, which
+// had not heard from either, took the pool from there with its jobs.
+func TestAStartedHostHearsFromALeavingHostBeforeItClaims(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	leaving := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 1, Leaving: true}
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{leaving}})
+	p.decideClaim(n.startedAt)
+	listened := n.startedAt.Add(2 * claimListenTime)
+	p.decideClaim(listened)
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "claimed a pool that the leaving host may be handing over")
+	n.receiveHello(&fleetpb.Greeting{From: leaving})
+	p.decideClaim(listened.Add(time.Millisecond))
+	g.Expect(p.heldHere.Load()).To(BeTrue())
+}
+
 // After a loss of power, the hosts of a domain start together. None holds a pool, so none
 // waits for another that is slow to say hello.
 func TestHostsThatStartTogetherDoNotWaitForEachOther(t *testing.T) {
