Let a started host know a claim as soon as it has heard from the holder

Change: for the time in which a started host waits for hello messages, the pool looks up the claim where the message was recorded, under the same lock.

Shown failing first: without the look-up, TestAStartedHostKnowsTheClaimAsSoonAsItHasHeardFromItsHolder takes the pool.

--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -208,6 +208,9 @@
 	if p.holderView.HeldHere() || p.node.awaitsHello(p.id.Domain, now) {
 		return
 	}
+	if c, ok := p.node.claimHeardAtStart(p.name, now); ok {
+		p.holderView.RecordClaim(c)
+	}
 	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.isAlive(host) }
 	var candidates []string // not needed while there is a holder
 	if h := p.holderView.Claim().Holder; h == "" || !alive(h) {
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -7,6 +7,7 @@
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/holder"
 	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
@@ -108,6 +109,19 @@
 	})
 }
 
+// claimHeardAtStart returns the claim on a pool that this host has heard of since it
+// started, while it has just started. The pool's goroutine may process the event that
+// tells it of the claim only after awaitsHello has ended its wait.
+func (n *Node) claimHeardAtStart(pool string, now time.Time) (holder.Claim, bool) {
+	if now.Sub(n.startedAt) > maxHelloWait {
+		return holder.Claim{}, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c, ok := n.claims[pool]
+	return c.claim, ok
+}
+
 // holderCandidates returns the entry hosts that may hold a pool, in order of
 // preference: those of its domain by address, starting with a different one for each
 // shard; if there are none, those of all domains, starting at an offset that differs
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -51,6 +51,21 @@
 	g.Expect(p.heldHere.Load()).To(BeTrue())
 }
 
+// The hello message of a holder ends the wait of a started host for it. The host claimed the
+// pool if it looked before its pool had processed the claim in that message.
+func TestAStartedHostKnowsTheClaimAsSoonAsItHasHeardFromItsHolder(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	holder := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 1}
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{holder}})
+	p.decideClaim(n.startedAt)
+	n.receiveHello(&fleetpb.Greeting{From: holder, Claims: []*fleetpb.Claim{{Pool: "north", Holder: holder.GetAddress(), FencingToken: 9}}})
+	p.decideClaim(n.startedAt.Add(2 * claimListenTime))
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "took the pool from its holder")
+}
+
 // The holder of a pool is leaving while another host of its domain starts, and does not
 // know that host yet. It hands the pool over to another domain, and the started host, which
 // had not heard from either, took the pool from there with its jobs.
