Start suspects alone and decide them soon

Cause: a task under which a target was lost was started beside other tasks, which were lost with it again, and once two lost targets might have crashed its job was held until their verdict or its deadline.

Change: a task with a lost target that may have crashed is started on a target without other runs, and nothing is started beside it. On a full pool a target is reserved for it, for at most one in eight targets of the service, and one in all for jobs that are late. The new holder of a pool keeps such runs alone. A job whose suspect must wait for a verdict is answered as broken once it can no longer meet its objective. A job that its caller sends again after a target was lost under it is not answered as refused any more, as it has run. Each decision is logged and counted (suspects by decision). Nothing changes for tasks without a loss.

Shown failing first, with the code broken for each: canStart without the check (TestNoRunIsBesideThatOfASuspect: a target has 2 runs, one of them of a suspect), suspects started beside others (TestASuspectGetsATargetOfItsOwnOnAFullPool), no reservation (the same), the load counts withheld targets (TestASuspectIsStartedAloneAndNothingBesideIt), an import that isolates nothing (TestASuspectStaysAloneWhenItsPoolIsHandedOver), a job held to its deadline (TestAJobThatAwaitsAVerdictIsAnsweredOnceItsObjectiveCannotBeMet), no limit of reservations and survivors kept as suspects (TestNoRunIsBesideThatOfASuspect), a refusal of a job that has run (TestAJobThatHasRunIsNotRefusedWhenItIsSentAgain).

--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -55,6 +55,11 @@
 	m.scope.Tagged(map[string]string{"cause": c.String()}).Counter("runs_lost").Inc(1)
 }
 
+// recordSuspect counts a decision about a task under which a target was lost.
+func (m *poolMetrics) recordSuspect(d scheduler.SuspectDecision) {
+	m.scope.Tagged(map[string]string{"decision": d.String()}).Counter("suspects").Inc(1)
+}
+
 // recordLoad sets the numbers of tasks that would start at once and that wait.
 func (m *poolMetrics) recordLoad(free, queued int) {
 	m.freeTasks.Update(float64(free))
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -358,6 +358,10 @@
 				"born", e.Incarnation, "cause", e.Cause.String(), "other_runs", e.OtherRuns, "age", e.Age)
 		case scheduler.LossRecorded:
 			p.node.reportLoss(e.Loss, p.id.Domain)
+		case scheduler.SuspectDecided:
+			p.metrics.recordSuspect(e.Decision)
+			p.log.Info(e.Decision.Message(), "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target,
+				"decision", e.Decision.String(), "crashed", e.Losses.Crashed, "unresolved", e.Losses.Unresolved, "age", e.Age)
 		case scheduler.Reply:
 			p.reply(e, now)
 		case scheduler.LogEntry:
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -93,6 +93,9 @@
 // startableNow reports whether all tasks of the job's steps without dependencies
 // would start now. Waiting jobs are ignored: they would have started if they fitted.
 func (c *Core) startableNow(s *jobState, now time.Time) bool {
+	if !c.suspectsStartable(s, now) {
+		return false
+	}
 	for _, step := range s.Steps {
 		if len(step.After) == 0 && c.countStartable(s.Service, step, now) < step.Count {
 			return false
@@ -153,7 +156,7 @@
 func (c *Core) freeTasks(service string, now time.Time) int {
 	n := 0
 	for _, t := range c.targets {
-		if (service == "" || t.Service == service) && t.usable(now) {
+		if (service == "" || t.Service == service) && t.usable(now) && !t.withheld() {
 			n += int(float64(max(0, t.free().CPUMilli)) / c.typicalNeed.cpuMilli) // negative once the capacity has shrunk below what runs
 		}
 	}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -47,6 +47,7 @@
 	shares          fairShares
 	losses          *losses.Table      // of targets, under tasks of any pool
 	detachedRuns    map[*run]time.Time // end of the lease by run
+	reservations    map[*task]reservation
 }
 
 // NewCore returns a Core without targets.
@@ -54,7 +55,7 @@
 	if config.Losses == nil {
 		config.Losses = losses.NewTable()
 	}
-	return &Core{losses: config.Losses, config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, detachedRuns: map[*run]time.Time{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
+	return &Core{losses: config.Losses, config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, detachedRuns: map[*run]time.Time{}, reservations: map[*task]reservation{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
 }
 
 // drainEffects returns the effects emitted since the last call.
@@ -91,7 +92,7 @@
 		return c.drainEffects()
 	}
 	if answer, ok := c.admit(s, now); !ok {
-		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: answer})
+		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: c.refusalOf(s, answer)})
 		return c.drainEffects()
 	}
 	for _, st := range j.Steps {
--- a/internal/process/scheduler/forecast.go
+++ b/internal/process/scheduler/forecast.go
@@ -37,16 +37,19 @@
 		if until := t.blockedUntil(); until.After(now) {
 			earliest = until
 		}
+		if t.withheld() {
+			for range int(float64(t.Capacity.CPUMilli) / c.typicalNeed.cpuMilli) {
+				out = append(out, t.idleAt(earliest))
+			}
+			continue
+		}
 		free := int(math.Floor(float64(t.free().CPUMilli) / c.typicalNeed.cpuMilli))
 		for range free {
 			out = append(out, earliest)
 		}
 		var ends []time.Time
 		for _, r := range t.runs {
-			end := r.requestedAt.Add(time.Duration(float64(r.estimate) * t.slowdown))
-			if end.Before(now) {
-				end = now.Add(r.estimate / 4) // overdue: nothing better is known than a quarter
-			}
+			end := t.expectedEnd(r, now)
 			if end.Before(earliest) {
 				end = earliest
 			}
@@ -59,6 +62,26 @@
 	return out
 }
 
+// expectedEnd estimates when a run on the target ends.
+func (t *target) expectedEnd(r *run, now time.Time) time.Time {
+	end := r.requestedAt.Add(time.Duration(float64(r.estimate) * t.slowdown))
+	if end.Before(now) {
+		return now.Add(r.estimate / 4) // overdue: nothing better is known than a quarter
+	}
+	return end
+}
+
+// idleAt estimates when the last run on the target ends; now if there is none.
+func (t *target) idleAt(now time.Time) time.Time {
+	idleAt := now
+	for _, r := range t.runs {
+		if end := t.expectedEnd(r, now); end.After(idleAt) {
+			idleAt = end
+		}
+	}
+	return idleAt
+}
+
 // freeTimes is a min-heap of the times at which slots become free.
 type freeTimes []time.Time
 
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -67,6 +67,7 @@
 			c.importTask(s, t, now)
 		}
 		c.recallLosses(s)
+		c.isolateRuns(s)
 		if s.pendingTasks > 0 {
 			c.enqueue(s)
 		}
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
@@ -72,6 +73,21 @@
 	return longest
 }
 
+// pathFrom returns the estimated run time of the longest chain of dependent steps that
+// begins with a step.
+func (j Job) pathFrom(first int) time.Duration {
+	longest := make([]time.Duration, len(j.Steps))
+	for step := len(j.Steps) - 1; step >= first; step-- {
+		for later := step + 1; later < len(j.Steps); later++ {
+			if slices.Contains(j.Steps[later].After, step) {
+				longest[step] = max(longest[step], longest[later])
+			}
+		}
+		longest[step] += j.Steps[step].Estimate
+	}
+	return longest[first]
+}
+
 // Objective returns the time after arrival within which the job's answer has its
 // full value.
 func (j Job) Objective() time.Duration {
--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -131,13 +131,12 @@
 }
 
 // giveUpDeadly answers a job with a deadly task, and reports whether there is one.
-func (c *Core) giveUpDeadly(s *jobState) bool {
+func (c *Core) giveUpDeadly(s *jobState, now time.Time) bool {
 	t := c.deadlyTask(s)
 	if t == nil {
 		return false
 	}
-	id := Run{Job: s.ID, Step: t.step, Index: t.index}
-	c.emit(LogEntry{Message: "A task was given up.", Job: s.ID, Reason: fmt.Sprintf("%d targets have crashed under task %s", c.lossCount(s, t).Crashed, id.TaskID())})
+	c.emitSuspect(SuspectGivenUp, s, t, "", now)
 	c.answerJob(s, crashedAnswer)
 	return true
 }
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -14,6 +14,7 @@
 // placeTasks starts waiting tasks in queue order while targets have free capacity,
 // and removes jobs without waiting tasks from the queue.
 func (c *Core) placeTasks(now time.Time) {
+	c.reviewReservations(now)
 	tried := 0
 	maxFree := c.maxFreeCPUMilli(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
@@ -32,7 +33,7 @@
 func (c *Core) maxFreeCPUMilli(now time.Time) int64 {
 	var maxFree int64
 	for _, t := range c.targets {
-		if t.usable(now) {
+		if t.usable(now) && !t.withheld() {
 			maxFree = max(maxFree, t.free().CPUMilli)
 		}
 	}
@@ -46,6 +47,10 @@
 		if t.done || t.run != nil || !s.ready(t) || !c.mayStart(s, t) {
 			continue
 		}
+		if c.isSuspect(s, t) {
+			started = c.startSuspect(s, t, now) || started
+			continue
+		}
 		if s.Steps[t.step].Need.CPUMilli > maxFree {
 			return started
 		}
@@ -59,14 +64,21 @@
 	return started
 }
 
-// bestTarget returns the target for a task, or nil if none can start it now. The
-// target of the task's last run is used only if no other target can start it.
+// bestTarget returns the target for a task, or nil if none can start it now.
 func (c *Core) bestTarget(s *jobState, t *task, now time.Time) *target {
+	step := s.Steps[t.step]
+	return c.chooseTarget(s, t, func(candidate *target) bool { return candidate.canStart(step, now) })
+}
+
+// chooseTarget returns the best target for a task among those that can start it, or nil
+// if there is none. The target of the task's last run is used only if no other target can
+// start it.
+func (c *Core) chooseTarget(s *jobState, t *task, canStart func(*target) bool) *target {
 	step := s.Steps[t.step]
 	var best, avoided *target
 	for _, id := range c.targetIDs {
 		candidate := c.targets[id]
-		if candidate.Service != s.Service || !candidate.canStart(step, now) {
+		if candidate.Service != s.Service || !canStart(candidate) {
 			continue
 		}
 		if step.AntiAffinity > 0 && s.countRunsOn(t.step, id) >= step.AntiAffinity {
@@ -124,7 +136,7 @@
 	c.expireHandedOver(now)
 	c.expireDetachedRuns(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
-		if !c.giveUpDeadly(s) {
+		if !c.giveUpDeadly(s, now) && !c.answerHeld(s, now) {
 			c.reviewWaiting(s, now)
 		}
 	}
@@ -145,7 +157,7 @@
 		c.reviewStarted(s, now)
 		return
 	}
-	c.answerJob(s, c.newRefusal(failure.DeadlineTooShort, "no capacity became free before the latest start", now))
+	c.answerJob(s, c.refusalOf(s, c.newRefusal(failure.DeadlineTooShort, "no capacity became free before the latest start", now)))
 }
 
 // reviewStarted moves a started job that is late behind all others in the queue, and
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -49,6 +49,8 @@
 	unresponsiveUntil    time.Time // gets no work before this unless it answers
 	slowdown             float64   // moving average of run time divided by estimate
 	clearing             bool      // gets no work: runs of a former holder may still be there
+	aloneRuns            int       // runs beside which nothing is started
+	reservedFor          *task     // suspect that gets the target once it is idle; nil for none
 }
 
 // run is one execution of a task, from the start request until it ended or was
@@ -60,6 +62,7 @@
 	requestedAt  time.Time // when the start was requested, or the run imported
 	state        runState
 	estimate     time.Duration
+	alone        bool      // of a suspect; nothing is started beside it
 	confirmed    bool      // the target has answered that it started the run, or listed it
 	lost         bool      // with a former incarnation of the target; only its stop is awaited
 	percentDone  int       // as reported last
@@ -134,12 +137,18 @@
 func (t *target) addRun(r *run) {
 	t.runs[r.id] = r
 	t.used = t.used.Plus(r.need)
+	if r.alone {
+		t.aloneRuns++
+	}
 }
 
 func (t *target) removeRun(r *run) {
 	if _, ok := t.runs[r.id]; ok {
 		delete(t.runs, r.id)
 		t.used = t.used.Minus(r.need)
+		if r.alone {
+			t.aloneRuns--
+		}
 	}
 }
 
@@ -215,7 +224,7 @@
 // canStart reports whether a task of the step may start on the target now. A target
 // that is being probed or has unanswered requests gets one run at a time.
 func (t *target) canStart(s Step, now time.Time) bool {
-	if !t.usable(now) || !t.free().Covers(s.Need) {
+	if t.withheld() || !t.usable(now) || !t.free().Covers(s.Need) {
 		return false
 	}
 	if (t.probing() || t.unansweredCount > 0) && len(t.runs) > 0 {
