Let a host that starts shortly after another one wait for its hello message

Hosts whose starts are up to 3 s apart did not wait for each other, though a host claims pools 0.3 s after its start. The holder's jobs were answered "another host took the pool over".

The wait ends with the hello message, so it costs a round trip where the link works.

Shown failing first: TestAStartedHostHearsFromAHostThatStartedShortlyBefore, with 3 s, claims the pool.

--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -88,7 +88,7 @@
 }
 
 // awaitsHello reports whether this host has just started and has not yet heard from an
-// entry host of a domain that is alive by the lists of others and started long before.
+// entry host of a domain that is alive by the lists of others and started before it.
 // That host may hold a pool of the domain, and a claim with a higher token would take it
 // away with its jobs. A host that is leaving may hold one too, or hand it over to a host
 // that this one has not heard from. Hosts that have started together need not wait for
@@ -105,7 +105,7 @@
 		}
 		_, age, _ := n.hostTable.Get(h.Address, now)
 		startedBefore := int64(n.config.Self.Incarnation) - int64(h.Incarnation)
-		return age <= n.aliveWindow(h) && startedBefore > startPhase.Milliseconds()
+		return age <= n.aliveWindow(h) && startedBefore > startedTogether.Milliseconds()
 	})
 }
 
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -51,6 +51,20 @@
 	g.Expect(p.heldHere.Load()).To(BeTrue())
 }
 
+// A host that has started a little later than another one did not wait for its hello
+// message, and took the pools that the other one had claimed in between.
+func TestAStartedHostHearsFromAHostThatStartedShortlyBefore(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	holder := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: n.config.Self.Incarnation - 1500}
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{holder}})
+	p.decideClaim(n.startedAt)
+	p.decideClaim(n.startedAt.Add(2 * claimListenTime))
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "claimed a pool that the other host may hold")
+}
+
 // The hello message of a holder ends the wait of a started host for it. The host claimed the
 // pool if it looked before its pool had processed the claim in that message.
 func TestAStartedHostKnowsTheClaimAsSoonAsItHasHeardFromItsHolder(t *testing.T) {
