Check that no task runs twice when pools change hands in random orders

The test runs the pools of three hosts in the time of a bubble, against the in-memory targets, and draws hand-overs (the state arrives, twice, late, not at all, is refused, or its answer is lost), splits that one host knows first, claims of hosts that do not hear from each other, losses of hosts and targets, and lost, late and doubled start and stop messages. It also requires that pools changed hands with runs that were starting, running, stopping and on targets that move to another shard.

--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -85,7 +85,7 @@
 }
 
 // targetClockStart is the origin of the clock of all targets.
-var targetClockStart = time.Now()
+var targetClockStart = time.Unix(0, 0) // before the time of a test in a bubble
 
 func targetClockMS() int64 { return time.Since(targetClockStart).Milliseconds() + 1 }
 
@@ -147,6 +147,9 @@
 	if request.Run.Number <= target.highest[request.Run.TaskID()] {
 		return scheduler.Outdated, targetClockMS()
 	}
+	if _, ok := target.running[request.Run]; ok {
+		return scheduler.Started, targetClockMS() // the request came twice
+	}
 	for id, other := range f.byID {
 		f.endExpired(id)
 		for r := range other.running {
--- /dev/null
+++ b/internal/process/fleet/handover_property_test.go
@@ -0,0 +1,322 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/fleet"
+	"wasabifield.example/wasabifield/internal/process/metrics"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/process/shards"
+)
+
+// lossyTargets lose, delay and double messages between a host and its targets.
+type lossyTargets struct {
+	*fakeTargets
+	seed    uint64
+	host    int
+	pending *sync.Map // runs whose start is under way
+}
+
+// fate draws what becomes of a message, from 0 to 99. Equal messages at equal times have
+// equal fates, so that a failure can be played again.
+func (l lossyTargets) fate(kind string, target string, r scheduler.Run) int {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, l.seed, l.host, kind, target, r, time.Now().UnixMilli())
+	return int(h.Sum64() % 100)
+}
+
+func (l lossyTargets) Start(ctx context.Context, t fleet.TargetRef, request fleet.StartRequest) (scheduler.StartResult, int64) {
+	l.pending.Store(request.Run, true)
+	defer l.pending.Delete(request.Run)
+	fate := l.fate("start", t.ID, request.Run)
+	switch {
+	case fate < 8:
+		<-ctx.Done()
+		return scheduler.Unanswered, 0
+	case fate < 14:
+		time.AfterFunc(time.Duration(fate*70)*time.Millisecond, func() { l.fakeTargets.Start(context.Background(), t, request) })
+		<-ctx.Done()
+		return scheduler.Unanswered, 0
+	case fate < 18:
+		time.AfterFunc(300*time.Millisecond, func() { l.fakeTargets.Start(context.Background(), t, request) })
+	}
+	time.Sleep(time.Duration(fate/4) * time.Millisecond)
+	result, clock := l.fakeTargets.Start(ctx, t, request)
+	if fate >= 80 {
+		<-ctx.Done()
+		return scheduler.Unanswered, 0
+	}
+	return result, clock
+}
+
+func (l lossyTargets) Stop(ctx context.Context, t fleet.TargetRef, r scheduler.Run, token uint64) error {
+	fate := l.fate("stop", t.ID, r)
+	switch {
+	case fate < 50:
+		<-ctx.Done()
+		return ctx.Err()
+	case fate < 60:
+		time.AfterFunc(300*time.Millisecond, func() { _ = l.fakeTargets.Stop(context.Background(), t, r, token) })
+	}
+	time.Sleep(time.Duration(fate/4) * time.Millisecond)
+	err := l.fakeTargets.Stop(ctx, t, r, token)
+	if fate >= 80 {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+func (l lossyTargets) Renew(ctx context.Context, t fleet.TargetRef, r fleet.RenewRequest) (fleet.TargetReport, error) {
+	fate := l.fate("renew", t.ID, scheduler.Run{})
+	if fate < 5 {
+		<-ctx.Done()
+		return fleet.TargetReport{}, ctx.Err()
+	}
+	time.Sleep(time.Duration(fate/25) * time.Millisecond)
+	report, err := l.fakeTargets.Renew(ctx, t, r)
+	if fate >= 95 {
+		<-ctx.Done()
+		return fleet.TargetReport{}, ctx.Err()
+	}
+	return report, err
+}
+
+const (
+	takeoverHosts   = 3
+	takeoverTargets = 8
+)
+
+// takeover is a domain whose pools change hands.
+type takeover struct {
+	ctx     context.Context
+	seed    uint64
+	metrics *metrics.Metrics
+	targets *fakeTargets
+	pending sync.Map
+	hosts   []*fleet.MemoryHost
+	lives   []uint64
+	stepAt  int
+	states  map[string]int // runs in the states that were sent, by what the sender knew of them
+}
+
+// takeoverStep is one event: what happens, to which host and target, and how.
+type takeoverStep struct {
+	kind        string
+	host, other int
+	target      int
+	fate        fleet.StateFate
+	pauseMS     int
+}
+
+func hostAddress(i int) string { return fmt.Sprintf("127.0.0.1:%d", 9000+i) }
+
+func (w *takeover) startHost(i int) {
+	var others []string
+	for other := range takeoverHosts {
+		others = append(others, hostAddress(other))
+	}
+	h, err := fleet.StartMemoryHost(w.ctx, fleet.Config{
+		Self:     discovery.Host{Address: hostAddress(i), Domain: "north", Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
+		MaxLease: time.Second, VoterCount: 1, Log: slog.New(slog.DiscardHandler), Metrics: w.metrics,
+		Targets: lossyTargets{w.targets, w.seed, i, &w.pending}, Parse: parseDocument,
+	}, others)
+	if err != nil {
+		panic(err)
+	}
+	w.hosts[i] = h
+}
+
+func (w *takeover) announce(i int) {
+	t := newAnnouncement(fleet.TargetRef{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)}, "north", w.lives[i])
+	for _, h := range w.hosts {
+		h.Announce(t)
+	}
+}
+
+// exchange passes hello messages between all hosts that are up, except to and from one.
+func (w *takeover) exchange(except int) {
+	for i, from := range w.hosts {
+		if i == except {
+			continue
+		}
+		for j, to := range w.hosts {
+			if i != j && j != except && from.Alive() && to.Alive() {
+				from.Greet(to)
+			}
+		}
+	}
+}
+
+// submit runs a job as the host of its caller does, which follows a hand-over.
+func (w *takeover) submit(id string, pool string) {
+	j := job(id, 3)
+	for try := 0; try < 60 && w.ctx.Err() == nil; try++ {
+		holder := -1
+		for i, h := range w.hosts {
+			if h.Alive() && h.Holds(pool) {
+				holder = i
+			}
+		}
+		if holder >= 0 {
+			a := w.hosts[holder].SubmitTo(w.ctx, pool, j)
+			if a.Outcome != scheduler.Moved {
+				return
+			}
+			j.Resubmitted = j.Resubmitted || a.HandedOver
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// countRuns counts the runs in a state that is sent, by how they stand.
+func (w *takeover) countRuns(state *fleetpb.PoolState) {
+	known := map[string]bool{}
+	for _, t := range state.GetTargets() {
+		known[t.GetId()] = true
+	}
+	for _, j := range state.GetJobs() {
+		for _, t := range j.GetTasks() {
+			r := scheduler.Run{Job: j.GetRequest().GetId(), Step: int(t.GetStep()), Index: int(t.GetIndex()), Number: int(t.GetStarted())}
+			_, starting := w.pending.Load(r)
+			switch {
+			case t.GetTarget() == "":
+				continue
+			case !known[t.GetTarget()]:
+				w.states["on a target that moves"]++
+			case t.GetStopping():
+				w.states["stopping"]++
+			case starting:
+				w.states["starting"]++
+			default:
+				w.states["running"]++
+			}
+		}
+	}
+}
+
+func (w *takeover) apply(step takeoverStep) {
+	pool := shards.Pool{Domain: "north", Shard: step.target % 3}
+	host, other := w.hosts[step.host], w.hosts[step.other]
+	switch step.kind {
+	case "hand over":
+		for _, h := range w.hosts {
+			if h.Alive() && h.Holds(pool.String()) {
+				h.HandOverTo(other, pool, step.fate, w.countRuns)
+			}
+		}
+	case "split":
+		host.Split("north", 2<<(step.target%3))
+	case "submit":
+		go w.submit(fmt.Sprint("job", w.stepAt), pool.String())
+	case "lose target":
+		ref := fleet.TargetRef{ID: fmt.Sprintf("t%d", step.target)}
+		w.targets.mu.Lock()
+		w.targets.crash(ref)
+		w.targets.mu.Unlock()
+		time.AfterFunc(2*time.Second, func() {
+			w.targets.mu.Lock()
+			delete(w.targets.down, ref.ID)
+			w.targets.mu.Unlock()
+			w.lives[step.target]++
+			w.announce(step.target)
+		})
+	case "lose host":
+		host.Kill()
+		time.Sleep(100 * time.Millisecond)
+		w.startHost(step.host)
+		for i := range takeoverTargets {
+			w.announce(i)
+		}
+	case "claim": // hosts that do not hear from each other claim the same pool
+		for range 8 {
+			w.exchange(step.host)
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
+	for ; step.pauseMS > 0; step.pauseMS -= 100 {
+		w.exchange(-1)
+		time.Sleep(time.Duration(min(100, step.pauseMS)) * time.Millisecond)
+	}
+}
+
+func drawTakeoverSteps(rt *rapid.T) []takeoverStep {
+	kinds := []string{"hand over", "hand over", "hand over", "split", "split", "submit", "submit", "submit", "submit", "lose target", "lose host", "claim"}
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) takeoverStep {
+		return takeoverStep{
+			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"), host: rapid.IntRange(0, takeoverHosts-1).Draw(rt, "host"),
+			other: rapid.IntRange(0, takeoverHosts-1).Draw(rt, "other"), target: rapid.IntRange(0, takeoverTargets-1).Draw(rt, "target"),
+			fate:    fleet.StateFate(rapid.IntRange(0, int(fleet.StateFates)-1).Draw(rt, "fate")),
+			pauseMS: rapid.SampledFrom([]int{0, 3, 30, 80, 150, 400}).Draw(rt, "pause"),
+		}
+	}), 10, 40).Draw(rt, "steps")
+}
+
+// A pool changes hands by hand-overs, splits that one host knows and another does not yet,
+// claims and losses of hosts and targets, while start, stop and hand-over messages are late,
+// lost or doubled. A holder that does not know of a run starts its task a second time.
+func TestNoTaskRunsTwiceAtOnceWhenPoolsChangeHands(t *testing.T) {
+	states := map[string]int{}
+	m := metrics.NewMetrics(nil)
+	rapid.Check(t, func(rt *rapid.T) {
+		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawTakeoverSteps(rt)
+		var overlapping []string
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			w := &takeover{
+				ctx: ctx, seed: seed, metrics: m, targets: newFakeTargets(600 * time.Millisecond), hosts: make([]*fleet.MemoryHost, takeoverHosts),
+				lives: make([]uint64, takeoverTargets), states: states,
+			}
+			for i := range w.hosts {
+				w.startHost(i)
+			}
+			for i := range w.lives {
+				w.lives[i] = 1
+				w.announce(i)
+			}
+			for range 16 { // beyond the start phase, in which a new shard has no former pool
+				w.exchange(-1)
+				time.Sleep(250 * time.Millisecond)
+			}
+			for i, step := range steps {
+				w.stepAt = i
+				for target := range w.lives {
+					w.announce(target)
+				}
+				w.apply(step)
+			}
+			for range 12 {
+				w.exchange(-1)
+				time.Sleep(250 * time.Millisecond)
+			}
+			cancel()
+			for _, h := range w.hosts {
+				h.Kill()
+			}
+			time.Sleep(5 * time.Second)
+			w.targets.mu.Lock()
+			overlapping = w.targets.overlapping
+			w.targets.mu.Unlock()
+		})
+		if len(overlapping) > 0 {
+			rt.Fatalf("tasks ran twice at once: %v", overlapping)
+		}
+	})
+	g := NewWithT(t)
+	for _, state := range []string{"starting", "running", "stopping", "on a target that moves"} {
+		g.Expect(states[state]).To(BeNumerically(">", 0), "no pool changed hands with a run that was "+state)
+	}
+	t.Log(states)
+}
--- /dev/null
+++ b/internal/process/fleet/memoryhost_test.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/connection/hostlink"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/process/shards"
+)
+
+// MemoryHost is a host whose messages to other hosts a test passes on, so that it can lose,
+// delay and double them. Its pools run as in a Node.
+type MemoryHost struct {
+	*Node
+	Kill func()
+}
+
+// dialNothing returns a connection that never connects.
+func dialNothing() (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///nothing", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }))
+}
+
+// StartMemoryHost starts a host that cannot reach the given addresses by itself.
+func StartMemoryHost(ctx context.Context, config Config, others []string) (*MemoryHost, error) {
+	n, err := New(config)
+	if err != nil {
+		return nil, err
+	}
+	h := &MemoryHost{Node: n}
+	runCtx, cancel := context.WithCancel(ctx)
+	n.runCtx = runCtx
+	h.Kill = func() {
+		cancel()
+		n.closeLinks()
+	}
+	n.group = new(errgroup.Group)
+	for _, address := range others {
+		if n.links[address], err = hostlink.New(dialTimeout, dialNothing); err != nil {
+			return nil, err
+		}
+	}
+	n.openOwnPools()
+	return h, nil
+}
+
+// Alive reports whether the host has not been killed.
+func (h *MemoryHost) Alive() bool { return h.runCtx.Err() == nil }
+
+// Greet passes a hello message on.
+func (h *MemoryHost) Greet(to *MemoryHost) { to.receiveHello(h.helloMessage(nil, 0)) }
+
+// Split splits a domain, as far as this host knows.
+func (h *MemoryHost) Split(domain string, count int) {
+	h.mu.Lock()
+	h.raiseShardCount(domain, count)
+	h.mu.Unlock()
+	h.openOwnPools()
+}
+
+// SubmitTo submits a job to a pool of this host.
+func (h *MemoryHost) SubmitTo(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
+	return h.submitLocally(ctx, pool, j, "")
+}
+
+// StateFate is what becomes of the message with the state of a pool that is handed over.
+type StateFate int
+
+// The fates of a state.
+const (
+	StateArrives StateFate = iota
+	StateArrivesTwice
+	StateAnswerLost
+	StateLate // after the sender has given up
+	StateLost
+	StateRefused
+	StateFates // the number of fates
+)
+
+// HandOverTo hands a pool over if this host holds it. sent is called with the state.
+func (h *MemoryHost) HandOverTo(to *MemoryHost, id shards.Pool, fate StateFate, sent func(*fleetpb.PoolState)) {
+	p := h.openPool(id)
+	p.post(eventFunc(func(p *pool, now time.Time) {
+		if !p.heldHere.Load() || p.handingOver || to == h {
+			return
+		}
+		p.handingOver = true
+		for _, s := range p.sessions {
+			s.close()
+		}
+		go p.post(eventFunc(func(p *pool, now time.Time) {
+			state := p.stateMessage(now)
+			sent(state)
+			go func() {
+				outcome, claim := deliverState(to, id, state, fate)
+				p.post(handedOverEvent{to: to.config.Self.Address, claim: claim, outcome: outcome, done: make(chan struct{})})
+			}()
+		}))
+	}))
+}
+
+// deliverState passes a state on, and returns what its sender learns.
+func deliverState(to *MemoryHost, id shards.Pool, state *fleetpb.PoolState, fate StateFate) (handoverOutcome, *fleetpb.Claim) {
+	receive := func() (*fleetpb.Claim, error) {
+		ctx, cancel := context.WithTimeout(to.runCtx, handoverTimeout)
+		defer cancel()
+		return to.openPool(id).receivePool(ctx, state)
+	}
+	switch fate {
+	case StateRefused:
+		return handoverRefused, nil
+	case StateLost:
+		time.Sleep(handoverTimeout)
+		return handoverUnknown, nil
+	case StateLate:
+		time.AfterFunc(handoverTimeout+200*time.Millisecond, func() { _, _ = receive() })
+		time.Sleep(handoverTimeout)
+		return handoverUnknown, nil
+	}
+	claim, err := receive()
+	if fate == StateArrivesTwice {
+		claim, err = receive()
+	}
+	if fate == StateAnswerLost && err == nil {
+		return handoverUnknown, nil
+	}
+	return handoverOutcomeOf(err), claim
+}
+
+// eventFunc is an event of a test.
+type eventFunc func(p *pool, now time.Time)
+
+func (f eventFunc) apply(p *pool, now time.Time) { f(p, now) }
