Let a leaving host tell who holds the pools that it handed over

The host that had just started in its domain had heard from the leaving one, which held the pool no more, and claimed it 300 ms after the hand-over, before it heard from the new holder. That one answered the pool's jobs "another host took the pool over".

Change: while a host is leaving, its hello messages also carry the claims with which other hosts accepted its pools. Such a claim carries no load, so it does not replace what the holder itself reported.

Shown failing first: TestALeavingHostTellsWhoHoldsItsPoolNow, with this host's own claims only, finds no claim in the hello message.

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -134,6 +134,7 @@
 		p.holderView.RecordRelease(now) // the claim may be without a holder by now
 		p.holderView.RecordClaim(holder.Claim{Holder: e.claim.GetHolder(), Token: e.claim.GetFencingToken()})
 		p.node.recordReturnedClaim(e.claim)
+		p.handedOver.Store(e.claim)
 		p.heldHere.Store(false)
 		p.sessions = map[string]*session{}
 		p.applyEffects(p.core.CompleteHandover(e.to), now)
@@ -158,6 +159,22 @@
 	}
 }
 
+// claimsToTell returns the claims that a hello message carries: this host's, and those of
+// the hosts that it has handed pools over to while it is leaving. A host that has just
+// started has heard from this host only, and would claim these pools.
+func (n *Node) claimsToTell() []*fleetpb.Claim {
+	claims := n.publishedClaims()
+	if !n.leaving.Load() {
+		return claims
+	}
+	for _, p := range n.listPools() {
+		if c := p.handedOver.Load(); c != nil && p.publishedClaim.Load() == nil {
+			claims = append(claims, c)
+		}
+	}
+	return claims
+}
+
 // recordReturnedClaim records a claim that another host returned.
 func (n *Node) recordReturnedClaim(c *fleetpb.Claim) {
 	n.mu.Lock()
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -147,7 +147,7 @@
 		From:            hostMessage(self, 0),
 		RegisterVersion: n.controller.Version(),
 	}
-	hello.Claims = n.publishedClaims()
+	hello.Claims = n.claimsToTell()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
@@ -197,7 +197,9 @@
 		record(h)
 	}
 	for _, c := range hello.GetClaims() {
-		n.recordClaim(c)
+		if c.GetHolder() == sender.Address || !n.knowsClaim(c) {
+			n.recordClaim(c) // a claim that another host tells of carries no load
+		}
 	}
 	dropped := n.dropForgottenClaims(hello)
 	n.mu.Unlock()
@@ -239,6 +241,12 @@
 	return dropped
 }
 
+// knowsClaim reports whether a claim is the best one that is known on its pool. The caller
+// holds the lock.
+func (n *Node) knowsClaim(m *fleetpb.Claim) bool {
+	return n.claims[m.GetPool()].claim == holder.Claim{Holder: m.GetHolder(), Token: m.GetFencingToken()}
+}
+
 // recordClaim keeps the best claim on each pool, and the load that its holder reported
 // last. The caller holds the lock.
 func (n *Node) recordClaim(m *fleetpb.Claim) {
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -28,6 +28,7 @@
 	heldHere       atomic.Bool                   // this host holds the pool; read by any goroutine
 	publishedClaim atomic.Pointer[fleetpb.Claim] // for hello messages, read by any goroutine; nil while another host holds the pool
 	lastWaiterID   atomic.Uint64                 // incremented by any goroutine
+	handedOver     atomic.Pointer[fleetpb.Claim] // of the host that this host handed the pool over to last; read by any goroutine
 
 	holderView         *holder.View
 	core               *scheduler.Core
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -51,6 +51,28 @@
 	g.Expect(p.heldHere.Load()).To(BeTrue())
 }
 
+// A leaving host has handed its pool over to a host of another domain. A host of its domain
+// that starts meanwhile hears from the leaving one first.
+func TestALeavingHostTellsWhoHoldsItsPoolNow(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	former, now := newHeldTestPool(t)
+	former.node.pools[former.name] = former
+	former.node.leaving.Store(true)
+	successor := &fleetpb.Claim{Pool: former.name, Holder: "127.0.0.1:3", FencingToken: 9}
+	handedOverEvent{to: successor.GetHolder(), claim: successor, outcome: handoverAccepted, done: make(chan struct{})}.apply(former, now)
+	hello := former.node.helloMessage(nil, 0)
+	g.Expect(hello.GetClaims()).To(HaveLen(1))
+
+	p := newTestPool(t, "127.0.0.1:2")
+	p.node.receiveHello(&fleetpb.Greeting{From: diskHost})
+	p.decideClaim(p.node.startedAt)
+	p.node.receiveHello(hello)
+	p.decideClaim(p.node.startedAt.Add(2 * claimListenTime))
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "took the pool from its new holder")
+	g.Expect(p.node.claims[former.name].claim.Holder).To(Equal(successor.GetHolder()))
+}
+
 // A host that has started a little later than another one did not wait for its hello
 // message, and took the pools that the other one had claimed in between.
 func TestAStartedHostHearsFromAHostThatStartedShortlyBefore(t *testing.T) {
