--- a/internal/process/fleet/handover_property_test.go
+++ b/internal/process/fleet/handover_property_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -106,10 +107,12 @@
 	metrics *metrics.Metrics
 	targets *fakeTargets
 	pending sync.Map
-	hosts   []*fleet.MemoryHost
-	lives   []uint64
 	stepAt  int
-	states  map[string]int // runs in the states that were sent, by what the sender knew of them
+
+	mu     sync.Mutex
+	hosts  []*fleet.MemoryHost
+	lives  []uint64       // incarnation of each target
+	states map[string]int // runs in the states that were sent, by what the sender knew of them
 }
 
 // takeoverStep is one event: what happens, to which host and target, and how.
@@ -136,23 +139,45 @@
 	if err != nil {
 		panic(err)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.hosts[i] = h
 }
 
+func (w *takeover) allHosts() []*fleet.MemoryHost {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.hosts)
+}
+
+// holderOf returns the host that holds a pool, or nil if there is none.
+func (w *takeover) holderOf(pool string) *fleet.MemoryHost {
+	for _, h := range w.allHosts() {
+		if h.Alive() && h.Holds(pool) {
+			return h
+		}
+	}
+	return nil
+}
+
 func (w *takeover) announce(i int) {
-	t := newAnnouncement(fleet.TargetRef{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)}, "north", w.lives[i])
-	for _, h := range w.hosts {
+	w.mu.Lock()
+	life := w.lives[i]
+	w.mu.Unlock()
+	t := newAnnouncement(fleet.TargetRef{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)}, "north", life)
+	for _, h := range w.allHosts() {
 		h.Announce(t)
 	}
 }
 
 // exchange passes hello messages between all hosts that are up, except to and from one.
 func (w *takeover) exchange(except int) {
-	for i, from := range w.hosts {
+	hosts := w.allHosts()
+	for i, from := range hosts {
 		if i == except {
 			continue
 		}
-		for j, to := range w.hosts {
+		for j, to := range hosts {
 			if i != j && j != except && from.Alive() && to.Alive() {
 				from.Greet(to)
 			}
@@ -164,14 +189,8 @@
 func (w *takeover) submit(id string, pool string) {
 	j := job(id, 3)
 	for try := 0; try < 60 && w.ctx.Err() == nil; try++ {
-		holder := -1
-		for i, h := range w.hosts {
-			if h.Alive() && h.Holds(pool) {
-				holder = i
-			}
-		}
-		if holder >= 0 {
-			a := w.hosts[holder].SubmitTo(w.ctx, pool, j)
+		if h := w.holderOf(pool); h != nil {
+			a := h.SubmitTo(w.ctx, pool, j)
 			if a.Outcome != scheduler.Moved {
 				return
 			}
@@ -187,6 +206,8 @@
 	for _, t := range state.GetTargets() {
 		known[t.GetId()] = true
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, j := range state.GetJobs() {
 		for _, t := range j.GetTasks() {
 			r := scheduler.Run{Job: j.GetRequest().GetId(), Step: int(t.GetStep()), Index: int(t.GetIndex()), Number: int(t.GetStarted())}
@@ -209,13 +230,11 @@
 
 func (w *takeover) apply(step takeoverStep) {
 	pool := shards.Pool{Domain: "north", Shard: step.target % 3}
-	host, other := w.hosts[step.host], w.hosts[step.other]
+	host, other := w.allHosts()[step.host], w.allHosts()[step.other]
 	switch step.kind {
 	case "hand over":
-		for _, h := range w.hosts {
-			if h.Alive() && h.Holds(pool.String()) {
-				h.HandOverTo(other, pool, step.fate, w.countRuns)
-			}
+		if h := w.holderOf(pool.String()); h != nil {
+			h.HandOverTo(other, pool, step.fate, w.countRuns)
 		}
 	case "split":
 		host.Split("north", 2<<(step.target%3))
@@ -230,7 +249,9 @@
 			w.targets.mu.Lock()
 			delete(w.targets.down, ref.ID)
 			w.targets.mu.Unlock()
+			w.mu.Lock()
 			w.lives[step.target]++
+			w.mu.Unlock()
 			w.announce(step.target)
 		})
 	case "lose host":
@@ -282,7 +303,7 @@
 			for i := range w.hosts {
 				w.startHost(i)
 			}
-			for i := range w.lives {
+			for i := range takeoverTargets {
 				w.lives[i] = 1
 				w.announce(i)
 			}
@@ -292,7 +313,7 @@
 			}
 			for i, step := range steps {
 				w.stepAt = i
-				for target := range w.lives {
+				for target := range takeoverTargets {
 					w.announce(target)
 				}
 				w.apply(step)
@@ -302,7 +323,7 @@
 				time.Sleep(250 * time.Millisecond)
 			}
 			cancel()
-			for _, h := range w.hosts {
+			for _, h := range w.allHosts() {
 				h.Kill()
 			}
 			time.Sleep(5 * time.Second)
