Do not take a told claim of this host for another host's

A leaving host tells its successor, too, that the successor holds the pool, which recorded itself as a remote holder. Shown failing first: TestALeavingHostTellsWhoHoldsItsPoolNow without the check.

--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -197,9 +197,10 @@
 		record(h)
 	}
 	for _, c := range hello.GetClaims() {
-		if c.GetHolder() == sender.Address || !n.knowsClaim(c) {
-			n.recordClaim(c) // a claim that another host tells of carries no load
+		if told := c.GetHolder() != sender.Address; told && (c.GetHolder() == n.config.Self.Address || n.knowsClaim(c)) {
+			continue // a claim that another host tells of carries no load, and this host knows its own
 		}
+		n.recordClaim(c)
 	}
 	dropped := n.dropForgottenClaims(hello)
 	n.mu.Unlock()
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -71,6 +71,10 @@
 	p.decideClaim(p.node.startedAt.Add(2 * claimListenTime))
 	g.Expect(p.heldHere.Load()).To(BeFalse(), "took the pool from its new holder")
 	g.Expect(p.node.claims[former.name].claim.Holder).To(Equal(successor.GetHolder()))
+
+	itself := newTestPool(t, successor.GetHolder()).node
+	itself.receiveHello(hello)
+	g.Expect(itself.claims).To(BeEmpty(), "the successor took its own claim for another host's")
 }
 
 // A host that has started a little later than another one did not wait for its hello
