--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -147,7 +147,7 @@
 		From:            hostMessage(self, 0),
 		RegisterVersion: n.controller.Version(),
 	}
-	hello.Claims = n.publishedClaims()
+	hello.Claims = n.claimsToTell()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
@@ -197,6 +197,9 @@
 		record(h)
 	}
 	for _, c := range hello.GetClaims() {
+		if told := c.GetHolder() != sender.Address; told && (c.GetHolder() == n.config.Self.Address || n.knowsClaim(c)) {
+			continue // a claim that another host tells of carries no load, and this host knows its own
+		}
 		n.recordClaim(c)
 	}
 	dropped := n.dropForgottenClaims(hello)
@@ -239,6 +242,12 @@
 	return dropped
 }
 
+// knowsClaim reports whether a claim is the best one that is known on its pool. The caller
+// holds the lock.
+func (n *Node) knowsClaim(m *fleetpb.Claim) bool {
+	return n.claims[m.GetPool()].claim == holder.Claim{Holder: m.GetHolder(), Token: m.GetFencingToken()}
+}
+
 // recordClaim keeps the best claim on each pool, and the load that its holder reported
 // last. The caller holds the lock.
 func (n *Node) recordClaim(m *fleetpb.Claim) {
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -28,6 +28,7 @@
 	heldHere       atomic.Bool                   // this host holds the pool; read by any goroutine
 	publishedClaim atomic.Pointer[fleetpb.Claim] // for hello messages, read by any goroutine; nil while another host holds the pool
 	lastWaiterID   atomic.Uint64                 // incremented by any goroutine
+	handedOver     atomic.Pointer[fleetpb.Claim] // of the host that this host handed the pool over to last; read by any goroutine
 
 	holderView         *holder.View
 	core               *scheduler.Core
@@ -210,6 +211,9 @@
 	if p.holderView.HeldHere() || p.node.awaitsHello(p.id.Domain, now) {
 		return
 	}
+	if c, ok := p.node.claimHeardAtStart(p.name, now); ok {
+		p.holderView.RecordClaim(c)
+	}
 	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.isAlive(host) }
 	var candidates []string // not needed while there is a holder
 	if h := p.holderView.Claim().Holder; h == "" || !alive(h) {
@@ -357,6 +361,10 @@
 				"born", e.Incarnation, "cause", e.Cause.String(), "other_runs", e.OtherRuns, "age", e.Age)
 		case scheduler.LossRecorded:
 			p.node.reportLoss(e.Loss, p.id.Domain)
+		case scheduler.SuspectDecided:
+			p.metrics.recordSuspect(e.Decision)
+			p.log.Info(e.Decision.Message(), "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target,
+				"decision", e.Decision.String(), "crashed", e.Losses.Crashed, "unresolved", e.Losses.Unresolved, "age", e.Age)
 		case scheduler.Reply:
 			p.reply(e, now)
 		case scheduler.LogEntry:
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/holder"
 	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
@@ -86,22 +88,40 @@
 }
 
 // awaitsHello reports whether this host has just started and has not yet heard from an
-// entry host of a domain that is alive by the lists of others and started long before.
+// entry host of a domain that is alive by the lists of others and started before it.
 // That host may hold a pool of the domain, and a claim with a higher token would take it
-// away with its jobs. Hosts that have started together need not wait for each other.
+// away with its jobs. A host that is leaving may hold one too, or hand it over to a host
+// that this one has not heard from. Hosts that have started together need not wait for
+// each other.
 func (n *Node) awaitsHello(domain string, now time.Time) bool {
-	if now.Sub(n.startedAt) > claimAloneDelay {
+	if now.Sub(n.startedAt) > maxHelloWait {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.ContainsFunc(n.aliveEntryHosts(domain, now), func(address string) bool {
-		h, _, _ := n.hostTable.Get(address, now)
+	return slices.ContainsFunc(n.hostTable.All(now), func(h discovery.Host) bool {
+		if !h.Entry || h.Domain != domain || n.heardDirectly[h.Address] {
+			return false
+		}
+		_, age, _ := n.hostTable.Get(h.Address, now)
 		startedBefore := int64(n.config.Self.Incarnation) - int64(h.Incarnation)
-		return !n.heardDirectly[address] && startedBefore > startPhase.Milliseconds()
+		return age <= n.aliveWindow(h) && startedBefore > startedTogether.Milliseconds()
 	})
 }
 
+// claimHeardAtStart returns the claim on a pool that this host has heard of since it
+// started, while it has just started. The pool's goroutine may process the event that
+// tells it of the claim only after awaitsHello has ended its wait.
+func (n *Node) claimHeardAtStart(pool string, now time.Time) (holder.Claim, bool) {
+	if now.Sub(n.startedAt) > maxHelloWait {
+		return holder.Claim{}, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c, ok := n.claims[pool]
+	return c.claim, ok
+}
+
 // holderCandidates returns the entry hosts that may hold a pool, in order of
 // preference: those of its domain by address, starting with a different one for each
 // shard; if there are none, those of all domains, starting at an offset that differs
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -51,6 +51,80 @@
 	g.Expect(p.heldHere.Load()).To(BeTrue())
 }
 
+// A leaving host has handed its pool over to a host of another domain. A host of its domain
+// that starts meanwhile hears from the leaving one first.
+func TestALeavingHostTellsWhoHoldsItsPoolNow(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	former, now := newHeldTestPool(t)
+	former.node.pools[former.name] = former
+	former.node.leaving.Store(true)
+	successor := &fleetpb.Claim{Pool: former.name, Holder: "127.0.0.1:3", FencingToken: 9}
+	handedOverEvent{to: successor.GetHolder(), claim: successor, outcome: handoverAccepted, done: make(chan struct{})}.apply(former, now)
+	hello := former.node.helloMessage(nil, 0)
+	g.Expect(hello.GetClaims()).To(HaveLen(1))
+
+	p := newTestPool(t, "127.0.0.1:2")
+	p.node.receiveHello(&fleetpb.Greeting{From: diskHost})
+	p.decideClaim(p.node.startedAt)
+	p.node.receiveHello(hello)
+	p.decideClaim(p.node.startedAt.Add(2 * claimListenTime))
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "took the pool from its new holder")
+	g.Expect(p.node.claims[former.name].claim.Holder).To(Equal(successor.GetHolder()))
+
+	itself := newTestPool(t, successor.GetHolder()).node
+	itself.receiveHello(hello)
+	g.Expect(itself.claims).To(BeEmpty(), "the successor took its own claim for another host's")
+}
+
+// A host that has started a little later than another one did not wait for its hello
+// message, and took the pools that the other one had claimed in between.
+func TestAStartedHostHearsFromAHostThatStartedShortlyBefore(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	holder := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: n.config.Self.Incarnation - 1500}
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{holder}})
+	p.decideClaim(n.startedAt)
+	p.decideClaim(n.startedAt.Add(2 * claimListenTime))
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "claimed a pool that the other host may hold")
+}
+
+// The hello message of a holder ends the wait of a started host for it. The host claimed the
+// pool if it looked before its pool had processed the claim in that message.
+func TestAStartedHostKnowsTheClaimAsSoonAsItHasHeardFromItsHolder(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	holder := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 1}
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{holder}})
+	p.decideClaim(n.startedAt)
+	n.receiveHello(&fleetpb.Greeting{From: holder, Claims: []*fleetpb.Claim{{Pool: "north", Holder: holder.GetAddress(), FencingToken: 9}}})
+	p.decideClaim(n.startedAt.Add(2 * claimListenTime))
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "took the pool from its holder")
+}
+
+// The holder of a pool is leaving while another host of its domain starts, and does not
+// know that host yet. It hands the pool over to another domain, and the started host, which
+// had not heard from either, took the pool from there with its jobs.
+func TestAStartedHostHearsFromALeavingHostBeforeItClaims(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	n := p.node
+	leaving := &fleetpb.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 1, Leaving: true}
+	n.receiveHello(&fleetpb.Greeting{From: diskHost, Hosts: []*fleetpb.Host{leaving}})
+	p.decideClaim(n.startedAt)
+	listened := n.startedAt.Add(2 * claimListenTime)
+	p.decideClaim(listened)
+	g.Expect(p.heldHere.Load()).To(BeFalse(), "claimed a pool that the leaving host may be handing over")
+	n.receiveHello(&fleetpb.Greeting{From: leaving})
+	p.decideClaim(listened.Add(time.Millisecond))
+	g.Expect(p.heldHere.Load()).To(BeTrue())
+}
+
 // After a loss of power, the hosts of a domain start together. None holds a pool, so none
 // waits for another that is slow to say hello.
 func TestHostsThatStartTogetherDoNotWaitForEachOther(t *testing.T) {
