Evacuate failure domains on the platform

Cause: operators must be able to keep work away from the targets of a failure domain and to take that back.

Change: the replicated record of the catalog holds the set of evacuated domains (catalog.Stored.Evacuations). Cold targets are chosen last and get one run at a time.

--- a/internal/process/fleet/catalogs.go
+++ b/internal/process/fleet/catalogs.go
@@ -10,6 +10,7 @@
 	"wasabifield.example/wasabifield/internal/process/controller"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/version/catalog"
+	"wasabifield.example/wasabifield/internal/version/evacuation"
 )
 
 // replicatedRegister is the part of *controller.Controller that catalogs uses.
@@ -27,6 +28,8 @@
 	log        *slog.Logger
 	startedAt  time.Time
 	active     atomic.Pointer[catalog.Catalog]
+	// applyEvacuations puts the evacuations of a value in force; may be nil.
+	applyEvacuations func(evacuation.Set)
 
 	mu        sync.Mutex
 	activated chan struct{} // closed and replaced when a catalog becomes active
@@ -54,6 +57,16 @@
 		c.log.Error("The replicated catalog was not put in force.", "error", err)
 		return
 	}
+	// Before the catalog: a host with an active catalog knows the evacuations.
+	if c.applyEvacuations != nil {
+		c.applyEvacuations(stored.Evacuations)
+	}
+	if stored.Version == 0 {
+		return // an evacuation was requested before the first document
+	}
+	if current := c.active.Load(); current != nil && current.Version >= stored.Version {
+		return
+	}
 	next, err := c.parse(stored.Document)
 	if err != nil {
 		c.log.Error("The replicated catalog was not put in force.", "version", stored.Version, "error", err)
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -62,7 +62,11 @@
 	Bootstrapped  bool          // the register was bootstrapped before
 	VoterCount    int           // number of disks that vote on the catalog; the others are standbys
 	MaxLease      time.Duration // longest lease that a target grants
-	Targets       TargetClient  // nil on a host that accepts no jobs
+	// EvacuateWithin is the time from the acknowledgement of an evacuation until no task
+	// of the domain may be started any more; 0 where operators request no evacuations.
+	EvacuateWithin time.Duration
+	Domains        []string     // failure domains that the settings name
+	Targets        TargetClient // nil on a host that accepts no jobs
 	// Parse decodes and checks a catalog document of an operator.
 	Parse   func(document []byte) (catalog.Catalog, error)
 	Log     *slog.Logger
--- a/internal/process/fleet/convert.go
+++ b/internal/process/fleet/convert.go
@@ -50,15 +50,34 @@
 		Id: t.ID, Service: t.Service, Address: t.Address, Domain: t.Domain, Born: t.Incarnation, Sequence: a.Sequence,
 		Draining: t.Draining, Gone: a.Deregistered, CpuMilli: t.Capacity.CPUMilli, MemoryMb: t.Capacity.MemoryMB,
 		Gpus: t.Capacity.GPUs, Labels: t.Labels, ClockMs: a.ClockMS, AgeMs: uint32(now.Sub(a.ReceivedAt).Milliseconds()),
+		ColdRemainingMs: coldRemainingMS(t.ColdUntil, now),
 	}
 }
 
+// coldRemainingMS returns for how long a target is still slow after its start, 0 if it is
+// not.
+func coldRemainingMS(coldUntil, now time.Time) uint32 {
+	if !coldUntil.After(now) {
+		return 0
+	}
+	return uint32(coldUntil.Sub(now).Milliseconds())
+}
+
+// coldUntilOf is the inverse of coldRemainingMS; the zero time stands for a target that
+// is not slow.
+func coldUntilOf(remainingMS uint32, now time.Time) time.Time {
+	if remainingMS == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(remainingMS) * time.Millisecond)
+}
+
 func announcementFrom(m *fleetpb.Announcement, now time.Time) Announcement {
 	return Announcement{
 		Target: scheduler.Target{
 			ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), Domain: m.GetDomain(), Incarnation: m.GetBorn(),
 			Capacity: scheduler.Resources{CPUMilli: m.GetCpuMilli(), MemoryMB: m.GetMemoryMb(), GPUs: m.GetGpus()},
-			Labels:   m.GetLabels(), Draining: m.GetDraining(),
+			Labels:   m.GetLabels(), Draining: m.GetDraining(), ColdUntil: coldUntilOf(m.GetColdRemainingMs(), now),
 		},
 		Sequence: m.GetSequence(), Deregistered: m.GetGone(), ClockMS: m.GetClockMs(),
 		ReceivedAt: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -25,6 +25,7 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(n.helloInterval(address)):
+		case <-n.evacuations.change(): // the interval may be shorter from now on
 		}
 	}
 }
@@ -67,7 +68,7 @@
 func (n *Node) entryHelloInterval(h discovery.Host) time.Duration {
 	sameDomain := h.Domain == n.config.Self.Domain
 	switch {
-	case n.isSmallSystem() || sameDomain && n.holdsAnyPool(h.Address):
+	case n.isSmallSystem() || sameDomain && n.holdsAnyPool(h.Address) || n.watchesHolder(h.Address):
 		return helloEntryInterval
 	case n.bothHoldPools(h):
 		return helloFarInterval
@@ -114,7 +115,7 @@
 func (n *Node) aliveWindow(h discovery.Host) time.Duration {
 	sameDomain := h.Domain == n.config.Self.Domain
 	switch {
-	case n.isSmallSystem() || sameDomain && (n.holdsAnyPool(h.Address) || n.holdsAnyPool(n.config.Self.Address)):
+	case n.isSmallSystem() || sameDomain && (n.holdsAnyPool(h.Address) || n.holdsAnyPool(n.config.Self.Address)) || n.hearsFromWatched(h.Address):
 		return aliveTimeout
 	case sameDomain:
 		return idleAliveIntervals * n.idleHelloInterval()
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -42,6 +42,8 @@
 	log            *slog.Logger
 	controller     *controller.Controller
 	catalogs       *catalogs
+	evacuations    *evacuations
+	pauses         *pauseWatch
 	announcements  *announcementTable // from targets, directly or through other hosts
 	toForward      chan Announcement  // to other hosts
 	losses         *losses.Table
@@ -111,7 +113,10 @@
 		return nil, failure.Wrap(failure.Internal, "fleet", err)
 	}
 	n.controller = c
+	n.evacuations = newEvacuations(n.log, config.Metrics)
+	n.pauses = newPauseWatch(n.startedAt)
 	n.catalogs = newCatalogs(c, config.Parse, n.log)
+	n.catalogs.applyEvacuations = n.applyEvacuations
 	return n, nil
 }
 
@@ -141,6 +146,7 @@
 	})
 	group.Go(func() error { return n.controller.Run(ctx) })
 	group.Go(func() error { return n.catalogs.follow(ctx) })
+	group.Go(func() error { return n.pauses.run(ctx) })
 	group.Go(func() error { return n.forwardAnnouncements(ctx) })
 	group.Go(func() error { return n.reportLosses(ctx) })
 	n.openOwnPools()
@@ -368,8 +374,8 @@
 	return out
 }
 
-// loadsOfOtherDomains returns the loads of the pools of other domains that have a holder,
-// ordered by name.
+// loadsOfOtherDomains returns the loads of the pools of other domains that have a holder
+// and are not evacuated, ordered by name.
 func (n *Node) loadsOfOtherDomains() []shards.Load {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -377,7 +383,7 @@
 	var out []shards.Load
 	for _, name := range slices.Sorted(maps.Keys(n.claims)) {
 		id, err := shards.ParsePool(name)
-		if err != nil || id.Domain == n.config.Self.Domain {
+		if err != nil || id.Domain == n.config.Self.Domain || n.isEvacuated(id.Domain) {
 			continue
 		}
 		if l, ok := n.poolLoad(name, now); ok {
@@ -388,7 +394,7 @@
 }
 
 // freeCapacityExcept returns how many tasks each pool other than the given one could
-// start at once.
+// start at once. It leaves out the pools of evacuated domains.
 func (n *Node) freeCapacityExcept(except shards.Pool) []scheduler.PoolCapacity {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -403,7 +409,7 @@
 	var out []scheduler.PoolCapacity
 	for name := range names {
 		id, err := shards.ParsePool(name)
-		if l, ok := n.poolLoad(name, now); ok && l.FreeTasks > 0 && !l.Silent && id != except {
+		if l, ok := n.poolLoad(name, now); ok && l.FreeTasks > 0 && !l.Silent && id != except && !n.isEvacuated(id.Domain) {
 			out = append(out, scheduler.PoolCapacity{Pool: name, FreeTasks: l.FreeTasks, SameDomain: err == nil && id.Domain == except.Domain})
 		}
 	}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -87,6 +87,7 @@
 func (p *pool) newCore() *scheduler.Core {
 	config := scheduler.DefaultConfig()
 	config.Losses = p.node.losses
+	config.EvacuationGrace = p.node.config.EvacuateWithin / evacuationGraceDivisor
 	return scheduler.NewCore(config)
 }
 
@@ -184,6 +185,7 @@
 		p.releaseMovedTargets(now)
 		p.takeFromFormerPool(now)
 		p.balancePools(now)
+		p.followEvacuations(now)
 		p.core.SetPoolCapacities(p.node.freeCapacityExcept(p.id))
 		p.node.resolveLosses(now)
 		p.applyEffects(p.core.Tick(now), now)
@@ -224,6 +226,7 @@
 	p.log.Info("This host holds the pool.", "pool", p.name, "token", claim.Token, "reason", reason)
 	p.heldHere.Store(true)
 	p.closeSessions()
+	p.followEvacuations(now)
 	for _, a := range p.node.announcements.recent(now) {
 		p.handleAnnouncement(a, now)
 	}
@@ -355,6 +358,8 @@
 				"born", e.Incarnation, "cause", e.Cause.String(), "other_runs", e.OtherRuns, "age", e.Age)
 		case scheduler.LossRecorded:
 			p.node.reportLoss(e.Loss, p.id.Domain)
+		case scheduler.Withheld:
+			p.logWithheld(e, now)
 		case scheduler.Reply:
 			p.reply(e, now)
 		case scheduler.LogEntry:
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -74,6 +74,9 @@
 	if !s.node.config.Self.Entry || s.node.leaving.Load() {
 		return nil, status.Error(codes.FailedPrecondition, "this host is stopping or accepts no jobs")
 	}
+	if s.node.awaitsEvacuations() {
+		return nil, status.Error(codes.FailedPrecondition, "this host does not know yet which domains are evacuated")
+	}
 	id, err := shards.ParsePool(m.GetPool())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -26,6 +26,9 @@
 
 // Submit runs a job and returns its answer. The job is withdrawn when ctx ends.
 func (n *Node) Submit(ctx context.Context, j scheduler.Job) scheduler.Answer {
+	if n.isEvacuated(n.config.Self.Domain) {
+		return n.submitEvacuated(ctx, j)
+	}
 	loads := n.domainLoads(n.config.Self.Domain)
 	if shards.AllSilent(loads) {
 		refusal := refusalAnswer(failure.New(failure.NotReady, "the holders of the domain's pools are silent"))
@@ -47,16 +50,28 @@
 // until one starts it at once. If none does, the job's own domain runs or refuses it.
 func (n *Node) submitSpilled(ctx context.Context, j scheduler.Job, spilled scheduler.Answer) scheduler.Answer {
 	j.Spilled = true
+	if a, done := n.tryPools(ctx, j, spilled); done {
+		return a
+	}
+	if n.isEvacuated(n.config.Self.Domain) {
+		return n.submitEvacuated(ctx, j)
+	}
+	j.Returned = true
+	return n.submitInDomain(ctx, j, n.domainLoads(n.config.Self.Domain))
+}
+
+// tryPools sends a spilled job to the pools that were named for it, one after the other,
+// until one starts it at once. It returns false if none does.
+func (n *Node) tryPools(ctx context.Context, j scheduler.Job, spilled scheduler.Answer) (scheduler.Answer, bool) {
 	trial := j
 	trial.OnlyAtOnce = true
 	for _, pool := range spilled.Pools {
 		n.log.Info("A job is sent to another pool.", "job", j.ID, "pool", pool, "reason", spilled.Reason, "age", time.Since(j.ArrivedAt))
 		if a := n.submitToPool(ctx, pool, trial); a.Outcome != scheduler.Refused {
-			return a
+			return a, true
 		}
 	}
-	j.Returned = true
-	return n.submitInDomain(ctx, j, n.domainLoads(n.config.Self.Domain))
+	return scheduler.Answer{}, false
 }
 
 // submitToOtherDomain runs a job that no holder in this host's domain accepts in a pool
@@ -126,6 +141,9 @@
 	if !ok {
 		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "this host does not hold the pool"}
 	}
+	if n.awaitsEvacuations() {
+		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "this host does not know yet which domains are evacuated"}
+	}
 	return p.submit(ctx, j, sender)
 }
 
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -50,6 +50,9 @@
 // Admission protects the pool in a burst, when a domain's callers demand more than
 // its targets can do: admitting more than that would make all jobs late.
 func (c *Core) admit(s *jobState, now time.Time) (Answer, bool) {
+	if c.evacuated {
+		return c.withhold(s), false
+	}
 	if a, ok := c.checkRunnable(s); !ok {
 		return c.spillOrRefuse(s, a)
 	}
@@ -107,7 +110,7 @@
 	n := 0
 	for _, t := range c.targets {
 		if t.Service == service && t.canStart(step, now) {
-			n += int(t.free().CPUMilli / max(1, step.Need.CPUMilli))
+			n += t.limitIfCold(int(t.free().CPUMilli/max(1, step.Need.CPUMilli)), now)
 		}
 	}
 	return n
@@ -154,7 +157,7 @@
 	n := 0
 	for _, t := range c.targets {
 		if (service == "" || t.Service == service) && t.usable(now) {
-			n += int(float64(max(0, t.free().CPUMilli)) / c.typicalNeed.cpuMilli) // negative once the capacity has shrunk below what runs
+			n += t.limitIfCold(int(float64(max(0, t.free().CPUMilli))/c.typicalNeed.cpuMilli), now) // negative once the capacity has shrunk below what runs
 		}
 	}
 	return n
@@ -166,6 +169,9 @@
 	for _, s := range c.waitingJobs {
 		queued += s.pendingTasks
 	}
+	if c.evacuated {
+		return 0, queued
+	}
 	return max(0, c.freeTasks("", now)-queued), queued
 }
 
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -17,6 +17,7 @@
 	UsableFraction       float64       // share of the targets' cores that tasks can fill; the rest is too small for a task
 	SpillTries           int           // other pools that a spilled job is sent to at most, one after the other; a try takes a round trip
 	Losses               *losses.Table // shared by the pools of a host; nil for a table of the Core's own
+	EvacuationGrace      time.Duration // for which tasks of started jobs may still start after the pool is evacuated
 }
 
 // DefaultConfig returns the values for tasks whose estimates are off by up to
@@ -47,6 +48,8 @@
 	shares          fairShares
 	losses          *losses.Table      // of targets, under tasks of any pool
 	detachedRuns    map[*run]time.Time // end of the lease by run
+	evacuated       bool               // no new job is admitted
+	graceEnd        time.Time          // while evacuated, no task is started from then on
 }
 
 // NewCore returns a Core without targets.
--- a/internal/process/scheduler/forecast.go
+++ b/internal/process/scheduler/forecast.go
@@ -38,6 +38,9 @@
 			earliest = until
 		}
 		free := int(math.Floor(float64(t.free().CPUMilli) / c.typicalNeed.cpuMilli))
+		if t.cold(now) {
+			free = min(free, 1-len(t.runs))
+		}
 		for range free {
 			out = append(out, earliest)
 		}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -14,6 +14,9 @@
 // placeTasks starts waiting tasks in queue order while targets have free capacity,
 // and removes jobs without waiting tasks from the queue.
 func (c *Core) placeTasks(now time.Time) {
+	if c.startsWithheld(now) {
+		return
+	}
 	tried := 0
 	maxFree := c.maxFreeCPUMilli(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
@@ -76,7 +79,7 @@
 			avoided = candidate
 			continue
 		}
-		if best == nil || betterTarget(candidate, best, step) {
+		if best == nil || betterTarget(candidate, best, step, now) {
 			best = candidate
 		}
 	}
@@ -86,8 +89,12 @@
 	return best
 }
 
-// betterTarget reports whether a is better than b for a task of the step.
-func betterTarget(a, b *target, s Step) bool {
+// betterTarget reports whether a is better than b for a task of the step. A cold target
+// is the last choice.
+func betterTarget(a, b *target, s Step, now time.Time) bool {
+	if coldA, coldB := a.cold(now), b.cold(now); coldA != coldB {
+		return coldB
+	}
 	rackA, slowdownA, remainingA := a.placementCost(s)
 	rackB, slowdownB, remainingB := b.placementCost(s)
 	if rackA != rackB {
@@ -123,6 +130,7 @@
 func (c *Core) Tick(now time.Time) []Effect {
 	c.expireHandedOver(now)
 	c.expireDetachedRuns(now)
+	c.giveUpWithheld(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
 		if !c.giveUpDeadly(s) {
 			c.reviewWaiting(s, now)
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -212,13 +212,16 @@
 	}
 }
 
+// cold reports whether the target is still slow after its start.
+func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
 // canStart reports whether a task of the step may start on the target now. A target
-// that is being probed or has unanswered requests gets one run at a time.
+// that is being probed, has unanswered requests or is cold gets one run at a time.
 func (t *target) canStart(s Step, now time.Time) bool {
 	if !t.usable(now) || !t.free().Covers(s.Need) {
 		return false
 	}
-	if (t.probing() || t.unansweredCount > 0) && len(t.runs) > 0 {
+	if (t.probing() || t.unansweredCount > 0 || t.cold(now)) && len(t.runs) > 0 {
 		return false
 	}
 	return t.couldRun(s)
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -94,6 +94,7 @@
 	Capacity    Resources
 	Labels      []string
 	Draining    bool
+	ColdUntil   time.Time // the target is slow until then, after its start; zero if it is not
 }
 
 // Outcome is how a job ended.
--- a/internal/version/catalog/stored.go
+++ b/internal/version/catalog/stored.go
@@ -6,6 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
+
+	"wasabifield.example/wasabifield/internal/version/evacuation"
 )
 
 const (
@@ -18,11 +21,13 @@
 	maxDocumentBytes = 16 << 20
 )
 
-// Stored is the replicated form of a catalog: its version and the operator's document.
-// The zero value stands for no catalog.
+// Stored is the replicated form of the operators' requests: the catalog's version and
+// document, and the evacuations in force. The zero value stands for no catalog and no
+// evacuations. Evacuations may be in force while there is no catalog.
 type Stored struct {
-	Version  uint64
-	Document []byte
+	Version     uint64
+	Document    []byte
+	Evacuations evacuation.Set
 }
 
 // storedJSON is Stored as it is written: with the document, or with its compressed
@@ -31,6 +36,8 @@
 	Version  uint64          `json:"version"`
 	Document json.RawMessage `json:"document,omitempty"`
 	Packed   []byte          `json:"packed,omitempty"` // document compressed with DEFLATE (RFC 1951)
+
+	Evacuations evacuation.Set `json:"evacuations,omitempty"`
 }
 
 // DecodeStored decodes the replicated form. Empty content decodes to version 0 with
@@ -40,7 +47,7 @@
 	if err != nil {
 		return Stored{}, err
 	}
-	s := Stored{Version: text.Version, Document: text.Document}
+	s := Stored{Version: text.Version, Document: text.Document, Evacuations: text.Evacuations}
 	if text.Packed != nil {
 		s.Document, err = decompress(text.Packed)
 	}
@@ -67,20 +74,37 @@
 
 // ReplaceIfNewer returns the replicated form of next if its version is higher than that
 // of current, otherwise current unchanged. A version therefore keeps its first document.
-// It fails if current cannot be decoded.
+// The evacuations are those of current. It fails if current cannot be decoded.
 func ReplaceIfNewer(current []byte, next Stored) ([]byte, error) {
-	currentVersion, err := VersionOf(current)
+	held, err := decodeJSON(current)
 	if err != nil {
 		return nil, err
 	}
-	if next.Version <= currentVersion {
+	if next.Version <= held.Version {
 		return current, nil
 	}
+	next.Evacuations = held.Evacuations
 	return next.encode()
 }
 
+// ChangeEvacuations returns the replicated form of current with the changed evacuations,
+// or current itself if change leaves them as they are. The stored document stays byte for
+// byte the same. It fails if current cannot be decoded.
+func ChangeEvacuations(current []byte, change func(evacuation.Set) evacuation.Set) ([]byte, error) {
+	text, err := decodeJSON(current)
+	if err != nil {
+		return nil, err
+	}
+	next := change(text.Evacuations)
+	if slices.Equal(next, text.Evacuations) {
+		return current, nil
+	}
+	text.Evacuations = next
+	return json.Marshal(text)
+}
+
 func (s Stored) encode() ([]byte, error) {
-	text := storedJSON{Version: s.Version, Document: s.Document}
+	text := storedJSON{Version: s.Version, Document: s.Document, Evacuations: s.Evacuations}
 	if len(s.Document) > compressThreshold {
 		compressed, err := compress(s.Document)
 		if err != nil {
