--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -204,11 +204,19 @@
 // result. An error of f is returned unwrapped, together with the chosen content
 // that f was called with.
 //
+// f is not called once ctx has ended. This is checked each time that the change is to
+// be proposed, when a quorum has promised the ballot: a host that was suspended then
+// cannot put a change in force that its caller has long sent to another host, after
+// another change was acknowledged there.
+//
 // Other errors are Overloaded, Draining and TooLarge. If ctx ends first, the
 // error is NoQuorum if nothing was changed, and Undecided, which wraps
 // ErrUndecided, if the change may still take effect.
 func (c *Controller) Change(ctx context.Context, f func(current []byte) (next []byte, err error)) ([]byte, error) {
 	entry, err := c.runOperation(ctx, func(v register.Value) (register.Value, error) {
+		if hasEnded(ctx) {
+			return v, failure.Wrap(failure.NoQuorum, "controller", errChangeNoQuorum)
+		}
 		next, err := f(v.Content)
 		if err == nil && len(next) > MaxContentBytes {
 			err = failure.New(failure.TooLarge, fmt.Sprintf("the control state has %d bytes, at most %d fit", len(next), MaxContentBytes))
@@ -219,6 +227,13 @@
 	return entry.Value.Content, err
 }
 
+// hasEnded reports whether ctx has ended. The deadline is compared because the timer of
+// ctx may fire late after the process was suspended.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // RemoveVoter removes a host's disk from the voters permanently. The host must
 // have been stopped: while it runs, it adds itself again. Errors are those of
 // Change, and register.ErrMemberChange for the last voter.
--- a/internal/process/fleet/evacuations.go
+++ b/internal/process/fleet/evacuations.go
@@ -158,16 +158,10 @@
 
 // changeEvacuations changes the replicated evacuations and returns the resulting value.
 // The operator sends a request again to another host once this one has not answered in
-// time, and may then send the opposite request. So a host that was suspended must not
-// carry out a request whose context has ended. This is checked each time that the change
-// is to be proposed, when a quorum has promised the ballot: the acceptance of a request
-// that was acknowledged meanwhile has a higher ballot, and the proposal fails. The
-// deadline is compared because, after a suspension, the timer of ctx may not have fired.
+// time, and may then send the opposite request there. The register does not carry out a
+// change whose context has ended, so a delayed request cannot undo a later one.
 func changeEvacuations(ctx context.Context, r replicatedRegister, change func(evacuation.Set) evacuation.Set) (catalog.Stored, error) {
 	content, err := r.Change(ctx, func(current []byte) ([]byte, error) {
-		if deadline, ok := ctx.Deadline(); ctx.Err() != nil || ok && !time.Now().Before(deadline) {
-			return nil, failure.New(failure.NoQuorum, "the operator no longer waits for the request; nothing was changed")
-		}
 		return catalog.ChangeEvacuations(current, change)
 	})
 	if err != nil {
--- a/internal/process/fleet/hello_test.go
+++ b/internal/process/fleet/hello_test.go
@@ -17,6 +17,26 @@
 // hellosPerSecond returns how many hello messages an entry host that holds no pool
 // sends after its start phase in a system of 4 domains with one pool each and 8 disks.
 func hellosPerSecond(t *testing.T, entryHosts int) float64 {
+	t.Helper()
+	n, hosts := newSizedTestNode(t, entryHosts)
+	sum := 0.0
+	for _, h := range hosts {
+		sum += 1 / n.helloInterval(h.Address).Seconds()
+	}
+	return sum
+}
+
+// newLargeTestNode returns an entry host of the domain d0 that holds no pool, in a system
+// of 80 entry hosts.
+func newLargeTestNode(t *testing.T) (*Node, time.Time) {
+	t.Helper()
+	n, _ := newSizedTestNode(t, 80)
+	return n, time.Now()
+}
+
+// newSizedTestNode returns an entry host that holds no pool, after its start phase, in a
+// system of 4 domains with one pool each and 8 disks, and the other hosts.
+func newSizedTestNode(t *testing.T, entryHosts int) (*Node, []discovery.Host) {
 	t.Helper()
 	g := NewWithT(t)
 	n, err := New(Config{
@@ -25,7 +45,6 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	now := time.Now()
 	n.startedAt = now.Add(-startPhase)
-	sum := 0.0
 	var hosts []discovery.Host
 	for i := range entryHosts {
 		hosts = append(hosts, discovery.Host{Address: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%4), Entry: true})
@@ -39,10 +58,7 @@
 			n.recordClaim(&fleetpb.Claim{Pool: h.Domain, Holder: h.Address, FencingToken: 1})
 		}
 	}
-	for _, h := range hosts {
-		sum += 1 / n.helloInterval(h.Address).Seconds()
-	}
-	return sum
+	return n, hosts
 }
 
 // The number of hello messages in the system must not grow with the square of the
