Test evacuations between hosts

A host that is cut off during the request and restarts later, drains under load, refusals when no domain takes work, and unknown domains.

--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -17,6 +17,7 @@
 	"wasabifield.example/wasabifield/internal/process/fleet"
 	"wasabifield.example/wasabifield/internal/process/metrics"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/standin/relay"
 	"wasabifield.example/wasabifield/internal/version/catalog"
 	"wasabifield.example/wasabifield/internal/version/store"
 	"wasabifield.example/wasabifield/internal/version/store/storetest"
@@ -37,6 +38,7 @@
 	deadly      map[string]bool              // tasks that crash each target that starts them
 	down        map[string]bool              // ids of targets that have crashed
 	onCrash     func(target fleet.TargetRef) // called without the lock
+	onStart     func(target string)          // called with the lock at each start; may be nil
 }
 
 type fakeTarget struct {
@@ -156,6 +158,9 @@
 		}
 	}
 	f.starts[request.Run.TaskID()]++
+	if f.onStart != nil {
+		f.onStart(t.ID)
+	}
 	if f.deadly[request.Run.TaskID()] {
 		f.crash(t)
 		return scheduler.Started, targetClockMS()
@@ -233,6 +238,10 @@
 	nodes   map[string]*runningNode
 	lease   time.Duration // the longest that targets grant
 	seed    string
+
+	evacuateWithin time.Duration
+	relayed        bool // hosts reach each other through relays, which can be cut
+	relays         []*relay.Relay
 }
 
 type runningNode struct {
@@ -262,10 +271,17 @@
 	listener, err := net.Listen("tcp", at)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	address := listener.Addr().String()
+	if f.relayed {
+		r, err := relay.NewRelay("127.0.0.1:0", address)
+		f.g.Expect(err).NotTo(HaveOccurred())
+		f.t.Cleanup(r.Close)
+		f.relays = append(f.relays, r)
+		address = r.Address()
+	}
 	config := fleet.Config{
 		Self:     discovery.Host{Address: address, Name: name, Domain: domain, Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
 		MaxLease: f.lease, Targets: f.targets, Parse: parseDocument, VoterCount: 1,
-		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil),
+		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil), EvacuateWithin: f.evacuateWithin,
 	}
 	if f.seed == "" {
 		f.seed = address
