--- a/internal/process/fleet/evacuation_hosts_test.go
+++ b/internal/process/fleet/evacuation_hosts_test.go
@@ -27,8 +27,8 @@
 	lastInSouth   atomic.Int64 // Unix nanoseconds of the last start in south
 }
 
-func newEvacuationFixture(t *testing.T, relayed bool) *evacuationFixture {
-	f := &evacuationFixture{fixture: newFixture(t, 30*time.Millisecond)}
+func newEvacuationFixture(t *testing.T, runDuration time.Duration, relayed bool) *evacuationFixture {
+	f := &evacuationFixture{fixture: newFixture(t, runDuration)}
 	f.relayed, f.evacuateWithin = relayed, evacuateMS*time.Millisecond
 	f.targets.onStart = func(target string) {
 		if strings.HasPrefix(target, "south") {
@@ -68,7 +68,7 @@
 // From when it is connected again, none of its targets may start a task.
 func TestAHostThatWasCutOffDuringTheRequestObeysTheEvacuation(t *testing.T) {
 	t.Parallel()
-	f := newEvacuationFixture(t, true)
+	f := newEvacuationFixture(t, 30*time.Millisecond, true)
 	for _, r := range f.relays {
 		r.Cut(relay.Both)
 	}
@@ -101,7 +101,7 @@
 // acknowledgement to the last start in the domain is printed.
 func TestAnEvacuatedDomainDrainsWithoutLosingAJob(t *testing.T) {
 	t.Parallel()
-	f := newEvacuationFixture(t, false)
+	f := newEvacuationFixture(t, 30*time.Millisecond, false)
 	ctx, stop := context.WithCancel(t.Context())
 	answers := make(chan scheduler.Answer, 10_000)
 	done := make(chan struct{})
@@ -117,10 +117,13 @@
 		}
 	}()
 	var last []time.Duration
-	for range 8 {
+	for round := range 8 {
 		f.g.Expect(f.nodes["a"].StartEvacuation(t.Context(), "south")).To(Succeed())
 		acknowledgedAt := time.Now()
 		time.Sleep(400 * time.Millisecond)
+		if round == 0 { // long enough to see a start after the bound
+			time.Sleep(evacuateMS * time.Millisecond)
+		}
 		last = append(last, max(0, time.Unix(0, f.lastInSouth.Load()).Sub(acknowledgedAt)))
 		f.g.Expect(f.nodes["b"].WithdrawEvacuation(t.Context(), "south")).To(Succeed())
 		time.Sleep(200 * time.Millisecond)
@@ -144,10 +147,25 @@
 	f.g.Expect(f.targets.overlapping).To(BeEmpty())
 }
 
+// The other domain is full for a moment. A job of the evacuated domain must wait there, by
+// the rules of that domain, and not be refused by its own.
+func TestAJobOfAnEvacuatedDomainWaitsWhereItMayRun(t *testing.T) {
+	t.Parallel()
+	f := newEvacuationFixture(t, 500*time.Millisecond, false)
+	f.g.Expect(f.nodes["a"].StartEvacuation(t.Context(), "south")).To(Succeed())
+	f.g.Eventually(f.isInForce("b", "south"), testTimeout, "10ms").Should(BeTrue())
+	full := make(chan scheduler.Answer, 1)
+	go func() { full <- f.nodes["a"].Submit(t.Context(), job("full", 16)) }() // all cores of north
+	f.g.Eventually(func() int { return f.nodes["b"].FreeTasksOf("north") }, testTimeout, "5ms").Should(BeZero())
+	a := f.nodes["b"].Submit(t.Context(), job("waits", 2))
+	f.g.Expect(a.Outcome).To(Equal(scheduler.Completed), "%+v", a)
+	f.g.Expect((<-full).Outcome).To(Equal(scheduler.Completed))
+}
+
 // When no other domain takes work, a job is refused at once and has not run.
 func TestAJobIsRefusedWhenAllDomainsAreEvacuated(t *testing.T) {
 	t.Parallel()
-	f := newEvacuationFixture(t, false)
+	f := newEvacuationFixture(t, 30*time.Millisecond, false)
 	f.g.Expect(f.nodes["a"].StartEvacuation(t.Context(), "south")).To(Succeed())
 	f.g.Expect(f.nodes["b"].StartEvacuation(t.Context(), "north")).To(Succeed())
 	for _, host := range []string{"a", "b"} {
@@ -167,7 +185,7 @@
 // requested looks like a repeated one.
 func TestOnlyKnownDomainsAreEvacuated(t *testing.T) {
 	t.Parallel()
-	f := newEvacuationFixture(t, false)
+	f := newEvacuationFixture(t, 30*time.Millisecond, false)
 	for _, request := range []func(context.Context, string) error{f.nodes["a"].StartEvacuation, f.nodes["a"].WithdrawEvacuation} {
 		f.g.Expect(failure.KindOf(request(t.Context(), "nroth"))).To(Equal(failure.InvalidRequest))
 	}
