--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -90,6 +90,7 @@
 func (p *pool) newCore() *scheduler.Core {
 	config := scheduler.DefaultConfig()
 	config.Losses = p.node.losses
+	config.EvacuationGrace = p.node.config.EvacuateWithin / evacuationGraceDivisor
 	return scheduler.NewCore(config)
 }
 
@@ -187,6 +188,7 @@
 		p.releaseMovedTargets(now)
 		p.takeFromFormerPool(now)
 		p.balancePools(now)
+		p.followEvacuations(now)
 		p.core.SetPoolCapacities(p.node.freeCapacityExcept(p.id))
 		p.node.resolveLosses(now)
 		p.applyEffects(p.core.Tick(now), now)
@@ -230,6 +232,7 @@
 	p.log.Info("This host holds the pool.", "pool", p.name, "token", claim.Token, "reason", reason)
 	p.heldHere.Store(true)
 	p.closeSessions()
+	p.followEvacuations(now)
 	for _, a := range p.node.announcements.recent(now) {
 		p.handleAnnouncement(a, now)
 	}
@@ -365,6 +368,8 @@
 			p.metrics.recordSuspect(e.Decision)
 			p.log.Info(e.Decision.Message(), "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target,
 				"decision", e.Decision.String(), "crashed", e.Losses.Crashed, "unresolved", e.Losses.Unresolved, "age", e.Age)
+		case scheduler.Withheld:
+			p.logWithheld(e, now)
 		case scheduler.Reply:
 			p.reply(e, now)
 		case scheduler.LogEntry:
--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -90,7 +90,7 @@
 // Otherwise it reserves a target for it.
 func (c *Core) startSuspect(s *jobState, t *task, now time.Time) bool {
 	step := s.Steps[t.step]
-	chosen := c.chooseTarget(s, t, func(candidate *target) bool { return candidate.canStartAlone(t, step, now) })
+	chosen := c.chooseTarget(s, t, func(candidate *target) bool { return candidate.canStartAlone(t, step, now) }, now)
 	if chosen == nil {
 		c.reserve(s, t, now)
 		return false
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -15,6 +15,9 @@
 // and removes jobs without waiting tasks from the queue.
 func (c *Core) placeTasks(now time.Time) {
 	c.reviewReservations(now)
+	if c.startsWithheld(now) {
+		return
+	}
 	tried := 0
 	maxFree := c.maxFreeCPUMilli(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
@@ -67,13 +70,13 @@
 // bestTarget returns the target for a task, or nil if none can start it now.
 func (c *Core) bestTarget(s *jobState, t *task, now time.Time) *target {
 	step := s.Steps[t.step]
-	return c.chooseTarget(s, t, func(candidate *target) bool { return candidate.canStart(step, now) })
+	return c.chooseTarget(s, t, func(candidate *target) bool { return candidate.canStart(step, now) }, now)
 }
 
 // chooseTarget returns the best target for a task among those that can start it, or nil
 // if there is none. The target of the task's last run is used only if no other target can
 // start it.
-func (c *Core) chooseTarget(s *jobState, t *task, canStart func(*target) bool) *target {
+func (c *Core) chooseTarget(s *jobState, t *task, canStart func(*target) bool, now time.Time) *target {
 	step := s.Steps[t.step]
 	var best, avoided *target
 	for _, id := range c.targetIDs {
@@ -88,7 +91,7 @@
 			avoided = candidate
 			continue
 		}
-		if best == nil || betterTarget(candidate, best, step) {
+		if best == nil || betterTarget(candidate, best, step, now) {
 			best = candidate
 		}
 	}
@@ -98,8 +101,12 @@
 	return best
 }
 
-// betterTarget reports whether a is better than b for a task of the step.
-func betterTarget(a, b *target, s Step) bool {
+// betterTarget reports whether a is better than b for a task of the step. A cold target
+// is the last choice.
+func betterTarget(a, b *target, s Step, now time.Time) bool {
+	if coldA, coldB := a.cold(now), b.cold(now); coldA != coldB {
+		return coldB
+	}
 	rackA, slowdownA, remainingA := a.placementCost(s)
 	rackB, slowdownB, remainingB := b.placementCost(s)
 	if rackA != rackB {
@@ -135,6 +142,7 @@
 func (c *Core) Tick(now time.Time) []Effect {
 	c.expireHandedOver(now)
 	c.expireDetachedRuns(now)
+	c.giveUpWithheld(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
 		if !c.giveUpDeadly(s, now) && !c.answerHeld(s, now) {
 			c.reviewWaiting(s, now)
