Keep evacuations of failure domains in the control state

Change: two commands, evacuation-start and evacuation-withdraw, signed and audited as the others are. Rules name the known domains; a mistyped domain is an invalid request, and the last domain that gets work is evacuated only with force, checked inside the change so that two operators can't evacuate the last two at once. New fields are left out of the encoding when empty, so existing audit trails keep their hashes.

--- a/internal/request/failure/kind.go
+++ b/internal/request/failure/kind.go
@@ -35,7 +35,7 @@
 	AnswerLost        Kind = "answer_lost"        // the host that received the job gave no answer, or its answer was lost
 	StaleVersion      Kind = "stale_version"      // the change is based on or refers to a version that is no longer current
 	VersionTaken      Kind = "version_taken"      // the version number belongs to other content
-	NotAllowed        Kind = "not_allowed"        // the signature is not valid for an operator of the settings, or approvals are missing
+	NotAllowed        Kind = "not_allowed"        // the signature is not valid for an operator of the settings, approvals are missing, or the change needs to be forced
 	NoQuorum          Kind = "no_quorum"          // too few disk hosts answered; nothing was changed
 	Undecided         Kind = "undecided"          // too few disk hosts answered; the change was sent and may still take effect
 	NotFound          Kind = "not_found"          // what the request asks for does not exist or is no longer kept
--- a/internal/version/control/act.go
+++ b/internal/version/control/act.go
@@ -20,6 +20,10 @@
 		return r.roll(s, c, now)
 	case Replace:
 		return r.replace(s, c, now)
+	case StartEvacuation:
+		return r.startEvacuation(s, c, now)
+	case WithdrawEvacuation:
+		return r.withdrawEvacuation(s, c)
 	default:
 		return s.withdraw(c, now)
 	}
--- a/internal/version/control/audit.go
+++ b/internal/version/control/audit.go
@@ -24,6 +24,8 @@
 	Digest   bundle.Digest `json:"digest,omitempty"`  // digest of the version in force
 	Status   Status        `json:"status,omitempty"`  // of the version in the command
 	Signers  []string      `json:"signers,omitempty"` // operators who approved the version in the command
+
+	Evacuated []string `json:"evacuated,omitempty"` // evacuated failure domains
 }
 
 // Entry is one entry of the audit trail. Its hash covers all its other fields,
@@ -69,6 +71,9 @@
 			summary.Signers = append(summary.Signers, a.Operator)
 		}
 	}
+	for _, e := range s.Evacuations {
+		summary.Evacuated = append(summary.Evacuated, e.Domain)
+	}
 	return summary
 }
 
--- a/internal/version/control/command.go
+++ b/internal/version/control/command.go
@@ -19,10 +19,13 @@
 	Roll     Action = "roll"     // accept an approved proposal
 	Replace  Action = "replace"  // propose, approve and roll in one step
 	Withdraw Action = "withdraw" // end a proposal that is not accepted
+
+	StartEvacuation    Action = "evacuation-start"    // the targets of a failure domain get no new work
+	WithdrawEvacuation Action = "evacuation-withdraw" // end the evacuation of a failure domain
 )
 
 // Actions lists every action.
-var Actions = []Action{Propose, Approve, Roll, Replace, Withdraw}
+var Actions = []Action{Propose, Approve, Roll, Replace, Withdraw, StartEvacuation, WithdrawEvacuation}
 
 // Command is an operator's request to change the state.
 type Command struct {
@@ -34,6 +37,8 @@
 	Document  []byte        `json:"document,omitempty"`  // the bundle's exact bytes; only with Propose and Replace
 	Approvals []Approval    `json:"approvals,omitempty"` // only with Approve and Replace
 	Reason    string        `json:"reason,omitempty"`    // free text for the audit trail
+	Domain    string        `json:"domain,omitempty"`    // failure domain; only with StartEvacuation and WithdrawEvacuation
+	Force     bool          `json:"force,omitempty"`     // evacuate also the last domain that gets work; only with StartEvacuation
 	Signature []byte        `json:"signature"`           // Operator's signature of the command, see Sign
 }
 
--- a/internal/version/control/fixture_test.go
+++ b/internal/version/control/fixture_test.go
@@ -15,6 +15,7 @@
 
 var (
 	operatorNames = []string{"linh", "mere", "sione", "tuan"}
+	domains       = []string{"north", "south"}
 	startTime     = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 )
 
@@ -26,7 +27,7 @@
 }
 
 func rulesFor(approvals int, operators ...string) control.Rules {
-	r := control.Rules{RequiredApprovals: approvals}
+	r := control.Rules{RequiredApprovals: approvals, Domains: domains}
 	for _, name := range operators {
 		key := keyOf(name).Public().(ed25519.PublicKey)
 		r.Operators = append(r.Operators, control.Operator{Name: name, Key: key})
--- a/internal/version/control/property_test.go
+++ b/internal/version/control/property_test.go
@@ -21,6 +21,7 @@
 	digests         map[uint64]bundle.Digest   // the first content seen under each version number
 	approved        map[uint64]map[string]bool // operators whose approval succeeded, by version number
 	highestAccepted uint64                     // highest version whose acceptance succeeded
+	evacuated       map[string]bool            // by the successful commands
 }
 
 func TestAnySequenceOfCommandsKeepsTheInvariants(t *testing.T) {
@@ -30,6 +31,7 @@
 			firstAnswers: map[string]control.Answer{},
 			digests:      map[uint64]bundle.Digest{},
 			approved:     map[uint64]map[string]bool{},
+			evacuated:    map[string]bool{},
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "commands") {
 			m.applyAndCheck(t, m.draw(t))
@@ -48,6 +50,9 @@
 	request := fmt.Sprint("q", len(m.sent))
 	operator := rapid.SampledFrom(operatorNames).Draw(t, "operator")
 	action := rapid.SampledFrom(control.Actions).Draw(t, "action")
+	if action == control.StartEvacuation || action == control.WithdrawEvacuation {
+		return drawEvacuation(t, action, request, operator)
+	}
 	variant := rapid.IntRange(0, 1).Draw(t, "variant")
 	low := max(1, int(m.state.Accepted)-1)
 	version := uint64(rapid.IntRange(low, int(m.state.HighestProposed)+1).Draw(t, "version"))
@@ -78,6 +83,7 @@
 	}
 	m.checkAnswer(t, c, answer, before)
 	m.checkDigests(t)
+	m.checkEvacuations(t)
 	m.checkCompletedCommands(t, before)
 	if rapid.IntRange(0, 15).Draw(t, "reload") == 0 {
 		m.state = m.reencode(t)
@@ -103,6 +109,10 @@
 		return
 	}
 	switch c.Action {
+	case control.StartEvacuation:
+		m.evacuated[c.Domain] = true
+	case control.WithdrawEvacuation:
+		delete(m.evacuated, c.Domain)
 	case control.Approve:
 		if m.approved[c.Version] == nil {
 			m.approved[c.Version] = map[string]bool{}
--- a/internal/version/control/rules.go
+++ b/internal/version/control/rules.go
@@ -24,6 +24,7 @@
 type Rules struct {
 	Operators         []Operator
 	RequiredApprovals int
+	Domains           []string // the failure domains that may be evacuated
 }
 
 var (
@@ -93,12 +94,16 @@
 		return failure.Invalid("request", "must be 1 to 64 letters, digits, dots, dashes or underscores")
 	case !slices.Contains(Actions, c.Action):
 		return failure.Invalid("action", fmt.Sprintf("is %q, must be one of %v", c.Action, Actions))
+	case len(c.Reason) > MaxReasonBytes || !utf8.ValidString(c.Reason):
+		return failure.Invalid("reason", fmt.Sprintf("must be at most %d bytes of UTF-8", MaxReasonBytes))
+	case c.isEvacuation():
+		return c.checkEvacuationForm()
+	case c.Domain != "" || c.Force:
+		return failure.Invalid("domain", fmt.Sprintf("is not allowed with %s", c.Action))
 	case c.Version == 0:
 		return failure.Invalid("version", "must be 1 or more")
 	case !digestPattern.MatchString(string(c.Digest)):
 		return failure.Invalid("digest", "must be 64 digits of lower-case hex")
-	case len(c.Reason) > MaxReasonBytes || !utf8.ValidString(c.Reason):
-		return failure.Invalid("reason", fmt.Sprintf("must be at most %d bytes of UTF-8", MaxReasonBytes))
 	case len(c.Approvals) > MaxApprovals:
 		return failure.Invalid("approvals", fmt.Sprintf("must be at most %d", MaxApprovals))
 	case !c.carriesDocument() && len(c.Document) > 0:
--- a/internal/version/control/state.go
+++ b/internal/version/control/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wasabifield.example/wasabifield/internal/version/bundle"
+	"wasabifield.example/wasabifield/internal/version/evacuation"
 )
 
 // Limits of the state and of a command. MaxReasonBytes is in bytes, the others
@@ -61,6 +62,8 @@
 	Outcomes        []Outcome `json:"outcomes"` // oldest first
 	Head            Head      `json:"head"`     // the last entry of the audit trail
 	Entries         []Entry   `json:"entries"`  // the last entries of the audit trail, oldest first
+
+	Evacuations evacuation.Set `json:"evacuations,omitempty"` // failure domains whose targets get no new work
 }
 
 // Version returns the version with a number. It returns false if there is none or
