Start nothing in an evacuated failure domain

Cause: dispatch knew targets that leave and targets that fail, but no domain whose targets get no new work.

Change: Core.SetEvacuated. During an evacuation no attempt is made, no slot is lent and no free slot is stated. New jobs are refused as no_targets, which is passed to another domain where the bundle allows it. Waiting jobs of which nothing was started take the same way with what is left of their deadline; jobs that ran in part are answered at once as not_placed and their running tasks are not stopped. The Loop reads the evacuation before each event instead of taking it through its ring, which may be full.

--- a/internal/process/dispatch/assign.go
+++ b/internal/process/dispatch/assign.go
@@ -11,9 +11,11 @@
 // accelerator can run them.
 func (c *Core) assignTasks(now time.Time) {
 	c.releaseHeldSlots(now)
-	for c.assignOne(now, true) {
-	}
-	for c.assignOne(now, false) {
+	if !c.evacuated {
+		for c.assignOne(now, true) {
+		}
+		for c.assignOne(now, false) {
+		}
 	}
 	c.collectPoolMessages(now)
 }
--- a/internal/process/dispatch/core.go
+++ b/internal/process/dispatch/core.go
@@ -71,6 +71,7 @@
 	usages          *workers.Usages
 	peers           map[string]*peerDemand
 	reportsComplete bool // every peer has reported within PeerLease
+	evacuated       bool // the failure domain is evacuated: nothing is started
 	effects         Effects
 }
 
@@ -160,8 +161,12 @@
 	}
 }
 
-// checkRunnable returns an error if no live target can run the job.
+// checkRunnable returns an error if no live target can run the job or the domain is
+// evacuated.
 func (c *Core) checkRunnable(now time.Time, spec *job.Spec) error {
+	if c.evacuated {
+		return evacuatedError()
+	}
 	alive, accelerators := 0, 0
 	for _, t := range c.targetOrder {
 		if !t.Alive(now) {
@@ -258,8 +263,12 @@
 // RunningTasks returns the number of starts in progress.
 func (c *Core) RunningTasks() int { return len(c.attempts) }
 
-// Load returns the free slots that this host knows of and its queue length.
+// Load returns the free slots that this host knows of and its queue length. An
+// evacuated domain has no free slots, so that other domains pass no jobs to it.
 func (c *Core) Load(now time.Time) Load {
+	if c.evacuated {
+		return Load{QueuedTasks: c.QueuedTasks()}
+	}
 	accelerators := c.pools.slotPools[acceleratorPool].IdleSlots(now)
 	return Load{
 		FreeSlots:            c.pools.slotPools[plainPool].IdleSlots(now) + accelerators,
--- a/internal/process/dispatch/effect.go
+++ b/internal/process/dispatch/effect.go
@@ -52,6 +52,8 @@
 
 // JobAnswer is the answer to a job.
 type JobAnswer struct {
-	Job    JobID
-	Answer *job.Answer
+	Job      JobID
+	Answer   *job.Answer
+	Withheld bool      // the domain is evacuated: tasks of the job were not started. A job that has not run may run in another domain.
+	Deadline time.Time // of the job; only with Withheld
 }
--- a/internal/process/dispatch/health.go
+++ b/internal/process/dispatch/health.go
@@ -54,12 +54,13 @@
 }
 
 // disableEjectedTargets updates the health state of all targets and takes the slots
-// of ejected targets out of use: they are neither assigned nor lent.
+// of ejected and evacuated targets out of use: they are neither assigned nor lent.
 func (c *Core) disableEjectedTargets(now time.Time) {
 	for _, t := range c.targetOrder {
 		t.healthState = c.health.State(now, t.Target)
 		t.workerLost = c.workers.Lost(now, t.Target)
-		c.pools.slotPools[poolOf(t)].SetDisabled(t.Target, t.healthState == health.Ejected)
+		t.evacuated = c.evacuated
+		c.pools.slotPools[poolOf(t)].SetDisabled(t.Target, t.healthState == health.Ejected || c.evacuated)
 	}
 }
 
--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -25,18 +25,19 @@
 
 // LoopConfig configures a Loop.
 type LoopConfig struct {
-	Core         *Core
-	Records      record.Config
-	Minter       *ticket.Minter
-	Stopper      Stopper    // nil if tasks cannot be stopped
-	PeerSender   PeerSender // nil if the domain has no other hosts
-	Sender       Sender
-	Copier       Copier
-	Spiller      Spiller                    // nil if no job is passed to another domain
-	CheckAllowed func(spec *job.Spec) error // returns an error for a new job that the bundle forbids; nil allows all jobs
-	RingSize     int                        // limit of waiting messages, and of waiting results
-	Clock        func() time.Time           // the host's clock
-	TickInterval time.Duration              // time between two ticks of the Core while jobs are in progress
+	Core            *Core
+	Records         record.Config
+	Minter          *ticket.Minter
+	Stopper         Stopper    // nil if tasks cannot be stopped
+	PeerSender      PeerSender // nil if the domain has no other hosts
+	Sender          Sender
+	Copier          Copier
+	Spiller         Spiller                    // nil if no job is passed to another domain
+	CheckAllowed    func(spec *job.Spec) error // returns an error for a new job that the bundle forbids; nil allows all jobs
+	ObserveWithheld func(WithheldJob)          // is told of each job that an evacuation keeps from starting; may be nil
+	RingSize        int                        // limit of waiting messages, and of waiting results
+	Clock           func() time.Time           // the host's clock
+	TickInterval    time.Duration              // time between two ticks of the Core while jobs are in progress
 }
 
 // Copier sends another host copies of the answers that this host gave. Copy must not
@@ -62,6 +63,9 @@
 	handedOver   bool            // the records were handed over: no job may start
 	runContext   context.Context // context of Run; its end cancels spills
 	stopped      chan struct{}
+
+	evacuated         atomic.Bool   // whether the failure domain is evacuated
+	evacuationChanged chan struct{} // wakes Run after a change of evacuated
 }
 
 // issuerRecords holds the records of one incarnation whose tickets this host answers
@@ -80,6 +84,7 @@
 	digest      uint64
 	ticketTable *record.Table
 	waiters     []chan *job.Answer
+	spilled     bool               // came from another domain and is not passed on
 	cancel      context.CancelFunc // cancels the spill; nil if the job runs here
 }
 
@@ -95,6 +100,8 @@
 		jobs:         make(map[JobID]*pendingJob),
 		jobIDs:       make(map[record.TicketID]JobID),
 		stopped:      make(chan struct{}),
+
+		evacuationChanged: make(chan struct{}, 1),
 	}
 	l.load.Store(&Load{})
 	l.issuers[config.Minter.Issuer()] = &issuerRecords{minter: config.Minter, ticketTable: record.NewTable(config.Records)}
@@ -114,13 +121,15 @@
 		case <-ctx.Done():
 			return nil
 		case message := <-l.ring:
-			message(l.config.Clock())
+			message(l.now())
 		case r := <-l.results:
-			l.config.Core.HandleResult(l.config.Clock(), r)
+			l.config.Core.HandleResult(l.now(), r)
 		case r := <-l.spillResults:
-			l.handleSpillResult(l.config.Clock(), r)
+			l.handleSpillResult(l.now(), r)
+		case <-l.evacuationChanged:
+			l.now()
 		case <-timer.C:
-			l.tick(l.config.Clock())
+			l.tick(l.now())
 			idle = len(l.jobs) == 0
 			timer.Reset(l.tickInterval(idle))
 		}
@@ -245,6 +254,10 @@
 		go l.sendStart(ctx, s)
 	}
 	for _, a := range out.Answers {
+		if a.Withheld {
+			l.answerWithheld(l.config.Clock(), a)
+			continue
+		}
 		l.answerJob(a)
 	}
 	l.sendToPeers(ctx, out.Messages)
--- a/internal/process/dispatch/loop_test.go
+++ b/internal/process/dispatch/loop_test.go
@@ -54,6 +54,20 @@
 }
 
 func startTestLoopWith(t *testing.T, host string, sender dispatch.Sender, config dispatch.Config, spiller dispatch.Spiller) testLoop {
+	t.Helper()
+	n := newTestLoop(t, host, sender, config, spiller)
+	n.run(t)
+	return n
+}
+
+func (n testLoop) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = n.Run(ctx) }()
+}
+
+// newTestLoop returns a testLoop that does not run yet.
+func newTestLoop(t *testing.T, host string, sender dispatch.Sender, config dispatch.Config, spiller dispatch.Spiller) testLoop {
 	t.Helper()
 	issuer := ticket.Issuer{Host: host, Incarnation: 1}
 	n := testLoop{minter: ticket.NewMinter(issuer, []byte(host), time.Hour), copies: make(copyRecorder, 100)}
@@ -68,9 +82,6 @@
 		Clock:        time.Now,
 		TickInterval: time.Hour,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() { _ = n.Run(ctx) }()
 	target := dispatch.Target{LeaseEnd: time.Now().Add(time.Hour)}
 	target.Announcement = wire.Announcement{Target: "t", Slots: 8}
 	NewWithT(t).Expect(n.SetTargets([]dispatch.Target{target})).To(Succeed())
--- a/internal/process/dispatch/model_test.go
+++ b/internal/process/dispatch/model_test.go
@@ -21,6 +21,7 @@
 	now        time.Time
 	jobs       map[dispatch.JobID]*modelJob
 	openStarts []dispatch.Start
+	lastStart  dispatch.StartID
 	targets    map[string]dispatch.Target
 }
 
@@ -142,6 +143,7 @@
 		m.t.Fatalf("the deadline of a start is later than that of job %d", s.Job)
 	}
 	j.ran[s.Task.ID] = true
+	m.lastStart = s.ID
 	m.openStarts = append(m.openStarts, s)
 }
 
--- a/internal/process/dispatch/result.go
+++ b/internal/process/dispatch/result.go
@@ -25,6 +25,9 @@
 	if !a.job.answered {
 		c.applyOutcome(now, a, r)
 	}
+	if c.evacuated && !a.job.answered {
+		c.withhold(a.job)
+	}
 	c.assignTasks(now)
 }
 
@@ -116,12 +119,17 @@
 }
 
 func (c *Core) answerJob(now time.Time, j *jobState, answer *job.Answer) {
+	c.endJob(j, JobAnswer{Job: j.id, Answer: answer})
+	c.stopJobTasks(now, j)
+}
+
+// endJob answers a job and removes its waiting tasks. Its running tasks continue.
+func (c *Core) endJob(j *jobState, answer JobAnswer) {
 	j.answered = true
 	delete(c.jobs, j.id)
 	c.jobDeadlines.remove(j)
 	c.queue.RemoveJob(uint64(j.id))
-	c.stopJobTasks(now, j)
-	c.effects.Answers = append(c.effects.Answers, JobAnswer{Job: j.id, Answer: answer})
+	c.effects.Answers = append(c.effects.Answers, answer)
 }
 
 func newOutputs(spec *job.Spec) []json.RawMessage {
--- a/internal/process/dispatch/spill.go
+++ b/internal/process/dispatch/spill.go
@@ -25,8 +25,11 @@
 
 // maySpill reports whether the policy allows a job to be passed to another domain. A
 // job that came from another domain is not passed on.
-func (l *Loop) maySpill(s submission) bool {
-	return l.config.Spiller != nil && l.config.Core.config.SpillEnabled && !s.spilled
+func (l *Loop) maySpill(s submission) bool { return l.canSpill(s.spilled) }
+
+// canSpill is maySpill for a job of which only the origin is known.
+func (l *Loop) canSpill(spilled bool) bool {
+	return l.config.Spiller != nil && l.config.Core.config.SpillEnabled && !spilled
 }
 
 // exceedsSpillThreshold reports whether a job should be passed to another domain
@@ -68,6 +71,7 @@
 	refusal := r.refusal
 	if refusal == nil {
 		refusal = l.config.Core.Submit(now, r.id, p.spec)
+		l.observeRefusal(p.key, p.spec, now.Sub(p.admittedAt), refusal, Refused)
 	}
 	if refusal == nil {
 		return
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -108,10 +108,18 @@
 // admit admits a new job here, passes it to another domain or refuses it.
 func (l *Loop) admit(now time.Time, s submission, records *issuerRecords) {
 	err := l.checkAllowed(s)
-	spill := err == nil && l.exceedsSpillThreshold(now, s)
+	// The evacuations may have been learned during checkAllowed, which succeeds only
+	// after the host has learned them.
+	l.now()
+	spill := err == nil && !l.config.Core.evacuated && l.exceedsSpillThreshold(now, s)
 	if err == nil && !spill {
 		err = l.config.Core.Submit(now, l.lastJobID+1, s.spec)
 		spill = err != nil && l.maySpill(s) && spillableKinds[failure.KindOf(err)]
+		outcome := Refused
+		if spill {
+			outcome = PassedOn
+		}
+		l.observeRefusal(s.key(), s.spec, 0, err, outcome)
 	}
 	if err != nil && !spill {
 		records.ticketTable.Forget(s.ticket.Seq)
@@ -126,6 +134,7 @@
 		digest:      s.digest,
 		ticketTable: records.ticketTable,
 		waiters:     []chan *job.Answer{s.reply},
+		spilled:     s.spilled,
 	}
 	l.jobIDs[p.key] = l.lastJobID
 	l.jobs[l.lastJobID] = p
--- a/internal/process/dispatch/target.go
+++ b/internal/process/dispatch/target.go
@@ -16,6 +16,7 @@
 	starts      int // attempts in progress from this host
 	healthState health.State
 	workerLost  bool // its worker or rack is considered lost
+	evacuated   bool // its failure domain is evacuated
 }
 
 // Alive reports whether the target may get new work: its lease is valid and it is
@@ -28,9 +29,11 @@
 const InUse = "in use"
 
 // UseStatus returns the reason why the target gets little or no work from this host
-// ("worker lost", "ejected" or "on trial"), or InUse.
+// ("evacuated", "worker lost", "ejected" or "on trial"), or InUse.
 func (t *Target) UseStatus() string {
 	switch {
+	case t.evacuated:
+		return "evacuated"
 	case t.workerLost:
 		return "worker lost"
 	case t.healthState != health.Healthy:
