Put evacuations in force at each entry host

Cause: the set of the control state had no effect at a host.

The host passes it to its loop, excludes evacuated domains when it passes jobs on, and logs and counts what is acknowledged, in force, withdrawn and withheld.

go test -race ./internal/process/host ./internal/process/controlplane: ok.

--- a/internal/process/controlplane/plane.go
+++ b/internal/process/controlplane/plane.go
@@ -15,6 +15,7 @@
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/version/bundle"
 	"wasabifield.example/wasabifield/internal/version/control"
+	"wasabifield.example/wasabifield/internal/version/evacuation"
 	"wasabifield.example/wasabifield/internal/version/trail"
 )
 
@@ -32,6 +33,9 @@
 
 	// Activate puts a bundle in force on this host.
 	Activate func(b bundle.Bundle, digest bundle.Digest)
+	// SetEvacuations puts the evacuations of a control state in force on this host. It
+	// is called for each control state, from one goroutine; nil on hosts without targets.
+	SetEvacuations func(set evacuation.Set)
 	// FetchEntries requests the audit entries from an index on from another disk
 	// host.
 	FetchEntries func(ctx context.Context, host string, from uint64) ([]control.Entry, error)
@@ -165,8 +169,8 @@
 	}
 }
 
-// applyContent applies a control state: it queues its audit entries and schedules
-// its accepted bundle. Until the host has caught up, the bundle is due at once,
+// applyContent applies a control state: it queues its audit entries, puts its
+// evacuations in force and schedules its accepted bundle. Until the host has caught up, the bundle is due at once,
 // because the domain may have activated it before.
 func (p *Plane) applyContent(content []byte, pending *schedule) {
 	state, err := control.Decode(content)
@@ -175,6 +179,9 @@
 		return
 	}
 	p.queueState(state)
+	if p.config.SetEvacuations != nil {
+		p.config.SetEvacuations(state.Evacuations)
+	}
 	if a, delay, ok := p.rolloutBundle(state); ok {
 		if !p.tracker.isCaughtUp() {
 			delay = 0
--- a/internal/process/host/control.go
+++ b/internal/process/host/control.go
@@ -62,17 +62,18 @@
 	}
 	diskHosts := h.otherDiskHosts()
 	h.controlPlane = controlplane.NewPlane(controlplane.Config{
-		Domain:       h.settings.Domain,
-		DomainPeers:  h.settings.DomainPeers(),
-		DiskHosts:    diskHosts,
-		AnyDisk:      h.dataFolder != nil || len(diskHosts) > 0,
-		Rules:        controlRules(h.settings),
-		Controller:   register,
-		Trail:        h.auditTrail,
-		Clock:        time.Now,
-		Log:          log,
-		Activate:     h.setBundle,
-		FetchEntries: h.fetchAuditEntries,
+		Domain:         h.settings.Domain,
+		DomainPeers:    h.settings.DomainPeers(),
+		DiskHosts:      diskHosts,
+		AnyDisk:        h.dataFolder != nil || len(diskHosts) > 0,
+		Rules:          controlRules(h.settings),
+		Controller:     register,
+		Trail:          h.auditTrail,
+		Clock:          time.Now,
+		Log:            log,
+		Activate:       h.setBundle,
+		SetEvacuations: h.setEvacuations,
+		FetchEntries:   h.fetchAuditEntries,
 	})
 	return nil
 }
@@ -111,11 +112,11 @@
 	return controller.NewController(config)
 }
 
-// controlRules returns the operators who may change the control state and the
-// number of approvals. The settings were checked when they were loaded, so
+// controlRules returns the operators who may change the control state, the number
+// of approvals and the known failure domains. The settings were checked when they were loaded, so
 // every key is valid.
 func controlRules(hostSettings settings.Settings) control.Rules {
-	rules := control.Rules{RequiredApprovals: hostSettings.RequiredApprovals}
+	rules := control.Rules{RequiredApprovals: hostSettings.RequiredApprovals, Domains: knownDomains(hostSettings)}
 	for _, o := range hostSettings.Operators {
 		key, err := base64.StdEncoding.DecodeString(o.PublicKey)
 		if err != nil {
@@ -149,7 +150,7 @@
 	return operatorapi.New(operatorapi.Config{
 		Host:     h.settings.Host,
 		Rules:    controlRules(h.settings),
-		Changer:  h.controlPlane,
+		Changer:  evacuationObserver{h.controlPlane, h},
 		Trail:    h.controlPlane,
 		Reporter: h.recorder,
 		Jobs:     h,
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -29,6 +29,7 @@
 	"wasabifield.example/wasabifield/internal/request/record"
 	"wasabifield.example/wasabifield/internal/request/report"
 	"wasabifield.example/wasabifield/internal/request/ticket"
+	"wasabifield.example/wasabifield/internal/version/evacuation"
 	"wasabifield.example/wasabifield/internal/version/store"
 	"wasabifield.example/wasabifield/internal/version/trail"
 )
@@ -65,6 +66,7 @@
 	observer        *observer
 	slotReports     *slotReportCodec
 	draining        atomic.Bool
+	evacuations     atomic.Pointer[evacuation.Set] // in force at this host; nil until a control state has been received
 }
 
 // New returns a Host with a new incarnation. It opens the data folder and the
@@ -149,14 +151,15 @@
 			MaxAnswers:     h.settings.Limits.MaxRecords,
 			MaxAnswerBytes: h.settings.Limits.MaxRecordBytes,
 		},
-		Copier:       h.answerCopies,
-		CheckAllowed: h.checkAdmission,
-		Spiller:      &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
-		Minter:       h.minter,
-		Sender:       h.observer.instrumentSender(targetLinks),
-		RingSize:     h.settings.Limits.RingCapacity,
-		Clock:        time.Now,
-		TickInterval: loopTickInterval,
+		Copier:          h.answerCopies,
+		CheckAllowed:    h.checkAdmission,
+		ObserveWithheld: h.observeWithheld,
+		Spiller:         &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		Minter:          h.minter,
+		Sender:          h.observer.instrumentSender(targetLinks),
+		RingSize:        h.settings.Limits.RingCapacity,
+		Clock:           time.Now,
+		TickInterval:    loopTickInterval,
 	})
 }
 
--- a/internal/process/host/spill.go
+++ b/internal/process/host/spill.go
@@ -53,7 +53,9 @@
 	origin := spill.Location{Domain: s.host.settings.Domain, Region: s.host.settings.Region}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return spill.Choose(now, origin, demand, s.host.peerHosts.capacityAdverts(now), s.random)
+	adverts := s.host.peerHosts.capacityAdverts(now)
+	s.host.excludeEvacuated(adverts)
+	return spill.Choose(now, origin, demand, adverts, s.random)
 }
 
 // SubmitSpilled implements peer.Backend. The job runs under a ticket of this
