Start, withdraw and list evacuations with the tool

Cause: operators had no interface to the evacuations of the control state.

Change: GET /v1/control/evacuations, and wasabifield evacuation start, withdraw and list. The commands of the operators' new page run as written; the test of the page is now a loop over both pages with the former least number of commands for the former page. The audit table shows "-" as the version of a command that is about no version.

--- a/internal/connection/operatorapi/api.go
+++ b/internal/connection/operatorapi/api.go
@@ -89,6 +89,7 @@
 	mux.HandleFunc("GET "+wire.PathVersions+"/{version}", a.version)
 	mux.HandleFunc("GET "+wire.PathDiff, a.diff)
 	mux.HandleFunc("GET "+wire.PathAudit, a.audit)
+	mux.HandleFunc("GET "+wire.PathEvacuations, a.evacuations)
 	if a.config.Reporter != nil {
 		mux.HandleFunc("GET "+wire.PathReport, a.report)
 	}
--- a/internal/connection/operatorapi/read.go
+++ b/internal/connection/operatorapi/read.go
@@ -11,6 +11,7 @@
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/version/bundle"
 	"wasabifield.example/wasabifield/internal/version/control"
+	"wasabifield.example/wasabifield/internal/version/evacuation"
 )
 
 // readState returns the control state and how current it is known to be.
@@ -121,6 +122,16 @@
 	wire.WriteJSON(w, a.config.Log, http.StatusOK, wire.Diff{Freshness: freshness, From: from.Number, To: to.Number, Lines: lines})
 }
 
+func (a *API) evacuations(w http.ResponseWriter, r *http.Request) {
+	s, freshness, err := a.readState(r)
+	if err != nil {
+		a.writeError(w, err)
+		return
+	}
+	list := append([]evacuation.Evacuation{}, s.Evacuations...)
+	wire.WriteJSON(w, a.config.Log, http.StatusOK, wire.Evacuations{Freshness: freshness, Evacuations: list})
+}
+
 func (a *API) audit(w http.ResponseWriter, r *http.Request) {
 	from := uint64(1)
 	if text := r.URL.Query().Get("from"); text != "" {
--- a/internal/connection/wire/control.go
+++ b/internal/connection/wire/control.go
@@ -5,6 +5,7 @@
 
 	"wasabifield.example/wasabifield/internal/version/bundle"
 	"wasabifield.example/wasabifield/internal/version/control"
+	"wasabifield.example/wasabifield/internal/version/evacuation"
 )
 
 // Paths served to operators by an entry host. A failed request is answered with a
@@ -16,7 +17,10 @@
 	PathVersions = "/v1/control/versions" // GET PathVersions/N: VersionDocument
 	PathDiff     = "/v1/control/diff"     // GET ?from=N&to=N: Diff
 	PathAudit    = "/v1/control/audit"    // GET ?from=N: AuditPage
-	PathReport   = "/v1/report"           // GET ?from=TIME&to=TIME (RFC 3339): report.Report
+
+	PathEvacuations = "/v1/control/evacuations" // GET: Evacuations
+
+	PathReport = "/v1/report" // GET ?from=TIME&to=TIME (RFC 3339): report.Report
 )
 
 // DryRunParam is the query parameter with which a command is checked and answered but
@@ -100,3 +104,9 @@
 	Entries []control.Entry `json:"entries"` // in order, from the first requested entry that the host holds
 	Head    control.Head    `json:"head"`    // last entry of the whole audit trail
 }
+
+// Evacuations is the answer to PathEvacuations.
+type Evacuations struct {
+	Freshness
+	Evacuations []evacuation.Evacuation `json:"evacuations"` // ordered by domain
+}
--- a/internal/process/tool/audit.go
+++ b/internal/process/tool/audit.go
@@ -65,7 +65,11 @@
 		if !e.Answer.Done() {
 			answer = "refused: " + answer
 		}
-		writeRow(w, e.Index, formatTime(e.Time), e.Operator, e.Command.Action, e.Command.Version,
+		var version any = e.Command.Version
+		if e.Command.Version == 0 { // a command about a failure domain
+			version = emptyCell
+		}
+		writeRow(w, e.Index, formatTime(e.Time), e.Operator, e.Command.Action, version,
 			e.Before.Accepted, e.After.Accepted, answer, e.Command.Reason)
 	}
 }
--- a/internal/process/tool/fake_test.go
+++ b/internal/process/tool/fake_test.go
@@ -153,7 +153,7 @@
 func setOperators(ts *testscript.TestScript, _ bool, args []string) {
 	approvals, err := strconv.Atoi(args[0])
 	ts.Check(err)
-	rules := control.Rules{RequiredApprovals: approvals}
+	rules := control.Rules{RequiredApprovals: approvals, Domains: []string{"north", "south"}}
 	for _, file := range args[1:] {
 		var operator struct {
 			Name      string `json:"name"`
--- a/internal/process/tool/root.go
+++ b/internal/process/tool/root.go
@@ -72,7 +72,7 @@
 	if err := root.RegisterFlagCompletionFunc("output", outputs); err != nil {
 		panic(err)
 	}
-	root.AddCommand(t.newBundleCommand(), t.newHostsCommand(), t.newTargetsCommand(), t.newJobsCommand(), t.newAuditCommand(), t.newReportCommand(), t.newKeygenCommand())
+	root.AddCommand(t.newBundleCommand(), t.newEvacuationCommand(), t.newHostsCommand(), t.newTargetsCommand(), t.newJobsCommand(), t.newAuditCommand(), t.newReportCommand(), t.newKeygenCommand())
 	return root
 }
 
--- a/internal/process/tool/tool_test.go
+++ b/internal/process/tool/tool_test.go
@@ -51,25 +51,31 @@
 	testscript.Run(t, scriptParams("testdata"))
 }
 
-const operatorPage = "../../../docs/operations/bundle.md"
+// operatorPages are the pages whose commands run as written, each with the least number
+// of commands on it.
+var operatorPages = map[string]int{"bundle": 20, "evacuation-tool": 10}
 
-// TestTheOperatorsPageRunsAsWritten guards against a page whose commands fail or
+// TestTheOperatorsPagesRunAsWritten guards against a page whose commands fail or
 // print something else. It runs every command of the page: the lines of its sh
 // blocks that begin with "$ ". The lines that follow a command must occur in its
 // output; a line that begins with "wasabifield: " must occur on standard error, and
 // the command must then fail. The yaml blocks are files, each named by the comment
 // in its first line. A comment "<!-- run: STEP -->" is a step of the script that
 // readers of the page don't see.
-func TestTheOperatorsPageRunsAsWritten(t *testing.T) {
-	g := NewWithT(t)
-	page, err := os.ReadFile(operatorPage)
-	g.Expect(err).NotTo(HaveOccurred())
-	s := parsePage(string(page))
-	g.Expect(s.commands).To(BeNumerically(">=", 20), "commands on the page")
-	folder := t.TempDir()
-	text := s.steps.String() + s.files.String()
-	g.Expect(os.WriteFile(filepath.Join(folder, "page.txtar"), []byte(text), 0o600)).To(Succeed())
-	testscript.Run(t, scriptParams(folder))
+func TestTheOperatorsPagesRunAsWritten(t *testing.T) {
+	for name, commands := range operatorPages {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			page, err := os.ReadFile("../../../docs/operations/" + name + ".md")
+			g.Expect(err).NotTo(HaveOccurred())
+			s := parsePage(string(page))
+			g.Expect(s.commands).To(BeNumerically(">=", commands), "commands on the page")
+			folder := t.TempDir()
+			text := s.steps.String() + s.files.String()
+			g.Expect(os.WriteFile(filepath.Join(folder, "page.txtar"), []byte(text), 0o600)).To(Succeed())
+			testscript.Run(t, scriptParams(folder))
+		})
+	}
 }
 
 // pageScript is a testscript archive made from a page.
