Keep the alignment of the configurations that evacuations extend

The new fields stand in blocks of their own, so that merges with work on the same literals stay small. No change of behavior; go test -race ./internal/process/dispatch ./internal/process/host ./internal/process/controlplane: ok.

--- a/internal/process/dispatch/loop.go
+++ b/internal/process/dispatch/loop.go
@@ -25,19 +25,20 @@
 
 // LoopConfig configures a Loop.
 type LoopConfig struct {
-	Core            *Core
-	Records         record.Config
-	Minter          *ticket.Minter
-	Stopper         Stopper    // nil if tasks cannot be stopped
-	PeerSender      PeerSender // nil if the domain has no other hosts
-	Sender          Sender
-	Copier          Copier
-	Spiller         Spiller                    // nil if no job is passed to another domain
-	CheckAllowed    func(spec *job.Spec) error // returns an error for a new job that the bundle forbids; nil allows all jobs
-	ObserveWithheld func(WithheldJob)          // is told of each job that an evacuation keeps from starting; may be nil
-	RingSize        int                        // limit of waiting messages, and of waiting results
-	Clock           func() time.Time           // the host's clock
-	TickInterval    time.Duration              // time between two ticks of the Core while jobs are in progress
+	Core         *Core
+	Records      record.Config
+	Minter       *ticket.Minter
+	Stopper      Stopper    // nil if tasks cannot be stopped
+	PeerSender   PeerSender // nil if the domain has no other hosts
+	Sender       Sender
+	Copier       Copier
+	Spiller      Spiller                    // nil if no job is passed to another domain
+	CheckAllowed func(spec *job.Spec) error // returns an error for a new job that the bundle forbids; nil allows all jobs
+	RingSize     int                        // limit of waiting messages, and of waiting results
+	Clock        func() time.Time           // the host's clock
+	TickInterval time.Duration              // time between two ticks of the Core while jobs are in progress
+
+	ObserveWithheld func(WithheldJob) // is told of each job that an evacuation keeps from starting; may be nil
 }
 
 // Copier sends another host copies of the answers that this host gave. Copy must not
--- a/internal/process/host/control.go
+++ b/internal/process/host/control.go
@@ -62,18 +62,19 @@
 	}
 	diskHosts := h.otherDiskHosts()
 	h.controlPlane = controlplane.NewPlane(controlplane.Config{
-		Domain:         h.settings.Domain,
-		DomainPeers:    h.settings.DomainPeers(),
-		DiskHosts:      diskHosts,
-		AnyDisk:        h.dataFolder != nil || len(diskHosts) > 0,
-		Rules:          controlRules(h.settings),
-		Controller:     register,
-		Trail:          h.auditTrail,
-		Clock:          time.Now,
-		Log:            log,
-		Activate:       h.setBundle,
+		Domain:       h.settings.Domain,
+		DomainPeers:  h.settings.DomainPeers(),
+		DiskHosts:    diskHosts,
+		AnyDisk:      h.dataFolder != nil || len(diskHosts) > 0,
+		Rules:        controlRules(h.settings),
+		Controller:   register,
+		Trail:        h.auditTrail,
+		Clock:        time.Now,
+		Log:          log,
+		Activate:     h.setBundle,
+		FetchEntries: h.fetchAuditEntries,
+
 		SetEvacuations: h.setEvacuations,
-		FetchEntries:   h.fetchAuditEntries,
 	})
 	return nil
 }
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -151,15 +151,16 @@
 			MaxAnswers:     h.settings.Limits.MaxRecords,
 			MaxAnswerBytes: h.settings.Limits.MaxRecordBytes,
 		},
-		Copier:          h.answerCopies,
-		CheckAllowed:    h.checkAdmission,
+		Copier:       h.answerCopies,
+		CheckAllowed: h.checkAdmission,
+		Spiller:      &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		Minter:       h.minter,
+		Sender:       h.observer.instrumentSender(targetLinks),
+		RingSize:     h.settings.Limits.RingCapacity,
+		Clock:        time.Now,
+		TickInterval: loopTickInterval,
+
 		ObserveWithheld: h.observeWithheld,
-		Spiller:         &spiller{host: h, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
-		Minter:          h.minter,
-		Sender:          h.observer.instrumentSender(targetLinks),
-		RingSize:        h.settings.Limits.RingCapacity,
-		Clock:           time.Now,
-		TickInterval:    loopTickInterval,
 	})
 }
 
