Report capacity and busyness, and hold pools on strong hosts

The settings name limits.cpu_share, limits.cores and limits.link_mbps, and hosts did not read them.

Change: settings, hello messages (Host fields 9 to 11) and host table carry the capacity; a host measures its own processor time over 2 s, from 3 s after its start. Claims, the number of shards and the balance of pools use the decisions of package shards. A host that knows its capacity waits in its start phase until its domain's hosts are known, 0.5 s without a new one and 1.5 s at most, as a split is never undone; that also holds for equal hosts. Silent hosts count for 10 s for the number of shards.

Shown failing first, by a break in the code: hosts not awaited (2 shards for 1), silent strong hosts not counted (4 for 2), balance of equal hosts (the pool stays on the weak host), capacity not sent or not kept, a window without a bound.

Result: go test -race passes for internal/process/shards, discovery and holder.

--- a/internal/process/discovery/table.go
+++ b/internal/process/discovery/table.go
@@ -21,6 +21,9 @@
 	Entry       bool   // accepts jobs from callers
 	Incarnation uint64 // Unix milliseconds of the process's start
 	Leaving     bool   // accepts no new jobs
+	CPUMilli    int    // thousandths of a core that the process may use; 0 if unknown
+	LinkKbps    int    // what its link carries; 0 if unknown
+	BusyPercent int    // processor time used lately, of what it may use; at least 1, or 0 if unknown
 }
 
 // entry is a host with the time at which it was last heard from.
@@ -56,6 +59,10 @@
 	if !isNew && heardAt.Before(known.heardAt) {
 		return false
 	}
+	if !isNew && h.CPUMilli == 0 && h.LinkKbps == 0 {
+		// A list of a host of a former release omits the capacity, which a process keeps.
+		h.CPUMilli, h.LinkKbps, h.BusyPercent = known.host.CPUMilli, known.host.LinkKbps, known.host.BusyPercent
+	}
 	t.hosts[h.Address] = entry{host: h, heardAt: heardAt}
 	return isNew
 }
--- a/internal/process/discovery/table_test.go
+++ b/internal/process/discovery/table_test.go
@@ -54,3 +54,17 @@
 	b.Record(host("c", 1), 0, now)
 	g.Expect(a.Digest(host("a", 1))).NotTo(Equal(b.Digest(host("b", 1))))
 }
+
+// A host of a former release passes a host on without its capacity. The capacity must stay
+// known, or the order of the candidates for a pool would change.
+func TestAListWithoutCapacitiesLeavesThemKnown(t *testing.T) {
+	g := NewWithT(t)
+	table := discovery.NewTable("self")
+	known := host("a", 1)
+	known.CPUMilli, known.LinkKbps, known.BusyPercent = 480, 62_000, 30
+	table.Record(known, 0, now)
+	table.Record(host("a", 1), 0, now.Add(time.Second))
+	g.Expect(table.All(now)).To(Equal([]discovery.Host{known}))
+	table.Record(host("a", 2), 0, now.Add(2*time.Second))
+	g.Expect(table.All(now)).To(Equal([]discovery.Host{host("a", 2)}), "it restarted with other settings")
+}
--- a/internal/process/fleet/convert.go
+++ b/internal/process/fleet/convert.go
@@ -12,6 +12,7 @@
 	return &fleetpb.Host{
 		Address: h.Address, Name: h.Name, Domain: h.Domain, Disk: h.HasDisk, Entry: h.Entry,
 		Incarnation: h.Incarnation, Leaving: h.Leaving, AgeMs: uint32(age.Milliseconds()),
+		CpuMilli: uint32(h.CPUMilli), LinkKbps: uint32(h.LinkKbps), BusyPercent: uint32(h.BusyPercent),
 	}
 }
 
@@ -19,6 +20,7 @@
 	return discovery.Host{
 		Address: m.GetAddress(), Name: m.GetName(), Domain: m.GetDomain(), HasDisk: m.GetDisk(), Entry: m.GetEntry(),
 		Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
+		CPUMilli: int(m.GetCpuMilli()), LinkKbps: int(m.GetLinkKbps()), BusyPercent: int(m.GetBusyPercent()),
 	}, time.Duration(m.GetAgeMs()) * time.Millisecond
 }
 
--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -233,6 +233,8 @@
 	nodes   map[string]*runningNode
 	lease   time.Duration // the longest that targets grant
 	seed    string
+
+	cpuMilli map[string]int // by host; that of other hosts is unknown
 }
 
 type runningNode struct {
@@ -263,7 +265,7 @@
 	f.g.Expect(err).NotTo(HaveOccurred())
 	address := listener.Addr().String()
 	config := fleet.Config{
-		Self:     discovery.Host{Address: address, Name: name, Domain: domain, Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
+		Self:     discovery.Host{Address: address, Name: name, Domain: domain, Entry: true, Incarnation: uint64(time.Now().UnixMilli()), CPUMilli: f.cpuMilli[name]},
 		MaxLease: f.lease, Targets: f.targets, Parse: parseDocument, VoterCount: 1,
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil),
 	}
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -266,6 +266,8 @@
 	if ms := e.message.GetFormerPoolMs(); ms > 0 {
 		p.formerPoolUntil = now.Add(time.Duration(ms) * time.Millisecond)
 	}
+	p.observeHolder(now)
+	p.balancer.Received(now)
 	p.holderView.AcceptHandover(e.message.GetFencingToken(), now)
 	p.takeOver(now, "its holder handed it over")
 	p.applyEffects(p.core.ResumeRuns(), now)
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -183,6 +183,9 @@
 		h, age := hostFrom(m)
 		if n.hostTable.Record(h, age, now) {
 			newHosts = append(newHosts, h)
+			if h.Entry && h.Domain == n.config.Self.Domain {
+				n.domainHostsNewAt = now
+			}
 		}
 	}
 	n.mu.Lock()
--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -7,6 +7,7 @@
 
 	"wasabifield.example/wasabifield/internal/process/metrics"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
 // jobDurationBuckets are the bounds of the histogram of the time to answer a job: 1 ms
@@ -25,6 +26,23 @@
 	return &poolMetrics{scope: scope, freeTasks: scope.Gauge("pool_free_tasks"), queuedTasks: scope.Gauge("pool_queued_tasks")}
 }
 
+// recordBusyness sets the processor time that this host has used lately, of its share.
+func (n *Node) recordBusyness(percent int) {
+	n.busyPercent.Store(int64(percent))
+	n.config.Metrics.Scope().Gauge("host_busy_percent").Update(float64(percent))
+	n.config.Metrics.Scope().Gauge("host_carried_targets").Update(float64(capacityOf(n.config.Self).CarriedTargets()))
+}
+
+// recordBalancing counts a pool that is handed over for the capacity or the load of the
+// hosts.
+func (m *poolMetrics) recordBalancing(h shards.HandOver) {
+	cause := "capacity"
+	if h.Busy {
+		cause = "busy"
+	}
+	m.scope.Tagged(map[string]string{"cause": cause}).Counter("pools_given_away").Inc(1)
+}
+
 // recordJob counts an answer and records how long it took.
 func (m *poolMetrics) recordJob(a scheduler.Answer, took time.Duration) {
 	tags := map[string]string{"outcome": a.Outcome.String(), "kind": string(a.Kind)}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -48,7 +48,8 @@
 	lossReports    chan lossReport // to other hosts
 	startedAt      time.Time
 	leaving        atomic.Bool
-	catalogFetchMu sync.Mutex // held while a newer catalog is fetched
+	busyPercent    atomic.Int64 // processor time used lately, of this host's share; 0 if unknown
+	catalogFetchMu sync.Mutex   // held while a newer catalog is fetched
 	runCtx         context.Context
 	group          *errgroup.Group
 
@@ -61,6 +62,8 @@
 	shardCounts      map[string]int         // by domain; one shard where it is missing
 	heardDirectly    map[string]bool        // addresses of the hosts from which a hello message has come since the start
 	lossesResolvedAt time.Time              // when lost targets were last looked for
+	domainHostsNewAt time.Time              // when an entry host of this host's domain last became known
+	busyHandOverAt   time.Time              // when a pool was last handed over because this host is busy
 }
 
 // remoteClaim is another host's claim on a pool, with the load that the host reported.
@@ -143,6 +146,7 @@
 	group.Go(func() error { return n.catalogs.follow(ctx) })
 	group.Go(func() error { return n.forwardAnnouncements(ctx) })
 	group.Go(func() error { return n.reportLosses(ctx) })
+	group.Go(func() error { return n.measureBusyness(ctx) })
 	n.openOwnPools()
 	n.AddSeeds(n.config.Seeds)
 	return group.Wait()
@@ -175,7 +179,8 @@
 	}
 	n.links[address] = link
 	n.mu.Unlock()
-	n.log.Info("A host became known.", "peer", address, "name", h.Name, "domain", h.Domain, "disk", h.HasDisk, "entry", h.Entry)
+	n.log.Info("A host became known.", "peer", address, "name", h.Name, "domain", h.Domain, "disk", h.HasDisk, "entry", h.Entry,
+		"cpu_milli", h.CPUMilli, "link_kbps", h.LinkKbps)
 	n.controller.AddPeer(controller.Peer{Host: address, Domain: h.Domain, HasDisk: h.HasDisk, Conn: link})
 	n.group.Go(func() error { n.runHellos(n.runCtx, address, link); return nil })
 }
@@ -240,6 +245,7 @@
 func (n *Node) Self() discovery.Host {
 	h := n.config.Self
 	h.Leaving = n.leaving.Load()
+	h.BusyPercent = int(n.busyPercent.Load())
 	return h
 }
 
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -52,6 +52,9 @@
 	startTimeout       startTimeout // used by any goroutine
 
 	splitTimer shards.SplitTimer // how long the domain has had too many targets
+	balancer   shards.Balancer   // in a domain of uneven hosts
+
+	withoutHolderSince time.Time // since when no host that is alive holds the pool; zero if one does
 }
 
 // waiter waits for the answer to a job: a caller, or a host that forwarded the job.
@@ -173,6 +176,7 @@
 		return
 	}
 	p.decideClaim(now)
+	p.observeHolder(now)
 	if p.id.Domain != p.node.config.Self.Domain {
 		if p.heldHere.Load() {
 			p.returnToHomeDomain(now)
@@ -213,9 +217,12 @@
 	alive := func(host string) bool { return host == p.node.config.Self.Address || p.node.isAlive(host) }
 	var candidates []string // not needed while there is a holder
 	if h := p.holderView.Claim().Holder; h == "" || !alive(h) {
-		candidates = p.node.holderCandidates(p.id)
+		candidates = p.claimCandidates(now)
+	} else {
+		p.withoutHolderSince = time.Time{}
 	}
 	if p.holderView.TryClaim(alive, candidates, now) == holder.Acquired {
+		p.balancer.Claimed()
 		p.takeOver(now, "nobody holds the pool")
 	}
 }
@@ -225,6 +232,7 @@
 	claim := p.holderView.Claim()
 	p.log.Info("This host holds the pool.", "pool", p.name, "token", claim.Token, "reason", reason)
 	p.heldHere.Store(true)
+	p.withoutHolderSince = time.Time{}
 	p.closeSessions()
 	for _, a := range p.node.announcements.recent(now) {
 		p.handleAnnouncement(a, now)
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -103,10 +103,16 @@
 }
 
 // holderCandidates returns the entry hosts that may hold a pool, in order of
-// preference: those of its domain by address, starting with a different one for each
-// shard; if there are none, those of all domains, starting at an offset that differs
-// from domain to domain.
+// preference: those of its domain by capacity and address, starting with a different one
+// for each shard; if there are none, those of all domains, starting at an offset that
+// differs from domain to domain.
 func (n *Node) holderCandidates(id shards.Pool) []string {
+	return shards.OrderCandidates(n.poolCandidates(id))
+}
+
+// poolCandidates returns the entry hosts that may hold a pool, in any order, and the
+// number from which their order starts.
+func (n *Node) poolCandidates(id shards.Pool) (hosts []shards.Candidate, start int) {
 	domain := id.Domain
 	self := n.Self()
 	n.mu.Lock()
@@ -116,21 +122,19 @@
 	if inDomain := self.Domain == domain; inDomain && !self.Leaving {
 		out = append(out, self.Address)
 	}
-	slices.Sort(out)
 	if len(out) > 0 {
-		return rotate(out, id.Shard)
+		return n.candidates(out), id.Shard
 	}
 	out = n.aliveEntryHosts("", now)
 	if !self.Leaving {
 		out = append(out, self.Address)
 	}
-	slices.Sort(out)
 	if len(out) == 0 {
-		return nil
+		return nil, 0
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(domain)) // writing to a hash never fails
-	return rotate(out, int(h.Sum32()%uint32(len(out)))+id.Shard)
+	return n.candidates(out), int(h.Sum32()%uint32(len(out))) + id.Shard
 }
 
 // firstOtherCandidate returns the first eligible candidate for a pool other than this
@@ -144,12 +148,6 @@
 	return ""
 }
 
-// rotate returns the list rotated to begin at index start, modulo its length.
-func rotate(list []string, start int) []string {
-	start %= len(list)
-	return slices.Concat(list[start:], list[:start])
-}
-
 // isIsolated reports whether no other host was heard from within 2 s
 // (2*helloDiskInterval).
 func (n *Node) isIsolated() bool {
--- a/internal/process/fleet/shards.go
+++ b/internal/process/fleet/shards.go
@@ -96,10 +96,19 @@
 			})
 		}
 	}
-	known := p.node.shardCount(p.id.Domain)
-	wanted := shards.GrowShardCount(known, shards.CountTargets(targets))
-	count := p.splitTimer.ShardCount(known, wanted, now.Sub(p.node.startedAt) < startPhase, now)
+	justStarted := now.Sub(p.node.startedAt) < startPhase
 	p.node.mu.Lock()
+	if justStarted && !p.node.knowsDomainHosts(now) {
+		p.node.mu.Unlock()
+		return
+	}
+	known := max(1, p.node.shardCounts[p.id.Domain])
+	targetCount, hosts := shards.CountTargets(targets), p.node.splitHosts(p.id.Domain, now)
+	count := p.splitTimer.ShardCount(known, shards.WantedShardCount(known, targetCount, hosts), justStarted, now)
+	if count > known {
+		p.log.Info("A domain has too many targets for its shards.", "domain", p.id.Domain, "targets", targetCount, "hosts", len(hosts),
+			"uneven", shards.Uneven(hosts))
+	}
 	p.node.raiseShardCount(p.id.Domain, count)
 	p.node.mu.Unlock()
 	if p.id.Domain == p.node.config.Self.Domain {
@@ -152,12 +161,15 @@
 
 // balancePools hands this pool over to a host of the domain that holds none if this
 // host holds several, for example because it started first and claimed all pools of the
-// domain.
+// domain. In a domain of uneven hosts, their capacity and load decide.
 func (p *pool) balancePools(now time.Time) {
 	if p.handingOver || p.id.Domain != p.node.config.Self.Domain || now.Sub(p.balanceCheckedAt) < balanceCheckInterval {
 		return
 	}
 	p.balanceCheckedAt = now
+	if p.balanceByCapacity(now) {
+		return
+	}
 	to := ""
 	if p.node.isLastOfSeveralHeld(p.id) {
 		to = p.node.firstOtherCandidate(p.id, p.node.holdsNoPool)
--- a/internal/process/fleet/shards_test.go
+++ b/internal/process/fleet/shards_test.go
@@ -114,3 +114,26 @@
 	f.g.Expect(f.targets.overlapping).To(BeEmpty())
 	f.g.Expect(f.targets.starts).To(HaveEach(1))
 }
+
+// Pools went to the first host by address, however small. They must go to the strong host,
+// to a weak one while the strong host is lost, and back to the strong one.
+func TestAStrongHostHoldsThePoolWhileItLives(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 50*time.Millisecond)
+	f.cpuMilli = map[string]int{"weak-1": 192, "weak-2": 192, "strong": 1_000_000} // so much that the test's load makes no host busy
+	weak, strong := f.start("weak-1", "north"), f.start("strong", "north")
+	f.start("weak-2", "north")
+	f.activateCatalog("weak-1", "weak-2")
+	served := func(id string, host func() *runningNode, held bool) {
+		f.g.Eventually(func() bool { return host().Holds("north") }, testTimeout, 10*time.Millisecond).Should(Equal(held), id)
+		f.announce(weak, "north", 4)
+		f.g.Expect(f.submit(weak, job(id, 2)).Outcome).To(Equal(scheduler.Completed), id)
+	}
+	current := func() *runningNode { return f.nodes["strong"] }
+	served("first", current, true)
+	strong.stop()
+	f.g.Eventually(func() bool { return weak.Holds("north") || f.nodes["weak-2"].Holds("north") }, testTimeout, 10*time.Millisecond).Should(BeTrue())
+	served("lost", func() *runningNode { return weak }, weak.Holds("north"))
+	f.startAt("strong", "north", strong.address)
+	served("back", current, true)
+}
