--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -245,6 +245,7 @@
 	evacuateWithin time.Duration
 	relayed        bool // hosts reach each other through relays, which can be cut
 	relays         []*relay.Relay
+	cpuMilli       map[string]int // by host; that of other hosts is unknown
 }
 
 type runningNode struct {
@@ -282,7 +283,7 @@
 		address = r.Address()
 	}
 	config := fleet.Config{
-		Self:     discovery.Host{Address: address, Name: name, Domain: domain, Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
+		Self:     discovery.Host{Address: address, Name: name, Domain: domain, Entry: true, Incarnation: uint64(time.Now().UnixMilli()), CPUMilli: f.cpuMilli[name]},
 		MaxLease: f.lease, Targets: f.targets, Parse: parseDocument, VoterCount: 1,
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil), EvacuateWithin: f.evacuateWithin,
 	}
