Keep several parts of one job apart in a pool

Cause: a pool knows its jobs by id, so it could not run two ranges of one job's tasks, and a range would have been started under the wrong indexes.

Change: a job may be a part of a job, with the index of its first task; runs, losses and hand-overs name the index in the whole job. The key of a job in progress includes the first task. A submission that has a task in common with a job in progress of another size is answered as of unknown outcome, since the task would run twice at once.

--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -35,14 +35,15 @@
 // Core schedules the jobs of one pool. It is not safe for concurrent use.
 type Core struct {
 	config          Config
-	jobs            map[string]*jobState
+	jobs            map[string]*jobState   // by key
+	laterParts      map[string][]*jobState // by job id: the jobs with a FirstTask above 0
 	waitingJobs     []*jobState // jobs with waiting tasks, ordered by compareJobs
 	targets         map[string]*target
 	targetIDs       []string // keys of targets, sorted
 	effects         []Effect
 	poolCapacities  []PoolCapacity            // of other pools, as reported last
 	typicalNeed     taskNeed                  // moving average over submitted tasks
-	retainedAnswers map[string]retainedAnswer // by job id, of imported jobs
+	retainedAnswers map[string]retainedAnswer // by key, of imported jobs
 	runTimes        runTimeEstimator
 	shares          fairShares
 	losses          *losses.Table      // of targets, under tasks of any pool
@@ -54,7 +55,7 @@
 	if config.Losses == nil {
 		config.Losses = losses.NewTable()
 	}
-	return &Core{losses: config.Losses, config: config, jobs: map[string]*jobState{}, targets: map[string]*target{}, detachedRuns: map[*run]time.Time{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
+	return &Core{losses: config.Losses, config: config, jobs: map[string]*jobState{}, laterParts: map[string][]*jobState{}, targets: map[string]*target{}, detachedRuns: map[*run]time.Time{}, retainedAnswers: map[string]retainedAnswer{}, runTimes: newRunTimeEstimator(), shares: newFairShares(), typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli}}
 }
 
 // drainEffects returns the effects emitted since the last call.
@@ -70,12 +71,12 @@
 // already in progress. The Reply that answers the job names the waiter. A resubmitted
 // job that is unknown here has run or may run elsewhere, so its outcome is unknown.
 func (c *Core) Submit(j Job, waiter uint64, now time.Time) []Effect {
-	if s, ok := c.jobs[j.ID]; ok {
+	if s, ok := c.jobs[j.key()]; ok && s.TaskCount() == j.TaskCount() {
 		s.waiters = append(s.waiters, waiter)
 		c.emit(LogEntry{Message: "A job in progress was submitted again.", Job: j.ID})
 		return c.drainEffects()
 	}
-	if kept, ok := c.retainedAnswers[j.ID]; ok {
+	if kept, ok := c.retainedAnswers[j.key()]; ok && kept.tasks == j.TaskCount() {
 		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: kept.answer})
 		return c.drainEffects()
 	}
@@ -83,6 +84,10 @@
 		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: Answer{Outcome: Broken, Kind: failure.OutcomeUnknown, Reason: "the job was handed over and is not known here any more"}})
 		return c.drainEffects()
 	}
+	if c.anyTaskInProgress(j) {
+		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: Answer{Outcome: Broken, Kind: failure.OutcomeUnknown, Reason: "tasks of the job are in progress here in a part of another size"}})
+		return c.drainEffects()
+	}
 	s := newJobState(c.refineEstimates(j))
 	s.waiters = []uint64{waiter}
 	c.recallLosses(s)
@@ -97,7 +102,7 @@
 	for _, st := range j.Steps {
 		c.typicalNeed.observe(st.Need, st.Count)
 	}
-	c.jobs[j.ID] = s
+	c.addJob(s)
 	c.enqueue(s)
 	c.placeTasks(now)
 	return c.drainEffects()
@@ -105,8 +110,8 @@
 
 // Withdraw removes a waiter from a job and drops the job if no waiter is left.
 func (c *Core) Withdraw(id string, waiter uint64, now time.Time) []Effect {
-	s, ok := c.jobs[id]
-	if !ok {
+	s := c.jobOfWaiter(id, waiter)
+	if s == nil {
 		return nil
 	}
 	s.waiters = slices.DeleteFunc(s.waiters, func(w uint64) bool { return w == waiter })
@@ -197,31 +202,30 @@
 // A job without a started task may be submitted there; the outcome of any other job
 // is unknown.
 func (c *Core) AbandonJobs() []Effect {
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		s := c.jobs[id]
+	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
+		s := c.jobs[key]
 		answer := Answer{Outcome: Moved, Kind: failure.NotReady, Reason: "another host holds the pool"}
 		if s.hasStarted {
 			answer = Answer{Outcome: Broken, Kind: failure.OutcomeUnknown, Reason: "another host took the pool over"}
 		}
 		for _, w := range s.waiters {
-			c.emit(Reply{Waiter: w, Job: id, Answer: answer})
+			c.emit(Reply{Waiter: w, Job: s.ID, Answer: answer})
 		}
 	}
-	c.jobs = map[string]*jobState{}
-	c.waitingJobs = nil
+	c.forgetJobs()
 	return c.drainEffects()
 }
 
 // CompleteHandover answers all waiters with the address of the new holder, which
 // continues the jobs, and forgets the jobs here.
 func (c *Core) CompleteHandover(holder string) []Effect {
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		for _, w := range c.jobs[id].waiters {
-			c.emit(Reply{Waiter: w, Job: id, Answer: Answer{Outcome: Moved, HandedOver: true, Holder: holder, Reason: "the pool was handed over"}})
+	for _, key := range slices.Sorted(maps.Keys(c.jobs)) {
+		s := c.jobs[key]
+		for _, w := range s.waiters {
+			c.emit(Reply{Waiter: w, Job: s.ID, Answer: Answer{Outcome: Moved, HandedOver: true, Holder: holder, Reason: "the pool was handed over"}})
 		}
 	}
-	c.jobs = map[string]*jobState{}
-	c.waitingJobs = nil
+	c.forgetJobs()
 	return c.drainEffects()
 }
 
@@ -271,7 +275,7 @@
 func (c *Core) recordRunTime(t *target, r *run, now time.Time) {
 	took := now.Sub(r.requestedAt)
 	t.recordSuccess(took, r.estimate)
-	if s, ok := c.jobs[r.id.Job]; ok {
+	if s := c.jobOf(r.id); s != nil {
 		c.runTimes.observe(s.Queue, took, t.slowdown)
 	}
 }
@@ -296,12 +300,12 @@
 	if t, ok := c.targets[r.targetID]; ok {
 		t.removeRun(r)
 	}
-	s, ok := c.jobs[r.id.Job]
-	if !ok {
+	s := c.jobOf(r.id)
+	if s == nil {
 		return
 	}
 	t := s.taskOf(r.id)
-	if t == nil || t.run != r {
+	if t.run != r {
 		return
 	}
 	t.run = nil
@@ -314,12 +318,12 @@
 
 // completeTask marks a task as done and answers its job if it was the last one.
 func (c *Core) completeTask(r Run) {
-	s, ok := c.jobs[r.Job]
-	if !ok {
+	s := c.jobOf(r)
+	if s == nil {
 		return
 	}
 	t := s.taskOf(r)
-	if t == nil || t.done {
+	if t.done {
 		return
 	}
 	t.done = true
@@ -333,14 +337,11 @@
 // failTask counts a failed run of a task and fails the job once all attempts are
 // used.
 func (c *Core) failTask(r Run, _ time.Time) {
-	s, ok := c.jobs[r.Job]
-	if !ok {
+	s := c.jobOf(r)
+	if s == nil {
 		return
 	}
 	t := s.taskOf(r)
-	if t == nil {
-		return
-	}
 	t.failureCount++
 	c.emit(LogEntry{
 		Message: "A task failed.", Job: r.Job, Target: t.avoidTargetID,
@@ -358,7 +359,7 @@
 		c.emit(Reply{Waiter: w, Job: s.ID, Answer: a})
 	}
 	if !s.resubmitBy.IsZero() && len(s.waiters) == 0 {
-		c.retainedAnswers[s.ID] = retainedAnswer{a, s.resubmitBy}
+		c.retainedAnswers[s.key()] = retainedAnswer{a, s.TaskCount(), s.resubmitBy}
 	}
 	s.waiters = nil
 	c.dropJob(s, "the job was answered")
@@ -366,7 +367,7 @@
 
 // dropJob removes a job and stops its runs.
 func (c *Core) dropJob(s *jobState, reason string) {
-	delete(c.jobs, s.ID)
+	c.removeJob(s)
 	c.waitingJobs = slices.DeleteFunc(c.waitingJobs, func(q *jobState) bool { return q == s })
 	for _, t := range s.tasks {
 		if t.run != nil {
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -29,7 +29,7 @@
 // answer, until the caller's host submits the job again here.
 const handoverRetention = 2 * time.Second
 
-// ExportJobs returns the jobs in progress for a handover, ordered by id. It does not
+// ExportJobs returns the jobs in progress for a handover, ordered by key. It does not
 // change them; see CompleteHandover. leaseRemaining returns how long the leases that were
 // sent to a target may still be in force.
 func (c *Core) ExportJobs(leaseRemaining func(targetID string) time.Duration, now time.Time) []HandoverJob {
@@ -55,14 +55,14 @@
 // known. The callers' hosts submit these jobs again, which adds waiters to the jobs.
 func (c *Core) ImportJobs(jobs []HandoverJob, now time.Time) []Effect {
 	for _, h := range jobs {
-		if _, known := c.jobs[h.Job.ID]; known {
+		if c.anyTaskInProgress(h.Job) {
 			continue
 		}
 		s := newJobState(h.Job)
 		s.hasStarted = h.HasStarted
 		s.resubmitBy = now.Add(handoverRetention)
 		s.pendingTasks, s.unfinishedTasks = 0, 0
-		c.jobs[s.ID] = s
+		c.addJob(s)
 		for _, t := range h.Tasks {
 			c.importTask(s, t, now)
 		}
@@ -127,5 +127,6 @@
 // host submitted it again.
 type retainedAnswer struct {
 	answer    Answer
+	tasks     int // of the job: another part may begin with the same task
 	expiresAt time.Time
 }
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -6,7 +6,7 @@
 
 // task is one task of a job in progress.
 type task struct {
-	step, index   int
+	step, index   int // the index is that in the whole job
 	lastRunNumber int // Run.Number of the last run; 0 before the first
 	failureCount  int
 	done          bool
@@ -39,7 +39,7 @@
 	s := &jobState{Job: j}
 	for step, st := range j.Steps {
 		for index := range st.Count {
-			s.tasks = append(s.tasks, &task{step: step, index: index})
+			s.tasks = append(s.tasks, &task{step: step, index: j.FirstTask + index})
 		}
 	}
 	s.pendingTasks = len(s.tasks)
@@ -117,10 +117,10 @@
 // taskOf returns the task of a run, or nil if the job has no such task. It relies
 // on tasks being stored in the order of their steps.
 func (s *jobState) taskOf(r Run) *task {
-	if r.Step < 0 || r.Step >= len(s.Steps) || r.Index < 0 || r.Index >= s.Steps[r.Step].Count {
+	position := r.Index - s.FirstTask
+	if r.Step < 0 || r.Step >= len(s.Steps) || position < 0 || position >= s.Steps[r.Step].Count {
 		return nil
 	}
-	position := r.Index
 	for _, step := range s.Steps[:r.Step] {
 		position += step.Count
 	}
--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -89,10 +89,8 @@
 	if c.losses.Record(loss, now) {
 		c.emit(LossRecorded{loss})
 	}
-	if s, ok := c.jobs[r.id.Job]; ok {
-		if task := s.taskOf(r.id); task != nil {
-			task.suspect = true
-		}
+	if s := c.jobOf(r.id); s != nil {
+		s.taskOf(r.id).suspect = true
 	}
 }
 
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -69,7 +69,7 @@
 		if candidate.Service != s.Service || !candidate.canStart(step, now) {
 			continue
 		}
-		if step.AntiAffinity > 0 && s.countRunsOn(t.step, id) >= step.AntiAffinity {
+		if step.AntiAffinity > 0 && c.countRunsOn(s, t.step, id) >= step.AntiAffinity {
 			continue
 		}
 		if id == t.avoidTargetID {
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -61,6 +61,7 @@
 	Spilled       bool      // came from another pool; not to be spilled again
 	OnlyAtOnce    bool      // spilled on trial: to be refused unless all its tasks can start at once
 	Returned      bool      // refused by the pools that it was spilled to; its demand is counted already
+	FirstTask     int       // index in the whole job of the first task, for a part of a job; its only step's Count is the part's
 	Resubmitted   bool      // the pool's former holder handed the job over; to be continued, but never started anew
 }
 
--- a/internal/process/shards/shards.go
+++ b/internal/process/shards/shards.go
@@ -81,6 +81,7 @@
 	QueuedTasks int    // tasks that wait
 	HeldHere    bool   // the choosing host holds the pool, so the numbers are current
 	Silent      bool   // the holder has missed hello messages, but still counts as alive
+	TakesParts  bool   // the holder runs parts of jobs; one of a former release does not
 }
 
 // AllSilent reports whether there are pools, all of whose holders have missed hello
