Run a job over several pools when none has capacity for it

Cause: a wide job could use one pool only, although the pools of its domain together had places for it, and loads of other pools were up to 250 ms old.

Change: the host that the caller is connected to sends a job of one step in parts to the fewest pools that cover it, at most four, when no pool has capacity for the whole job, also after a pool has named others to try. A part that is refused is tried at one more pool and then queued. The job completes with all its parts; the others are withdrawn when one fails, breaks or is refused for good. Answers between hosts tell the pool's load, and tasks that were sent since are subtracted, in domains with several pools. A submission that is withdrawn while its pool is handed over is no longer applied after the hand-over. Hello messages say that a host reads first_task; hosts of former releases get no parts.

--- a/internal/process/fleet/convert.go
+++ b/internal/process/fleet/convert.go
@@ -70,7 +70,7 @@
 		Id: j.ID, Queue: j.Queue, Service: j.Service, Priority: int32(j.Priority), Attempts: uint32(j.MaxAttempts),
 		TargetLatencyMs: uint32(j.TargetLatency.Milliseconds()), SlackFactor: j.SlackFactor, Spec: j.Spec,
 		RemainingMs: uint32(max(0, j.Deadline.Sub(now).Milliseconds())), AgeMs: uint32(max(0, now.Sub(j.ArrivedAt).Milliseconds())),
-		Spilled: j.Spilled, Resubmitted: j.Resubmitted, OnlyAtOnce: j.OnlyAtOnce, Returned: j.Returned,
+		Spilled: j.Spilled, Resubmitted: j.Resubmitted, OnlyAtOnce: j.OnlyAtOnce, Returned: j.Returned, FirstTask: uint32(j.FirstTask),
 	}
 	for _, s := range j.Steps {
 		m.Steps = append(m.Steps, stepMessage(s))
@@ -93,7 +93,7 @@
 	j := scheduler.Job{
 		ID: m.GetId(), Queue: m.GetQueue(), Service: m.GetService(), Priority: int(m.GetPriority()),
 		MaxAttempts: int(m.GetAttempts()), SlackFactor: m.GetSlackFactor(), Spec: m.GetSpec(), Spilled: m.GetSpilled(), Resubmitted: m.GetResubmitted(),
-		OnlyAtOnce: m.GetOnlyAtOnce(), Returned: m.GetReturned(),
+		OnlyAtOnce: m.GetOnlyAtOnce(), Returned: m.GetReturned(), FirstTask: int(m.GetFirstTask()),
 		TargetLatency: time.Duration(m.GetTargetLatencyMs()) * time.Millisecond,
 		ArrivedAt:     now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 		Deadline:      now.Add(time.Duration(m.GetRemainingMs()) * time.Millisecond),
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"wasabifield.example/wasabifield/internal/process/holder"
@@ -29,6 +30,9 @@
 	p.waiters[e.id] = e.waiter
 	p.core.SetPoolCapacities(p.node.freeCapacityExcept(p.id))
 	p.applyEffects(p.core.Submit(e.job, e.id, now), now)
+	if _, accepted := p.waiters[e.id]; accepted {
+		p.publishLoad(now)
+	}
 }
 
 // withdrawEvent removes a waiter whose caller has left or whose sender is not alive.
@@ -37,6 +41,7 @@
 func (e withdrawEvent) apply(p *pool, now time.Time) {
 	w, ok := p.waiters[e.id]
 	if !ok {
+		p.parkedSubmits = slices.DeleteFunc(p.parkedSubmits, func(s submitEvent) bool { return s.id == e.id })
 		return
 	}
 	delete(p.waiters, e.id)
--- a/internal/process/fleet/export_test.go
+++ b/internal/process/fleet/export_test.go
@@ -20,3 +20,12 @@
 	link, ok := n.link(address)
 	return ok && link.Current().GetState() == connectivity.Ready
 }
+
+// TakesParts reports whether the holder of a pool runs parts of jobs, as far as this host
+// knows.
+func (n *Node) TakesParts(pool string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, _ := n.poolLoad(pool, time.Now())
+	return l.TakesParts
+}
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -146,6 +146,7 @@
 	hello := &fleetpb.Greeting{
 		From:            hostMessage(self, 0),
 		RegisterVersion: n.controller.Version(),
+		AcceptsParts:    true,
 	}
 	hello.Claims = n.publishedClaims()
 	n.mu.Lock()
@@ -193,6 +194,7 @@
 		return // the sender has restarted since, and no longer knows of the claims
 	}
 	n.heardDirectly[sender.Address] = true
+	n.recordAcceptsParts(hello)
 	for _, h := range hello.GetHosts() {
 		record(h)
 	}
@@ -258,6 +260,7 @@
 	h, _, _ := n.hostTable.Get(c.Holder, time.Now())
 	n.claims[m.GetPool()] = remoteClaim{
 		claim: c, freeTasks: int(m.GetFreeSlots()), queuedTasks: int(m.GetQueued()), holderIncarnation: h.Incarnation,
+		reportedAt: time.Now(),
 	}
 	if p, err := shards.ParsePool(m.GetPool()); err == nil {
 		n.raiseShardCount(p.Domain, int(m.GetParts()))
--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -41,6 +41,22 @@
 	m.scope.Tagged(map[string]string{"cause": c.String()}).Counter("runs_lost").Inc(1)
 }
 
+// partsMetrics counts jobs in parts, at the host that plans the parts.
+type partsMetrics struct {
+	planned    tally.Counter // parts
+	refused    tally.Counter // answers that refused a part
+	triedAgain tally.Counter // parts sent to another pool after a refusal
+	broken     tally.Counter // jobs in parts whose outcome is unknown
+}
+
+func newPartsMetrics(m *metrics.Metrics) partsMetrics {
+	scope := m.Scope()
+	return partsMetrics{
+		planned: scope.Counter("parts_planned"), refused: scope.Counter("parts_refused"),
+		triedAgain: scope.Counter("parts_tried_again"), broken: scope.Counter("jobs_in_parts_broken"),
+	}
+}
+
 // recordLoad sets the numbers of tasks that would start at once and that wait.
 func (m *poolMetrics) recordLoad(free, queued int) {
 	m.freeTasks.Update(float64(free))
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -45,6 +45,7 @@
 	announcements  *announcementTable // from targets, directly or through other hosts
 	toForward      chan Announcement  // to other hosts
 	losses         *losses.Table
+	partsMetrics   partsMetrics
 	lossReports    chan lossReport // to other hosts
 	startedAt      time.Time
 	leaving        atomic.Bool
@@ -58,6 +59,7 @@
 	claims           map[string]remoteClaim // by pool
 	remoteHolders    map[string]bool        // hosts with a claim in claims
 	pools            map[string]*pool       // by name: those that this host holds or may hold; none on a host that accepts no jobs
+	partsAccepted    map[string]bool        // by address: whether the host reads the first task of a job
 	shardCounts      map[string]int         // by domain; one shard where it is missing
 	heardDirectly    map[string]bool        // addresses of the hosts from which a hello message has come since the start
 	lossesResolvedAt time.Time              // when lost targets were last looked for
@@ -66,8 +68,9 @@
 // remoteClaim is another host's claim on a pool, with the load that the host reported.
 type remoteClaim struct {
 	claim       holder.Claim
-	freeTasks   int // tasks that would start at once
-	queuedTasks int // tasks that wait
+	freeTasks   int       // tasks that would start at once, without those that this host has sent there since
+	queuedTasks int       // tasks that wait
+	reportedAt  time.Time // when the numbers were received
 	// holderIncarnation is the holder's incarnation when the claim was received, 0 if
 	// it was unknown.
 	holderIncarnation uint64
@@ -87,11 +90,13 @@
 		pools:         map[string]*pool{},
 		shardCounts:   map[string]int{},
 		heardDirectly: map[string]bool{},
+		partsAccepted: map[string]bool{},
 		announcements: newAnnouncementTable(),
 
-		toForward:   make(chan Announcement, forwardRing),
-		losses:      losses.NewTable(),
-		lossReports: make(chan lossReport, lossRing),
+		toForward:    make(chan Announcement, forwardRing),
+		losses:       losses.NewTable(),
+		partsMetrics: newPartsMetrics(config.Metrics),
+		lossReports:  make(chan lossReport, lossRing),
 	}
 	timing := controller.DefaultTiming()
 	timing.ConfirmInterval = catalogConfirmInterval
@@ -341,7 +346,7 @@
 func (n *Node) poolLoad(pool string, now time.Time) (shards.Load, bool) {
 	if p, ok := n.pools[pool]; ok && p.heldHere.Load() {
 		c := p.publishedClaim.Load()
-		return shards.Load{Pool: pool, FreeTasks: int(c.GetFreeSlots()), QueuedTasks: int(c.GetQueued()), HeldHere: true}, c != nil
+		return shards.Load{Pool: pool, FreeTasks: int(c.GetFreeSlots()), QueuedTasks: int(c.GetQueued()), HeldHere: true, TakesParts: true}, c != nil
 	}
 	c, ok := n.claims[pool]
 	if !ok || !n.holderAlive(c, now) {
@@ -350,6 +355,7 @@
 	h, age, _ := n.hostTable.Get(c.claim.Holder, now)
 	return shards.Load{
 		Pool: pool, FreeTasks: c.freeTasks, QueuedTasks: c.queuedTasks, Silent: age > n.aliveWindow(h)/silentWindowDivisor,
+		Age: now.Sub(c.reportedAt), TakesParts: n.partsAccepted[c.claim.Holder],
 	}, true
 }
 
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -373,5 +373,6 @@
 	}
 	delete(p.waiters, r.Waiter)
 	p.metrics.recordJob(r.Answer, now.Sub(w.waitingSince))
+	p.publishLoad(now)
 	w.answer <- r.Answer
 }
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -66,6 +66,7 @@
 	s.node.recordLosses(m.GetLosses())
 	reply := replyMessage(s.node.submitLocally(ctx, m.GetPool(), jobFrom(m, time.Now()), m.GetSender()))
 	reply.Losses = s.node.lossMessages(m.GetId(), time.Now())
+	s.node.setLoad(reply, m.GetPool())
 	return reply, nil
 }
 
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -33,7 +33,10 @@
 			return a
 		}
 	}
-	a := n.submitInDomain(ctx, j, loads)
+	a, inParts := n.submitInParts(ctx, j, loads)
+	if !inParts {
+		a = n.submitInDomain(ctx, j, loads)
+	}
 	switch {
 	case a.Outcome == scheduler.Spill:
 		return n.submitSpilled(ctx, j, a)
@@ -44,17 +47,24 @@
 }
 
 // submitSpilled sends a job to the pools that its own pool has named, one after the other,
-// until one starts it at once. If none does, the job's own domain runs or refuses it.
+// until one starts it at once. It runs in parts instead once what the answers told of the
+// loads shows that it can. If neither, the job's own domain runs or refuses it.
 func (n *Node) submitSpilled(ctx context.Context, j scheduler.Job, spilled scheduler.Answer) scheduler.Answer {
 	j.Spilled = true
 	trial := j
 	trial.OnlyAtOnce = true
+	if a, ok := n.submitInParts(ctx, j, n.domainLoads(n.config.Self.Domain)); ok {
+		return a
+	}
 	for _, pool := range spilled.Pools {
 		n.log.Info("A job is sent to another pool.", "job", j.ID, "pool", pool, "reason", spilled.Reason, "age", time.Since(j.ArrivedAt))
 		if a := n.submitToPool(ctx, pool, trial); a.Outcome != scheduler.Refused {
 			return a
 		}
 	}
+	if a, ok := n.submitInParts(ctx, j, n.domainLoads(n.config.Self.Domain)); ok {
+		return a
+	}
 	j.Returned = true
 	return n.submitInDomain(ctx, j, n.domainLoads(n.config.Self.Domain))
 }
@@ -141,20 +151,29 @@
 	if !link.WaitConnected(ctx, conn) {
 		return scheduler.Answer{Outcome: scheduler.Moved, Kind: failure.NotReady, Reason: "the pool's holder cannot be reached"}
 	}
+	if j.FirstTask > 0 && !j.Resubmitted && !n.acceptsParts(address) {
+		return refusalAnswer(failure.New(failure.NotReady, "the pool's holder does not read parts of jobs"))
+	}
 	message := jobMessage(j, time.Now())
 	message.Pool = pool
 	message.Sender = n.config.Self.Address
 	message.Losses = n.lossMessages(j.ID, time.Now())
+	n.recordSentTasks(pool, address, j.TaskCount())
 	var reply *fleetpb.JobReply
 	err := link.CallWithProbes(ctx, conn, func(ctx context.Context) error {
 		var err error
 		reply, err = fleetpb.NewFleetClient(conn).Submit(ctx, message)
 		return err
 	})
+	if err != nil && ctx.Err() != nil {
+		n.log.Info("A job was withdrawn from a pool.", "job", j.ID, "first_task", j.FirstTask, "peer", address, "pool", pool, "age", time.Since(j.ArrivedAt))
+		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.CancelledRunning, Reason: "the job was withdrawn"}
+	}
 	if err != nil {
 		n.log.Warn("The answer to a job was lost.", "job", j.ID, "peer", address, "pool", pool, "error", err, "age", time.Since(j.ArrivedAt))
 		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.AnswerLost, Reason: "the pool's holder did not answer"}
 	}
+	n.recordAnsweredLoad(pool, address, reply)
 	for _, l := range n.recordLosses(reply.GetLosses()) {
 		n.reportLoss(l, n.config.Self.Domain) // the caller's next attempt comes to a host of this domain
 	}
--- a/internal/process/fleet/submit_test.go
+++ b/internal/process/fleet/submit_test.go
@@ -37,3 +37,28 @@
 	g.Expect(responsive).To(HaveLen(1))
 	g.Expect(responsive[0].Pool).To(Equal("north#1"))
 }
+
+// Loads that are up to 250 ms old would plan parts for pools that are full by now. What a
+// holder tells with an answer counts, and so does what this host has sent there since; a
+// host of a former release tells nothing, and a domain with one pool has nothing to plan.
+func TestLoadsFollowAnswersAndSentTasks(t *testing.T) {
+	g := NewWithT(t)
+	n, err := New(Config{
+		Self: discovery.Host{Address: "self", Domain: "north", Entry: true}, Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil),
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	n.hostTable.Record(discovery.Host{Address: "holder", Domain: "north", Entry: true}, 0, time.Now())
+	n.recordClaim(&fleetpb.Claim{Pool: "north", Holder: "holder", FencingToken: 1, Parts: 1, FreeSlots: 9})
+	n.recordSentTasks("north", "holder", 4)
+	g.Expect(n.FreeTasksOf("north")).To(Equal(9), "a domain with one pool")
+	n.shardCounts["north"] = 2
+	n.recordSentTasks("north", "holder", 4)
+	g.Expect(n.FreeTasksOf("north")).To(Equal(5))
+	n.recordAnsweredLoad("north", "holder", &fleetpb.JobReply{FreeSlots: 8, Queued: 1})
+	g.Expect(n.FreeTasksOf("north")).To(Equal(7))
+	n.recordAnsweredLoad("north", "holder", &fleetpb.JobReply{})
+	g.Expect(n.FreeTasksOf("north")).To(Equal(7), "a host of a former release")
+	state := &fleetpb.PoolState{Jobs: []*fleetpb.RunningJob{{Request: &fleetpb.JobRequest{Id: "j"}}, {Request: &fleetpb.JobRequest{Id: "j", FirstTask: 3}}}}
+	n.dropUnreadableParts("holder", state)
+	g.Expect(state.GetJobs()).To(HaveLen(1), "the holder would run the part's tasks under other indexes")
+}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -37,7 +37,7 @@
 	config          Config
 	jobs            map[string]*jobState   // by key
 	laterParts      map[string][]*jobState // by job id: the jobs with a FirstTask above 0
-	waitingJobs     []*jobState // jobs with waiting tasks, ordered by compareJobs
+	waitingJobs     []*jobState            // jobs with waiting tasks, ordered by compareJobs
 	targets         map[string]*target
 	targetIDs       []string // keys of targets, sorted
 	effects         []Effect
--- a/internal/process/scheduler/load_test.go
+++ b/internal/process/scheduler/load_test.go
@@ -59,10 +59,14 @@
 	resultsByWindow map[int]*classResult // windows of two seconds
 	resultsByDomain map[int]*classResult
 	startedAt       time.Time
+	meanNeed        float64                                    // of a task, in thousandths of a core
+	submitFirst     func(waiter uint64, j *simulatedJob)       // submits an arriving job; nil to submit it to firstPool
+	intercept       func(pool int, e Reply) (intercepted bool) // sees each reply first; nil for none
 }
 
 type simulatedJob struct {
 	class       jobClass
+	host        int      // the pool whose callers submitted the job
 	firstPool   int      // the pool that the job was submitted to first
 	poolsToTry  []string // that the job has been spilled to and not sent to yet
 	job         Job
@@ -111,7 +115,7 @@
 	s := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), jobsByWaiter: map[uint64]*simulatedJob{},
 		runs: map[string]*simulatedRun{}, resultsByClass: map[string]*classResult{}, speeds: map[string]float64{}, unresponsive: map[string]bool{},
-		resultsByWindow: map[int]*classResult{}, resultsByDomain: map[int]*classResult{},
+		resultsByWindow: map[int]*classResult{}, resultsByDomain: map[int]*classResult{}, meanNeed: 6800,
 	}
 	s.startedAt = s.now
 	for domain := range pools {
@@ -166,9 +170,9 @@
 func (s *simulation) submit(pool int, c jobClass) {
 	count := max(1, int(math.Round(s.logNormal(c.meanTasks, 0.4, c.maxTasks))))
 	nominalTime := time.Duration(s.logNormal(float64(c.meanTaskTime), 0.4, float64(c.maxTaskTime)))
-	cpu := int64(s.logNormal(6800, 0.2, 10000))
+	cpu := int64(s.logNormal(s.meanNeed, 0.2, 10000))
 	estimate := time.Duration(float64(nominalTime) * math.Exp(0.4*s.rng.NormFloat64()))
-	simulated := &simulatedJob{class: c, firstPool: pool, submittedAt: s.now}
+	simulated := &simulatedJob{class: c, host: pool, firstPool: pool, submittedAt: s.now}
 	var longest time.Duration
 	var coreSeconds float64
 	for range count {
@@ -193,7 +197,13 @@
 		x.submitted++
 		x.offeredValue += simulated.value
 	}
-	s.after(clientDelay/2, func() { s.applyEffects(pool, s.pools[pool].Submit(simulated.job, id, s.now)) })
+	s.after(clientDelay/2, func() {
+		if s.submitFirst != nil {
+			s.submitFirst(id, simulated)
+			return
+		}
+		s.applyEffects(pool, s.pools[pool].Submit(simulated.job, id, s.now))
+	})
 }
 
 func (s *simulation) resultOfClass(name string) *classResult {
@@ -234,7 +244,9 @@
 			}
 			s.after(2*networkDelay+50*time.Millisecond, func() { s.applyEffects(pool, core.HandleRunStopped(e.Target, e.Run, s.now)) })
 		case Reply:
-			s.handleReply(pool, e)
+			if s.intercept == nil || !s.intercept(pool, e) {
+				s.handleReply(pool, e)
+			}
 		}
 	}
 }
--- a/internal/process/shards/parts.go
+++ b/internal/process/shards/parts.go
@@ -48,7 +48,7 @@
 	first, passed := 0, 0
 	for _, l := range usable[:used] {
 		passed += l.freeCapacity()
-		end := max(first+1, tasks*passed/sum) // no part is empty: each chosen pool is needed
+		end := tasks * passed / sum // no part is empty, as each pool is needed to cover the job
 		parts = append(parts, Part{Pool: l.Pool, First: first, Count: end - first})
 		first = end
 	}
--- a/internal/process/shards/shards.go
+++ b/internal/process/shards/shards.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -76,12 +77,13 @@
 
 // Load is the load of a pool as its holder stated it last.
 type Load struct {
-	Pool        string // name of the pool
-	FreeTasks   int    // tasks of the usual size that would start at once
-	QueuedTasks int    // tasks that wait
-	HeldHere    bool   // the choosing host holds the pool, so the numbers are current
-	Silent      bool   // the holder has missed hello messages, but still counts as alive
-	TakesParts  bool   // the holder runs parts of jobs; one of a former release does not
+	Pool        string        // name of the pool
+	FreeTasks   int           // tasks of the usual size that would start at once
+	QueuedTasks int           // tasks that wait
+	HeldHere    bool          // the choosing host holds the pool, so the numbers are current
+	Silent      bool          // the holder has missed hello messages, but still counts as alive
+	Age         time.Duration // since the holder stated the numbers; 0 if HeldHere
+	TakesParts  bool          // the holder runs parts of jobs; one of a former release does not
 }
 
 // AllSilent reports whether there are pools, all of whose holders have missed hello
