Describe jobs in parts, and test loads, withdrawals and lost targets

Cause: part P lacked its notes, and a submission that was withdrawn while its pool was handed over had no test.

A job whose caller left is not counted as broken. The property test loses targets too.

--- a/internal/process/fleet/parts.go
+++ b/internal/process/fleet/parts.go
@@ -30,7 +30,7 @@
 		"reason", "no pool of the domain has capacity for the whole job", "age", time.Since(j.ArrivedAt))
 	n.partsMetrics.planned.Inc(int64(len(plan)))
 	a := n.runParts(ctx, j, parted, submissions)
-	if a.Outcome == scheduler.Broken {
+	if a.Outcome == scheduler.Broken && ctx.Err() == nil {
 		n.partsMetrics.broken.Inc(1)
 	}
 	n.log.Info("A job in parts was answered.", "job", j.ID, "parts", parted.Pools(), "outcome", a.Outcome.String(), "kind", a.Kind,
--- a/internal/process/fleet/submit_test.go
+++ b/internal/process/fleet/submit_test.go
@@ -10,6 +10,7 @@
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/discovery"
 	"wasabifield.example/wasabifield/internal/process/metrics"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
@@ -62,3 +63,16 @@
 	n.dropUnreadableParts("holder", state)
 	g.Expect(state.GetJobs()).To(HaveLen(1), "the holder would run the part's tasks under other indexes")
 }
+
+// A caller leaves, or another part of its job fails, while the pool is handed over. The
+// submission was applied after the hand-over, and its tasks ran for nobody.
+func TestASubmissionWithdrawnDuringAHandoverIsNotApplied(t *testing.T) {
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	p.handingOver = true
+	answer := make(chan scheduler.Answer, 1)
+	submitEvent{id: 7, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: answer}}.apply(p, now)
+	withdrawEvent{id: 7}.apply(p, now)
+	handedOverEvent{outcome: handoverRefused, done: make(chan struct{})}.apply(p, now)
+	g.Expect(answer).NotTo(Receive(), "the submission was applied")
+}
--- a/internal/process/scheduler/parts_test.go
+++ b/internal/process/scheduler/parts_test.go
@@ -192,6 +192,16 @@
 	}
 }
 
+// endRunsOn ends the runs on a target without a report, and those that have yet to start.
+func (m *partsModel) endRunsOn(target string) {
+	for key := range m.mayRun {
+		if key[:5] == target {
+			delete(m.mayRun, key)
+			m.refused[key] = true
+		}
+	}
+}
+
 // loseHolder replaces a pool's holder. The targets get no work until the new one has
 // stopped what it finds there.
 func (m *partsModel) loseHolder(pool int) {
@@ -203,12 +213,7 @@
 			if m.pools[pool] != core {
 				return
 			}
-			for key := range m.mayRun {
-				if key[:5] == id {
-					delete(m.mayRun, key)
-					m.refused[key] = true
-				}
-			}
+			m.endRunsOn(id)
 			m.apply(pool, core.SetClearing(id, false, m.now))
 		})
 	}
@@ -251,7 +256,7 @@
 	message()
 }
 
-// Over random refusals, losses of holders, hand-overs and delays, no task has two runs at
+// Over random refusals, losses of holders and targets, hand-overs and delays, no task has two runs at
 // once, the answer is true, and nothing runs on after it.
 func TestAJobInPartsIsAnsweredTruly(t *testing.T) {
 	answers := map[string]int{}
@@ -287,7 +292,12 @@
 				m.loseHolder(rapid.IntRange(0, len(m.pools)-1).Draw(t, "lost"))
 			case action > 290:
 				m.handOver(rapid.IntRange(0, len(m.pools)-1).Draw(t, "handed over"))
-			case action > 287:
+			case action > 286:
+				pool := rapid.IntRange(0, len(m.pools)-1).Draw(t, "pool")
+				target := rapid.SampledFrom(m.pools[pool].targetIDs).Draw(t, "target")
+				m.endRunsOn(target)
+				m.apply(pool, m.pools[pool].ExpireLeases(target, m.now))
+			case action > 284:
 				left = rapid.IntRange(0, 3).Draw(t, "left") == 0
 			case action < 250 && len(m.messages) > 0:
 				m.deliver(rapid.IntRange(0, len(m.messages)-1).Draw(t, "message"))
--- a/internal/process/shards/doc.go
+++ b/internal/process/shards/doc.go
@@ -1,5 +1,5 @@
 // Package shards splits the targets of a failure domain into shards and chooses the
-// pool for a job. Each shard has a pool of its own, and each pool is held by one entry
+// pool for a job, or the pools for its parts. Each shard has a pool of its own, and each pool is held by one entry
 // host. Package fleet applies the decisions; this package neither knows which host
 // holds a pool nor sends anything.
 //
--- a/internal/process/shards/parts_test.go
+++ b/internal/process/shards/parts_test.go
@@ -14,14 +14,15 @@
 func TestPlannedPartsCoverTheJobOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var loads []shards.Load
-		free, largest := map[string]int{}, 0
+		free, largest, sum := map[string]int{}, 0, 0
 		for i := range rapid.IntRange(0, 8).Draw(t, "pools") {
 			l := shards.Load{Pool: shards.Pool{Domain: "d", Shard: i}.String(), FreeTasks: rapid.IntRange(0, 20).Draw(t, "free"), QueuedTasks: rapid.IntRange(0, 3).Draw(t, "queued"), TakesParts: true}
 			loads = append(loads, l)
 			free[l.Pool] = l.FreeTasks - l.QueuedTasks
 			largest = max(largest, free[l.Pool])
+			sum += max(0, free[l.Pool])
 		}
-		tasks := rapid.IntRange(1, 40).Draw(t, "tasks")
+		tasks := max(1, sum-rapid.IntRange(-1, 10).Draw(t, "left over"))
 		plan := shards.PlanParts(loads, tasks)
 		if len(plan) == 0 {
 			return
