Ask a host whether it reads parts before a pool goes to it

Cause: a host that had just started was known from the lists of others only, so a pool was handed over to it without the parts of jobs, which were then answered as of unknown outcome.

Change: a holder exchanges a hello message with such a host before it sends the state of a pool with parts.

Failing first: TestAPartMovesWithItsPool, without the hello message: the job is broken.

--- a/internal/process/fleet/export_test.go
+++ b/internal/process/fleet/export_test.go
@@ -29,3 +29,11 @@
 	l, _ := n.poolLoad(pool, time.Now())
 	return l.TakesParts
 }
+
+// ForgetPartsAccepted forgets which hosts read the first task of a job, as if none of them
+// had been heard from.
+func (n *Node) ForgetPartsAccepted() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.partsAccepted)
+}
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -65,8 +65,8 @@
 
 func (e sendStateEvent) apply(p *pool, now time.Time) {
 	message := p.stateMessage(now)
-	p.node.dropUnreadableParts(e.to, message)
 	go func() {
+		p.node.dropUnreadableParts(e.to, message)
 		claim, outcome, err := p.sendState(e.to, message)
 		p.post(handedOverEvent{to: e.to, claim: claim, outcome: outcome, err: err, done: e.done})
 	}()
--- a/internal/process/fleet/parts.go
+++ b/internal/process/fleet/parts.go
@@ -175,15 +175,33 @@
 // release, which would run their tasks under other indexes. It stops their runs as
 // unknown, and answers that it does not know them.
 func (n *Node) dropUnreadableParts(to string, m *fleetpb.PoolState) {
-	if n.acceptsParts(to) {
+	isLaterPart := func(j *fleetpb.RunningJob) bool { return j.GetRequest().GetFirstTask() > 0 }
+	if !slices.ContainsFunc(m.GetJobs(), isLaterPart) || n.learnAcceptsParts(to) {
 		return
 	}
 	m.Jobs = slices.DeleteFunc(m.Jobs, func(j *fleetpb.RunningJob) bool {
-		drop := j.GetRequest().GetFirstTask() > 0
-		if drop {
+		if isLaterPart(j) {
 			n.log.Warn("A part of a job is not handed over.", "job", j.GetRequest().GetId(), "first_task", j.GetRequest().GetFirstTask(),
 				"pool", m.GetPool(), "peer", to, "reason", "the host does not read parts")
 		}
-		return drop
+		return isLaterPart(j)
 	})
 }
+
+// learnAcceptsParts reports whether another host reads the first task of a job. It sends a
+// hello message to a host that has not said so: one that has just started may be known
+// from the lists of others only.
+func (n *Node) learnAcceptsParts(address string) bool {
+	link, ok := n.link(address)
+	if n.acceptsParts(address) || !ok {
+		return n.acceptsParts(address)
+	}
+	ctx, cancel := context.WithTimeout(n.runCtx, helloTimeout)
+	defer cancel()
+	reply, err := fleetpb.NewFleetClient(link.Current()).Exchange(ctx, n.helloMessage(nil, 0))
+	if err != nil {
+		return false
+	}
+	n.receiveHello(reply)
+	return reply.GetAcceptsParts()
+}
--- a/internal/process/fleet/parts_test.go
+++ b/internal/process/fleet/parts_test.go
@@ -123,7 +123,8 @@
 	f.noneTwiceAtOnce(j)
 }
 
-// The host of a pool stops and hands the pool with its part over: the job goes on.
+// The host of a pool stops and hands the pool with its part over, to a host that it knows
+// from the lists of others only: the job goes on.
 func TestAPartMovesWithItsPool(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, time.Second)
@@ -138,6 +139,7 @@
 	}
 	j := wideJob(caller)
 	answer := f.runInParts(caller, j)
+	leaving.ForgetPartsAccepted()
 	leaving.Leave(context.Background())
 	var a scheduler.Answer
 	f.g.Eventually(answer, testTimeout).Should(Receive(&a))
