--- a/internal/process/scheduler/isolation.go
+++ b/internal/process/scheduler/isolation.go
@@ -173,7 +173,7 @@
 // the target was lost or gets no work.
 func (c *Core) reviewReservations(now time.Time) {
 	for t, r := range c.reservations {
-		if c.jobs[r.job.ID] != r.job || t.run != nil || t.done || !c.isSuspect(r.job, t) || !c.mayStart(r.job, t) ||
+		if c.jobs[r.job.key()] != r.job || t.run != nil || t.done || !c.isSuspect(r.job, t) || !c.mayStart(r.job, t) ||
 			c.targets[r.target.ID] != r.target || !r.target.usable(now) {
 			c.release(t)
 		}
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -84,7 +84,7 @@
 		if candidate.Service != s.Service || !canStart(candidate) {
 			continue
 		}
-		if step.AntiAffinity > 0 && s.countRunsOn(t.step, id) >= step.AntiAffinity {
+		if step.AntiAffinity > 0 && c.countRunsOn(s, t.step, id) >= step.AntiAffinity {
 			continue
 		}
 		if id == t.avoidTargetID {
