--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -1,11 +1,8 @@
 package catalog
 
 import (
-	"fmt"
 	"strings"
 	"time"
-
-	"wasabifield.example/wasabifield/internal/request/failure"
 )
 
 // Queue accepts the jobs of requests to a host name with a path prefix.
@@ -45,44 +42,6 @@
 	Limits   Limits
 }
 
-// Check returns an InvalidRequest error for the first invalid field of the catalog, or
-// nil.
-func (c Catalog) Check() error {
-	if c.Version == 0 {
-		return failure.Invalid("version", "must be at least 1")
-	}
-	services := map[string]bool{}
-	for _, s := range c.Services {
-		services[s.Name] = true
-	}
-	queueByPrefix := map[string]string{}
-	for _, q := range c.Queues {
-		if err := q.check(services); err != nil {
-			return err
-		}
-		prefix := strings.ToLower(q.Host) + q.PathPrefix
-		if other, taken := queueByPrefix[prefix]; taken {
-			return failure.Invalid("queue "+q.Name, "has the host and prefix of queue "+other)
-		}
-		queueByPrefix[prefix] = q.Name
-	}
-	return nil
-}
-
-func (q Queue) check(services map[string]bool) error {
-	switch {
-	case q.Name == "":
-		return failure.Invalid("queue", "has no name")
-	case !services[q.Service]:
-		return failure.Invalid("queue "+q.Name, fmt.Sprintf("names the unknown service %q", q.Service))
-	case q.Timeout <= 0:
-		return failure.Invalid("queue "+q.Name, "has no timeout")
-	case !strings.HasPrefix(q.PathPrefix, "/"):
-		return failure.Invalid("queue "+q.Name, "has a path prefix that does not begin with /")
-	}
-	return nil
-}
-
 // Match returns the queue of a request: of the queues with the request's host, the one
 // with the longest matching path prefix. It returns false if there is none. Case is
 // ignored in host names.
