--- a/internal/process/tool/exit.go
+++ b/internal/process/tool/exit.go
@@ -9,8 +9,8 @@
 // Exit codes of wasabifield.
 const (
 	ExitOK          = 0
-	ExitRefused     = 1 // refused, or a check failed
-	ExitUsage       = 2 // wrong arguments, or a file that is unreadable or not of the expected kind
+	ExitRefused     = 1 // refused, a check failed, or bundle check has warnings
+	ExitUsage       = 2 // wrong arguments, a file that is unreadable or not of the expected kind, or bundle check has errors
 	ExitUnreachable = 3 // no entry host could be reached
 	ExitUnknown     = 4 // the outcome is unknown; send the command again with the same request id
 )
@@ -27,6 +27,12 @@
 // Unwrap returns the cause and errUsage.
 func (e usageError) Unwrap() []error { return []error{e.cause, errUsage} }
 
+// errorsFoundError says that bundle check has found errors.
+type errorsFoundError struct{ cause error }
+
+// Error implements error.
+func (e errorsFoundError) Error() string { return e.cause.Error() }
+
 // executionError is an error returned by a command whose arguments cobra accepted.
 type executionError struct{ cause error }
 
@@ -43,10 +49,11 @@
 	var unreachable *operatorclient.UnreachableError
 	var answerLost *operatorclient.AnswerLostError
 	var refused *operatorclient.RefusedError
+	var errorsFound errorsFoundError
 	switch {
 	case err == nil:
 		return ExitOK
-	case !errors.As(err, &execution) || errors.Is(err, errUsage):
+	case !errors.As(err, &execution) || errors.Is(err, errUsage), errors.As(err, &errorsFound):
 		return ExitUsage
 	case errors.As(err, &unreachable):
 		return ExitUnreachable
--- a/internal/process/tool/root.go
+++ b/internal/process/tool/root.go
@@ -24,8 +24,8 @@
 
 Exit codes:
   0  done
-  1  refused, or a check failed
-  2  wrong arguments or an unreadable file
+  1  refused, a check failed, or bundle check has warnings
+  2  wrong arguments, an unreadable file, or bundle check has errors
   3  no entry host could be reached
   4  the outcome is unknown: send the command again with the same --request-id`
 
