Describe the checks of configurations, and exit with 3 where one was not made

Cause: exit code 1 of `bundle check` means warnings, but a host that refuses to state the version in force led to it too; a host that is cut off from a majority was not named.

--- a/internal/process/tool/bundle_check.go
+++ b/internal/process/tool/bundle_check.go
@@ -32,7 +32,7 @@
   0  clean
   1  warnings: the bundle is valid, but can hardly be meant
   2  errors: it is not valid or would be refused; also for wrong arguments
-  3  no entry host could be reached`
+  3  not checked: the version in force could not be read from a host`
 
 func (t *tool) newBundleCheckCommand() *cobra.Command {
 	var against string
@@ -61,14 +61,13 @@
 		return err
 	}
 	if against != "" {
-		err = result.compareWithFile(loaded, against)
+		if err := result.compareWithFile(loaded, against); err != nil {
+			return err
+		}
 	} else if len(t.hosts) > 0 {
-		err = t.compareWithHost(ctx, loaded, &result)
-	} else {
-		err = nil
-	}
-	if err != nil {
-		return err
+		if err := t.compareWithHost(ctx, loaded, &result); err != nil {
+			return codedError{err, ExitUnreachable} // also if it refused: 1 and 2 are findings
+		}
 	}
 	finding.Sort(result.Findings)
 	if err := t.printDocument(result, result.write); err != nil {
@@ -98,6 +97,11 @@
 		return err
 	}
 	r.compare(loaded, number, base)
+	if !status.Confirmed {
+		r.Findings = append(r.Findings, finding.Finding{
+			Severity: finding.Warning, Text: fmt.Sprintf("host %s is cut off from a majority, so a newer version may be in force", status.Host),
+		})
+	}
 	if len(r.Faults) == 0 && r.Version > number {
 		r.Findings = append(r.Findings, checkNumber(loaded, status)...)
 	}
@@ -162,7 +166,7 @@
 	}
 	switch {
 	case errorCount > 0:
-		return errorsFoundError{fmt.Errorf("%s has %d errors", file, errorCount)}
+		return codedError{fmt.Errorf("%s has %d errors", file, errorCount), ExitUsage}
 	case len(findings) > 0:
 		return fmt.Errorf("%s has %d warnings", file, len(findings))
 	}
--- a/internal/process/tool/exit.go
+++ b/internal/process/tool/exit.go
@@ -11,7 +11,7 @@
 	ExitOK          = 0
 	ExitRefused     = 1 // refused, a check failed, or bundle check has warnings
 	ExitUsage       = 2 // wrong arguments, a file that is unreadable or not of the expected kind, or bundle check has errors
-	ExitUnreachable = 3 // no entry host could be reached
+	ExitUnreachable = 3 // no entry host could be reached, or bundle check got no state from the hosts
 	ExitUnknown     = 4 // the outcome is unknown; send the command again with the same request id
 )
 
@@ -27,11 +27,14 @@
 // Unwrap returns the cause and errUsage.
 func (e usageError) Unwrap() []error { return []error{e.cause, errUsage} }
 
-// errorsFoundError says that bundle check has found errors.
-type errorsFoundError struct{ cause error }
+// codedError is an error with an exit code of its own.
+type codedError struct {
+	cause error
+	code  int
+}
 
 // Error implements error.
-func (e errorsFoundError) Error() string { return e.cause.Error() }
+func (e codedError) Error() string { return e.cause.Error() }
 
 // executionError is an error returned by a command whose arguments cobra accepted.
 type executionError struct{ cause error }
@@ -49,12 +52,14 @@
 	var unreachable *operatorclient.UnreachableError
 	var answerLost *operatorclient.AnswerLostError
 	var refused *operatorclient.RefusedError
-	var errorsFound errorsFoundError
+	var coded codedError
 	switch {
 	case err == nil:
 		return ExitOK
-	case !errors.As(err, &execution) || errors.Is(err, errUsage), errors.As(err, &errorsFound):
+	case !errors.As(err, &execution) || errors.Is(err, errUsage):
 		return ExitUsage
+	case errors.As(err, &coded):
+		return coded.code
 	case errors.As(err, &unreachable):
 		return ExitUnreachable
 	case errors.As(err, &answerLost):
--- a/internal/process/tool/root.go
+++ b/internal/process/tool/root.go
@@ -26,7 +26,7 @@
   0  done
   1  refused, a check failed, or bundle check has warnings
   2  wrong arguments, an unreadable file, or bundle check has errors
-  3  no entry host could be reached
+  3  no entry host could be reached, or bundle check got no state from the hosts
   4  the outcome is unknown: send the command again with the same --request-id`
 
 // tool holds the output streams and the shared flags of one invocation.
