Name the lines of findings about a bundle

Cause: the findings about a document have lines, those about a bundle had paths only.

Change: bundle.SetLines looks the paths up in the YAML tree; a field that is left out has the line of its mapping.

Shown failing first: the mapping of a missing field not looked up: TestFindingsGetTheLinesOfTheirFields.

--- a/internal/process/tool/bundle_check.go
+++ b/internal/process/tool/bundle_check.go
@@ -69,6 +69,7 @@
 			return codedError{err, ExitUnreachable} // also if it refused: 1 and 2 are findings
 		}
 	}
+	bundle.SetLines(loaded.text, result.Findings)
 	finding.Sort(result.Findings)
 	if err := t.printDocument(result, result.write); err != nil {
 		return err
--- a/internal/version/bundle/warnings_test.go
+++ b/internal/version/bundle/warnings_test.go
@@ -9,6 +9,24 @@
 	"wasabifield.example/wasabifield/internal/version/finding"
 )
 
+// Guards against lines of another field, and against a document that is refused for its
+// size or form and is read all the same.
+func TestFindingsGetTheLinesOfTheirFields(t *testing.T) {
+	g := NewWithT(t)
+	findings := []finding.Finding{
+		{Path: "version"}, {Path: "retry.attempts"}, {Path: "retry.restart_idempotent"}, {Path: "teams[1].queued"}, {Path: "roll.pause"}, {},
+	}
+	lines := func(text string) (lines []int) {
+		bundle.SetLines([]byte(text), findings)
+		for _, f := range findings {
+			lines = append(lines, f.Line)
+		}
+		return lines
+	}
+	g.Expect(lines("# head\nversion: 1\nretry:\n  attempts: 1\nteams:\n- {name: a}\n- name: b\n  queued: 3\n")).To(Equal([]int{2, 4, 3, 8, 2, 2}))
+	g.Expect(lines("a: [")).To(Equal([]int{2, 4, 3, 8, 2, 2}))
+}
+
 // Guards against a warning that is lost or names another field, and against a warning
 // for the built-in values.
 func TestEachWarningNamesItsField(t *testing.T) {
