Store documents that JSON would rewrite compressed

Cause: json.Marshal compacts a RawMessage. Result: TestADocumentIsReadBackByteForByte fails before ("{\"a\":\"\\u003c...") and passes now.

--- a/internal/version/catalog/catalog_test.go
+++ b/internal/version/catalog/catalog_test.go
@@ -118,3 +118,15 @@
 	_, err := catalog.DecodeStored([]byte(`{"version":1,"packed":"AAAA"}`))
 	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("decompressed")))
 }
+
+// A document with space or with characters that package json escapes came back changed.
+func TestADocumentIsReadBackByteForByte(t *testing.T) {
+	g := NewWithT(t)
+	for _, document := range []string{"{ \"a\": \"<&>\",\n \"b\": 1 }", "{\"a\":\"\u2028\"}", `{"a":1}`} {
+		content, err := catalog.ReplaceIfNewer(nil, catalog.Stored{Version: 1, Document: []byte(document)})
+		g.Expect(err).NotTo(HaveOccurred())
+		held, err := catalog.DecodeStored(content)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(held.Document)).To(Equal(document))
+	}
+}
--- a/internal/version/catalog/stored.go
+++ b/internal/version/catalog/stored.go
@@ -105,7 +105,7 @@
 
 func (s Stored) encode() ([]byte, error) {
 	text := storedJSON{Version: s.Version, Document: s.Document, Evacuations: s.Evacuations}
-	if len(s.Document) > compressThreshold {
+	if len(s.Document) > compressThreshold || !survivesEncoding(s.Document) {
 		compressed, err := compress(s.Document)
 		if err != nil {
 			return nil, err
@@ -115,6 +115,14 @@
 	return json.Marshal(text)
 }
 
+// survivesEncoding reports whether a document is written byte for byte inside other JSON.
+// Package json removes space and escapes some characters; such a document is stored
+// compressed, as a read must return what the operator sent.
+func survivesEncoding(document []byte) bool {
+	written, err := json.Marshal(json.RawMessage(document))
+	return err == nil && bytes.Equal(written, document)
+}
+
 func compress(document []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
