Let tasks wait for a place in their data rack where that pays

Cause: a task whose data rack is full started on a remote target at once, where it takes remote_factor times as long and so takes capacity from all. A remote run also counted as a slow one: it raised the slowdown of its target and the learned run time of its queue.

Change: with Config.RemoteFactor above 1, a task of a step with a data rack may wait for a local place. locality.go decides for how long, without state: from the forecast of the local place, the cost of the remote one, the slack and the recent rate of waits that succeeded. A waiting task holds no place back. It starts at the latest when it would lose its last certain place, before all other tasks. Remote runs count with their factor.

--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -18,6 +18,8 @@
 	SpillTries           int           // other pools that a spilled job is sent to at most, one after the other; a try takes a round trip
 	Losses               *losses.Table // shared by the pools of a host; nil for a table of the Core's own
 	EvacuationGrace      time.Duration // for which tasks of started jobs may still start after the pool is evacuated
+	RemoteFactor         float64       // how many times as long a task takes outside its data rack; up to 1 if nothing is known of that
+	MaxLocalWait         time.Duration // longest wait for a target in a task's data rack; 0 for none
 }
 
 // DefaultConfig returns the values for tasks whose estimates are off by up to
@@ -49,6 +51,7 @@
 	losses          *losses.Table      // of targets, under tasks of any pool
 	detachedRuns    map[*run]time.Time // end of the lease by run
 	reservations    map[*task]reservation
+	localWaits      localWaits
 	evacuated       bool      // no new job is admitted
 	graceEnd        time.Time // while evacuated, no task is started from then on
 }
@@ -276,7 +279,7 @@
 	took := now.Sub(r.requestedAt)
 	t.recordSuccess(took, r.estimate)
 	if s, ok := c.jobs[r.id.Job]; ok {
-		c.runTimes.observe(s.Queue, took, t.slowdown)
+		c.runTimes.observe(s.Queue, took, t.slowdown*c.remoteFactor(s.Steps[r.id.Step], t))
 	}
 }
 
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -99,6 +99,7 @@
 	}
 	t.run = r
 	if to, known := c.targets[h.Target]; known {
+		r.estimate = time.Duration(float64(step.Estimate) * c.remoteFactor(step, to))
 		to.addRun(r)
 	} else {
 		c.detach(r, now.Add(h.LeaseRemaining))
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -11,9 +11,10 @@
 	lastRunNumber int // Run.Number of the last run; 0 before the first
 	failureCount  int
 	done          bool
-	run           *run   // in progress; nil while the task waits or once it is done
-	avoidTargetID string // target of the last released run; used again only if no other fits
-	suspect       bool   // a target was lost under the task, here or at another host
+	run           *run       // in progress; nil while the task waits or once it is done
+	avoidTargetID string     // target of the last released run; used again only if no other fits
+	suspect       bool       // a target was lost under the task, here or at another host
+	localWait     *localWait // for a target in the data rack; nil if the task has never waited for one
 }
 
 // jobState is a job in progress with the state of its tasks.
--- a/internal/process/scheduler/load_test.go
+++ b/internal/process/scheduler/load_test.go
@@ -59,6 +59,11 @@
 	resultsByWindow map[int]*classResult // windows of two seconds
 	resultsByDomain map[int]*classResult
 	startedAt       time.Time
+	prepare         func(*simulatedJob) // changes a job before it is submitted; nil for none
+	racks           map[string]string   // by target
+	remoteFactor    float64             // how many times as long tasks take outside their data rack
+	jobTimes        []time.Duration     // of completed jobs
+	observe         func(Effect)        // called with each effect of a pool; nil for none
 }
 
 type simulatedJob struct {
@@ -188,6 +193,9 @@
 		TargetLatency: 60 * time.Millisecond, ArrivedAt: arrived, Deadline: arrived.Add(5*simulated.objective + time.Second),
 		Steps: []Step{{Count: count, Need: Resources{CPUMilli: cpu, MemoryMB: 64}, Estimate: estimate}},
 	}
+	if s.prepare != nil {
+		s.prepare(simulated)
+	}
 	result := s.resultOfClass(c.name)
 	for _, x := range []*classResult{result, s.currentWindow(), s.resultOfDomain(pool)} {
 		x.submitted++
@@ -221,6 +229,9 @@
 func (s *simulation) applyEffects(pool int, effects []Effect) {
 	core := s.pools[pool]
 	for _, e := range effects {
+		if s.observe != nil {
+			s.observe(e)
+		}
 		switch e := e.(type) {
 		case Start:
 			s.startRun(pool, core, e)
@@ -241,9 +252,10 @@
 
 func (s *simulation) startRun(pool int, core *Core, e Start) {
 	var nominalTime time.Duration
+	var rack string
 	for _, j := range s.jobsByWaiter {
 		if j.job.ID == e.Run.Job {
-			nominalTime = j.taskTimes[e.Run.Index]
+			nominalTime, rack = j.taskTimes[e.Run.Index], j.job.Steps[0].DataRack
 			break
 		}
 	}
@@ -256,6 +268,9 @@
 	s.runs[e.Target+e.Run.TaskID()+fmt.Sprint(e.Run.Number)] = r
 	s.after(2*networkDelay, func() { s.applyEffects(pool, core.HandleStartResult(e.Target, e.Run, Started, s.now)) })
 	took := time.Duration(float64(nominalTime) / s.speeds[e.Target])
+	if rack != "" && rack != s.racks[e.Target] {
+		took = time.Duration(float64(took) * s.remoteFactor)
+	}
 	s.after(2*networkDelay+took, func() {
 		if !r.ended && !s.unresponsive[e.Target] {
 			r.ended = true
@@ -278,6 +293,9 @@
 		s.resultOfClass(j.class.name).refusedWithRoom += j.value
 	}
 	took := s.now.Sub(j.submittedAt) + clientDelay/2
+	if e.Answer.Outcome == Completed {
+		s.jobTimes = append(s.jobTimes, took)
+	}
 	for _, x := range []*classResult{s.resultOfClass(j.class.name), s.windowAt(j.submittedAt), s.resultOfDomain(j.firstPool)} {
 		switch {
 		case e.Answer.Outcome == Completed && took <= j.objective:
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -18,6 +18,7 @@
 	if c.startsWithheld(now) {
 		return
 	}
+	c.reviewLocalWaits(now)
 	tried := 0
 	maxFree := c.maxFreeCPUMilli(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
@@ -61,6 +62,9 @@
 		if best == nil {
 			return started
 		}
+		if c.deferForLocal(s, t, best, now) {
+			continue
+		}
 		c.startTask(s, t, best, now)
 		started = true
 	}
@@ -127,8 +131,9 @@
 		need:        step.Need,
 		targetID:    chosen.ID,
 		requestedAt: now,
-		estimate:    step.Estimate,
+		estimate:    time.Duration(float64(step.Estimate) * c.remoteFactor(step, chosen)),
 	}
+	c.recordLocalStart(t, chosen, now)
 	t.run = r
 	s.pendingTasks--
 	s.hasStarted = true
