Send jobs to a pool that has their data rack

Cause: the targets of a rack lie in several shards of a domain, by the hash of their ids, and a job went to any pool with free capacity.

Change: an entry host has the announcements of all targets of its domain, so it knows the racks of each pool without a message. It chooses among the pools with the rack and room for the job, and otherwise as before. The pool gets the factor and the longest wait from the configuration, and logs and counts the waits of its tasks.

Ruled out: how full a rack is, in each claim: it is up to 250 ms old.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -67,8 +67,12 @@
 	// EvacuateWithin is the time from the acknowledgement of an evacuation until no task
 	// of the domain may be started any more; 0 where operators request no evacuations.
 	EvacuateWithin time.Duration
-	Domains        []string     // failure domains that the settings name
-	Targets        TargetClient // nil on a host that accepts no jobs
+	// RemoteFactor is how many times as long a task takes outside its data rack; up to 1 if
+	// the settings name none.
+	RemoteFactor float64
+	MaxLocalWait time.Duration // longest wait of a task for a target in its data rack; 0 for none
+	Domains      []string      // failure domains that the settings name
+	Targets      TargetClient  // nil on a host that accepts no jobs
 	// Parse decodes and checks a catalog document of an operator.
 	Parse   func(document []byte) (catalog.Catalog, error)
 	Log     *slog.Logger
--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -60,6 +60,17 @@
 	m.scope.Tagged(map[string]string{"decision": d.String()}).Counter("suspects").Inc(1)
 }
 
+// localWaitBuckets are the bounds of the histogram of waits for local places: 1 ms to about
+// 2 s.
+var localWaitBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
+
+// recordLocalWait counts a wait for a local place by its outcome and records its length.
+func (m *poolMetrics) recordLocalWait(e scheduler.LocalWaitEnded) {
+	scope := m.scope.Tagged(map[string]string{"outcome": e.Outcome.String()})
+	scope.Counter("local_waits").Inc(1)
+	scope.Histogram("local_wait", localWaitBuckets).RecordDuration(e.Waited)
+}
+
 // recordLoad sets the numbers of tasks that would start at once and that wait.
 func (m *poolMetrics) recordLoad(free, queued int) {
 	m.freeTasks.Update(float64(free))
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -48,6 +48,7 @@
 	toForward      chan Announcement  // to other hosts
 	losses         *losses.Table
 	lossReports    chan lossReport // to other hosts
+	racks          rackIndex
 	startedAt      time.Time
 	leaving        atomic.Bool
 	catalogFetchMu sync.Mutex // held while a newer catalog is fetched
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -91,6 +91,7 @@
 	config := scheduler.DefaultConfig()
 	config.Losses = p.node.losses
 	config.EvacuationGrace = p.node.config.EvacuateWithin / evacuationGraceDivisor
+	config.RemoteFactor, config.MaxLocalWait = p.node.config.RemoteFactor, p.node.config.MaxLocalWait
 	return scheduler.NewCore(config)
 }
 
@@ -368,6 +369,8 @@
 			p.metrics.recordSuspect(e.Decision)
 			p.log.Info(e.Decision.Message(), "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target,
 				"decision", e.Decision.String(), "crashed", e.Losses.Crashed, "unresolved", e.Losses.Unresolved, "age", e.Age)
+		case scheduler.LocalWaitEnded:
+			p.logLocalWait(e)
 		case scheduler.Withheld:
 			p.logWithheld(e, now)
 		case scheduler.Reply:
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -94,7 +94,7 @@
 	if !shards.AllSilent(loads) {
 		loads = shards.Responsive(loads)
 	}
-	pool := cmp.Or(shards.ChoosePool(loads, j.TaskCount(), rand.IntN), n.config.Self.Domain)
+	pool := cmp.Or(shards.ChoosePool(n.preferRack(loads, j, time.Now()), j.TaskCount(), rand.IntN), n.config.Self.Domain)
 	a := n.submitToPool(ctx, pool, j)
 	if a.Outcome != scheduler.Refused || a.Kind != failure.NotReady || len(loads) < 2 {
 		return a
