--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -49,6 +49,7 @@
 	losses         *losses.Table
 	partsMetrics   partsMetrics
 	lossReports    chan lossReport // to other hosts
+	racks          rackIndex
 	startedAt      time.Time
 	leaving        atomic.Bool
 	busyPercent    atomic.Int64 // processor time used lately, of this host's share; 0 if unknown
