Ignore an expiry of leases once a start has carried a new one

Cause, by reading: a target that runs nothing and leaves a renewal unanswered has its leases expire. The event waits in the pool's ring while the host is busy; a task is started on the target meanwhile, and the event then releases that run too, while its start request is under way.

Change: the pool looks again whether the leases have expired when it processes the event; a start request extends them before it is sent.

Result: TestALeaseExpiryDoesNotReleaseARunThatWasStartedAfterIt fails without the change (1 run instead of 2).

--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -309,7 +309,11 @@
 	}
 	s.mu.Unlock()
 	if due {
-		s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.ExpireLeases(s.ref.ID, now), now) })
+		s.post(func(p *pool, now time.Time) {
+			if s.leaseExpired(now) { // otherwise a start request has carried a new lease since
+				p.applyEffects(p.core.ExpireLeases(s.ref.ID, now), now)
+			}
+		})
 	}
 }
 
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -137,3 +137,27 @@
 		NewWithT(t).Expect(took).To(BeNumerically("<", time.Minute), "the task was started %d times", starts())
 	})
 }
+
+// The expiry of a target's leases waits in the ring of a busy pool while a task is started
+// on the target. The expiry released that run as well, and the task was started a second
+// time while the first start request was under way.
+func TestALeaseExpiryDoesNotReleaseARunThatWasStartedAfterIt(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	a := Announcement{Target: scheduler.Target{ID: "t", Service: "desk", Domain: "north", Incarnation: 1, Capacity: scheduler.Resources{CPUMilli: 8000}}, Sequence: 1, ReceivedAt: now}
+	p.node.announcements.record(a)
+	p.handleAnnouncement(a, now)
+	p.applyEffects(p.core.SetClearing("t", false, now), now)
+	s := p.sessions["t"]
+	s.mu.Lock()
+	s.leaseSentAt = now.Add(-2 * p.node.longestLease())
+	s.mu.Unlock()
+	s.reportLeaseExpiry()
+	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, now)
+	g.Expect(p.core.RunCount("t")).To(Equal(2))
+	for len(p.events) > 0 {
+		(<-p.events).apply(p, time.Now())
+	}
+	g.Expect(p.core.RunCount("t")).To(Equal(2), "the leases of the start requests are in force")
+}
