--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -70,6 +70,7 @@
 	// RemoteFactor is how many times as long a task takes outside its data rack; up to 1 if
 	// the settings name none.
 	RemoteFactor float64
+	JobParts     bool          // jobs may run in parts over several pools of their domain
 	MaxLocalWait time.Duration // longest wait of a task for a target in its data rack; 0 for none
 	Domains      []string      // failure domains that the settings name
 	Targets      TargetClient  // nil on a host that accepts no jobs
--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -285,7 +285,7 @@
 	config := fleet.Config{
 		Self:     discovery.Host{Address: address, Name: name, Domain: domain, Entry: true, Incarnation: uint64(time.Now().UnixMilli()), CPUMilli: f.cpuMilli[name]},
 		MaxLease: f.lease, Targets: f.targets, Parse: parseDocument, VoterCount: 1,
-		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil), EvacuateWithin: f.evacuateWithin,
+		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewMetrics(nil), EvacuateWithin: f.evacuateWithin, JobParts: true,
 	}
 	if f.seed == "" {
 		f.seed = address
