Start no task on a target that announces itself during a handover

Cause, by reading: an announcement that arrives while a pool is handed over opened a session with the target, and tasks that waited were started there after the state had been sent.

Change: the pool does not process announcements during a handover; they are recorded, and processed if the handover is refused.

Result: TestNoTaskIsStartedOnATargetThatAnnouncesItselfDuringAHandover fails without the change.

--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -208,3 +208,33 @@
 	receivePoolEvent{message: former.stateMessage(now.Add(newPoolDelay / 4)), answer: make(chan receivedPool, 1)}.apply(successor, now.Add(newPoolDelay/4))
 	g.Expect(successor.formerPoolUntil).To(BeTemporally("~", now.Add(newPoolDelay), 2*time.Millisecond))
 }
+
+// A new target announces itself while the pool is handed over, after its state was sent. A
+// task that waited was started there, and once more by the new holder.
+func TestNoTaskIsStartedOnATargetThatAnnouncesItselfDuringAHandover(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	target := func(id string, cpu int64) Announcement {
+		return Announcement{Target: scheduler.Target{ID: id, Service: "desk", Domain: "north", Incarnation: 1, Capacity: scheduler.Resources{CPUMilli: cpu}}, Sequence: 1, ReceivedAt: now}
+	}
+	p.handleAnnouncement(target("known", 4000), now)
+	p.applyEffects(p.core.SetClearing("known", false, now), now)
+	job := handoverTestJob("j", now)
+	job.TargetLatency = time.Minute
+	submitEvent{id: 1, job: job, waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, now)
+	g.Expect(p.core.RunCount("known")).To(Equal(1), "the other task waits")
+
+	p.handingOver = true
+	state := p.stateMessage(now)
+	g.Expect(state.GetJobs()[0].GetTasks()[1].GetStarted()).To(BeZero())
+	arrived := target("new", 8000)
+	p.node.announcements.record(arrived)
+	announcementEvent{arrived}.apply(p, now)
+	g.Expect(p.sessions).NotTo(HaveKey("new"), "requests to the target would be sent by this host and by the new holder")
+	p.applyEffects(p.core.SetClearing("new", false, now), now)
+	g.Expect(p.core.RunCount("new")).To(BeZero(), "the state that was sent tells that the task waits")
+
+	handedOverEvent{to: "127.0.0.1:2", outcome: handoverRefused, done: make(chan struct{})}.apply(p, now)
+	g.Expect(p.sessions).To(HaveKey("new"), "the handover was refused")
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -296,10 +296,13 @@
 	}
 }
 
-// handleAnnouncement processes an announcement of one of the pool's targets.
+// handleAnnouncement processes an announcement of one of the pool's targets. During a
+// handover it does nothing: a task that were started on a new target after the pool's
+// state was sent would be started again by the new holder. The announcement is recorded,
+// and takeOver processes it if the handover is refused.
 func (p *pool) handleAnnouncement(a Announcement, now time.Time) {
 	id := a.Target.ID
-	if !p.heldHere.Load() || !p.contains(id, a.Target.Domain) || now.Before(p.formerPoolUntil) {
+	if !p.heldHere.Load() || p.handingOver || !p.contains(id, a.Target.Domain) || now.Before(p.formerPoolUntil) {
 		return
 	}
 	if a.Deregistered {
