Keep a replaced connection open for its calls

Callers saw jobs fail with "the pool's holder did not answer" on a busy machine. Cause: two hello messages in a row took longer than their 400 ms, the link to the host was replaced, and closing the former connection failed every job that waited for its answer over it. The host was slow, not lost.

A replaced connection now takes no new call and is closed after its last one. Each job still probes the connection that it uses, so a silent one is left as early as before.

--- a/internal/connection/hostlink/link.go
+++ b/internal/connection/hostlink/link.go
@@ -29,7 +29,8 @@
 
 	mu                sync.Mutex
 	conn              *grpc.ClientConn
-	consecutiveMissed int // consecutive exchanges without an answer
+	calls             map[*grpc.ClientConn]int // in progress, by the connection that they use
+	consecutiveMissed int                      // consecutive exchanges without an answer
 	closed            bool
 }
 
@@ -37,7 +38,7 @@
 // being made and to the answer to a probe.
 func New(timeout time.Duration, connect func() (*grpc.ClientConn, error)) (*Link, error) {
 	conn, err := connect()
-	return &Link{connect: connect, timeout: timeout, conn: conn}, err
+	return &Link{connect: connect, timeout: timeout, conn: conn, calls: map[*grpc.ClientConn]int{}}, err
 }
 
 // Current returns the current connection. It may be replaced at any time, so callers
@@ -48,17 +49,40 @@
 	return l.conn
 }
 
-// Close closes the connection, which is then not replaced any more.
+// Close closes all connections, which are then not replaced any more.
 func (l *Link) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
 	_ = l.conn.Close()
+	for conn := range l.calls {
+		_ = conn.Close()
+	}
+}
+
+// begin records a call over conn; end records its end. A connection that has been replaced
+// is closed after its last call.
+func (l *Link) begin(conn *grpc.ClientConn) (end func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[conn]++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.calls[conn]--
+		if l.calls[conn] > 0 {
+			return
+		}
+		delete(l.calls, conn)
+		if conn != l.conn {
+			_ = conn.Close()
+		}
+	}
 }
 
-// Replace makes a new connection and closes conn, unless conn has been replaced
-// already or the link is closed. If no new connection can be made, conn stays. Calls in
-// progress on a closed conn fail.
+// Replace makes a new connection in place of conn, unless conn has been replaced already
+// or the link is closed. If no new connection can be made, conn stays. A host that is only
+// slow still answers the calls in progress over conn, which is closed after them.
 func (l *Link) Replace(conn *grpc.ClientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,7 +94,9 @@
 		return
 	}
 	l.conn, l.consecutiveMissed = newConn, 0
-	_ = conn.Close()
+	if l.calls[conn] == 0 {
+		_ = conn.Close()
+	}
 }
 
 // RecordExchange records how an exchange over conn ended and replaces conn after
@@ -94,6 +120,7 @@
 // link's timeout for a silent connection or a frozen host, and as long as ctx allows
 // for a slow answer.
 func (l *Link) CallWithProbes(ctx context.Context, conn *grpc.ClientConn, f func(context.Context) error) error {
+	defer l.begin(conn)()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go l.probeUntilDone(ctx, cancel, conn)
@@ -152,7 +179,9 @@
 // Invoke implements grpc.ClientConnInterface. Each call uses the connection that is
 // current when the call is made.
 func (l *Link) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
-	return l.Current().Invoke(ctx, method, args, reply, opts...)
+	conn := l.Current()
+	defer l.begin(conn)()
+	return conn.Invoke(ctx, method, args, reply, opts...)
 }
 
 // NewStream implements grpc.ClientConnInterface. Each stream uses the connection that
