Ascribe a restart only to runs of the former incarnation

Suspected was a start that the new incarnation of a target answered. TestARestartIsAscribedOnlyToRunsOfTheFormerIncarnation plays eight orders of answer, report and restart, and shows it: of these, the two in which the new incarnation answers before its restart is known counted a crash. A start request names the target's id, and the answer carries no incarnation.

The answer carries the target's clock, which never goes back within an incarnation. An answer with an earlier time than one received before the request was sent comes from another incarnation: the run there is stopped, and its loss is nobody's crash.

The same class elsewhere: a handover named neither the incarnation of a run's target nor whether its start was confirmed, so that the new holder ascribed the crash of either incarnation to it (both cases of TestAHandoverKeepsTheIncarnationsOfItsRuns failed before). Both are sent now. Ruled out: reports of runs carry the incarnation and were checked; stops are confirmed by either incarnation rightly; losses are kept by incarnation.

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -316,7 +316,8 @@
 	for _, t := range j.Tasks {
 		m.Tasks = append(m.Tasks, &fleetpb.Task{
 			Step: uint32(t.Step), Index: uint32(t.Index), Started: uint32(t.LastRunNumber), Failures: uint32(t.Failures),
-			Done: t.Done, Target: t.Target, Stopping: t.Stopping, LeaseMs: uint32(t.LeaseRemaining.Milliseconds()) + 1,
+			Done: t.Done, Target: t.Target, Born: t.Incarnation, Confirmed: t.Confirmed, Stopping: t.Stopping,
+			LeaseMs: uint32(t.LeaseRemaining.Milliseconds()) + 1,
 		})
 	}
 	return m
@@ -334,7 +335,8 @@
 		}
 		j.Tasks = append(j.Tasks, scheduler.HandoverTask{
 			Step: int(t.GetStep()), Index: int(t.GetIndex()), LastRunNumber: int(t.GetStarted()), Failures: int(t.GetFailures()),
-			Done: t.GetDone(), Target: t.GetTarget(), Stopping: t.GetStopping(), LeaseRemaining: lease,
+			Done: t.GetDone(), Target: t.GetTarget(), Incarnation: t.GetBorn(), Stopping: t.GetStopping(), LeaseRemaining: lease,
+			Confirmed: t.GetConfirmed() || t.GetBorn() == 0,
 		})
 	}
 	return j
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -42,6 +42,7 @@
 
 	mu           sync.Mutex
 	clockOffset  int64     // the target's clock minus the local monotonic clock, milliseconds
+	clockSeen    int64     // latest time on the target's clock that it has sent, milliseconds
 	leaseSentAt  time.Time // when the last request with a lease was sent
 	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
 
@@ -69,6 +70,7 @@
 	s.clearing.Store(true)
 	s.leaseSentAt = time.Now() // a former session may have sent a lease until now, and its requests may still arrive
 	s.clockOffset = a.ClockMS - monotonicMillis(a.ReceivedAt)
+	s.clockSeen = a.ClockMS
 	return s
 }
 
@@ -120,6 +122,8 @@
 	return l
 }
 
+// syncClock records the time on the target's clock that an answer carries; 0 if it
+// carries none.
 func (s *session) syncClock(clock int64) {
 	if clock == 0 {
 		return
@@ -127,6 +131,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.clockOffset = clock - monotonicMillis(time.Now())
+	s.clockSeen = max(s.clockSeen, clock)
+}
+
+// latestClock returns the latest time on the target's clock that it has sent. The answer
+// of the same incarnation to a request that is sent now carries no earlier one: the clock
+// never goes back, but begins again with each incarnation.
+func (s *session) latestClock() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clockSeen
 }
 
 // retractLease undoes extendLease for a request that was not sent, unless another one
@@ -266,7 +280,9 @@
 
 func (s *session) handleReport(r TargetReport) {
 	s.unansweredRenewals = 0
-	s.syncClock(r.ClockMS)
+	if r.Incarnation == 0 || r.Incarnation == s.incarnation {
+		s.syncClock(r.ClockMS)
+	}
 	for _, e := range r.Ended {
 		s.recordedEnd = max(s.recordedEnd, e.Sequence)
 	}
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -26,7 +26,14 @@
 func (s *session) sendStart(request StartRequest) scheduler.StartResult {
 	ctx, cancel := context.WithTimeout(s.ctx, maxStartTimeout)
 	defer cancel()
+	earliest := s.latestClock()
 	result, clock := s.pool.node.config.Targets.Start(ctx, s.ref, request)
+	if clock != 0 && clock < earliest {
+		if result == scheduler.Started {
+			return scheduler.StartedByOther
+		}
+		return result
+	}
 	s.syncClock(clock)
 	return result
 }
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -149,6 +149,9 @@
 		if active.state == starting {
 			active.state = running
 		}
+	case StartedByOther:
+		active.lost = true
+		c.stopRun(active, "another incarnation of the target started it")
 	case Unanswered:
 		t.markUnresponsive(now)
 		c.stopRun(active, "the start request was not answered")
--- a/internal/process/scheduler/detached.go
+++ b/internal/process/scheduler/detached.go
@@ -16,15 +16,30 @@
 func (c *Core) detach(r *run, leaseEnd time.Time) { c.detachedRuns[r] = leaseEnd }
 
 // attachRuns moves the detached runs on a target to the target, which has become known.
-func (c *Core) attachRuns(t *target) {
-	for r := range c.detachedRuns {
+func (c *Core) attachRuns(t *target, now time.Time) {
+	for _, r := range slices.SortedFunc(maps.Keys(c.detachedRuns), compareRuns) {
 		if r.targetID == t.ID {
 			delete(c.detachedRuns, r)
-			t.addRun(r)
+			c.adopt(t, r, now)
 		}
 	}
 }
 
+// adopt adds a run of a former holder to its target. If the target has restarted since the
+// run was started, the run is lost, and is stopped there because its start request may
+// have reached the new incarnation.
+func (c *Core) adopt(t *target, r *run, now time.Time) {
+	if r.incarnation == 0 || r.incarnation >= t.Incarnation {
+		t.addRun(r)
+		return
+	}
+	former := newTarget(t.Target)
+	former.Incarnation = r.incarnation
+	former.addRun(r)
+	c.loseRuns(former, TargetRestarted, now)
+	c.stopRestarted(t, r)
+}
+
 // expireDetachedRuns loses the detached runs whose leases have expired. Their tasks wait
 // again.
 func (c *Core) expireDetachedRuns(now time.Time) {
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -13,7 +13,9 @@
 	Failures      int
 	Done          bool
 	Target        string // id of the target of the run in progress; empty if the task waits
+	Incarnation   uint64 // of that target; 0 if unknown
 	Stopping      bool   // the run in progress is being stopped
+	Confirmed     bool   // the target has answered that it started the run, or listed it
 	// LeaseRemaining is how long the lease of the run in progress may still be in force.
 	LeaseRemaining time.Duration
 }
@@ -40,7 +42,7 @@
 		for _, t := range s.tasks {
 			task := HandoverTask{Step: t.step, Index: t.index, LastRunNumber: t.lastRunNumber, Failures: t.failureCount, Done: t.done}
 			if t.run != nil {
-				task.Target = t.run.targetID
+				task.Target, task.Incarnation, task.Confirmed = t.run.targetID, t.run.incarnation, t.run.confirmed
 				task.Stopping = t.run.state == stopping
 				task.LeaseRemaining = c.leaseRemaining(t.run, leaseRemaining, now)
 			}
@@ -95,12 +97,12 @@
 	step := s.Steps[t.step]
 	r := &run{
 		id:   Run{Job: s.ID, Step: t.step, Index: t.index, Number: t.lastRunNumber},
-		need: step.Need, targetID: h.Target, requestedAt: now, state: running, confirmed: true, estimate: step.Estimate,
+		need: step.Need, targetID: h.Target, incarnation: h.Incarnation, requestedAt: now, state: running, confirmed: h.Confirmed, estimate: step.Estimate,
 	}
 	t.run = r
 	if to, known := c.targets[h.Target]; known {
 		r.estimate = time.Duration(float64(step.Estimate) * c.remoteFactor(step, to))
-		to.addRun(r)
+		c.adopt(to, r, now)
 	} else {
 		c.detach(r, now.Add(h.LeaseRemaining))
 	}
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -18,7 +18,7 @@
 		c.targets[t.ID] = newTarget(t)
 		c.targetIDs = append(c.targetIDs, t.ID)
 		slices.Sort(c.targetIDs)
-		c.attachRuns(c.targets[t.ID])
+		c.attachRuns(c.targets[t.ID], now)
 	case known.Incarnation < t.Incarnation || known.Address != t.Address:
 		c.handleRestart(known, t, now)
 	default:
@@ -49,13 +49,24 @@
 	c.emit(LogEntry{Message: "A target restarted.", Target: t.ID, Reason: fmt.Sprintf("%d runs are being stopped there", len(known.runs))})
 	restarted := newTarget(t)
 	c.targets[t.ID] = restarted
+	for _, r := range known.sortedRuns() {
+		if r.incarnation == t.Incarnation {
+			known.removeRun(r) // imported from a host that knew of the restart
+			restarted.addRun(r)
+		}
+	}
 	for _, r := range c.loseRuns(known, TargetRestarted, now) {
-		restarted.addRun(r)
-		r.state = starting // an earlier stop request went to the former incarnation
-		c.stopRun(r, "the target restarted")
+		c.stopRestarted(restarted, r)
 	}
 }
 
+// stopRestarted stops a run of a former incarnation of a target that has restarted.
+func (c *Core) stopRestarted(t *target, r *run) {
+	t.addRun(r)
+	r.state = starting // an earlier stop request went to the former incarnation
+	c.stopRun(r, "the target restarted")
+}
+
 // RemoveTarget removes a target that left the pool. Tasks that ran there wait again.
 func (c *Core) RemoveTarget(id string, cause LossCause, now time.Time) []Effect {
 	if t, ok := c.targets[id]; ok {
--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -57,7 +57,7 @@
 // under way when a later incarnation answers reached no target: to come back takes a
 // target longer than the timeout of the request.
 func mayHaveCrashedTarget(r *run, t *target, cause LossCause) bool {
-	if cause == TargetLeft || cause == TargetMoved || t.Draining || r.lost {
+	if cause == TargetLeft || cause == TargetMoved || t.Draining || r.lost || !r.on(t) {
 		return false
 	}
 	return !cause.showsCrash() || r.state != starting
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -130,6 +130,7 @@
 		id:          Run{Job: s.ID, Step: t.step, Index: t.index, Number: t.lastRunNumber},
 		need:        step.Need,
 		targetID:    chosen.ID,
+		incarnation: chosen.Incarnation,
 		requestedAt: now,
 		estimate:    time.Duration(float64(step.Estimate) * c.remoteFactor(step, chosen)),
 	}
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -59,6 +59,7 @@
 	id           Run
 	need         Resources
 	targetID     string
+	incarnation  uint64    // of the target, for which the start was requested; 0 if unknown
 	requestedAt  time.Time // when the start was requested, or the run imported
 	state        runState
 	estimate     time.Duration
@@ -70,6 +71,10 @@
 	listedAt     time.Time // when the target reported the run last
 }
 
+// on reports whether the run was started on this incarnation of its target, as far as that
+// is known.
+func (r *run) on(t *target) bool { return r.incarnation == 0 || r.incarnation == t.Incarnation }
+
 // runState is the state of a run as known from its target's answers.
 type runState int
 
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -174,19 +174,21 @@
 
 // The results of a start request.
 const (
-	Started     StartResult = iota
-	NoRoom                  // the target has no free capacity
-	Outdated                // the target has seen a higher run number of the task
-	TooLate                 // the lease in the request had expired on arrival
-	Unhealthy               // the target accepts no work
-	WrongTarget             // another incarnation has the address
-	Unanswered              // the run may have started, or may still start
-	Fenced                  // the target obeys a holder with a higher fencing token
-	NotAccepted             // the target could not parse the request
+	Started        StartResult = iota
+	NoRoom                     // the target has no free capacity
+	Outdated                   // the target has seen a higher run number of the task
+	TooLate                    // the lease in the request had expired on arrival
+	Unhealthy                  // the target accepts no work
+	WrongTarget                // another incarnation has the address
+	Unanswered                 // the run may have started, or may still start
+	Fenced                     // the target obeys a holder with a higher fencing token
+	NotAccepted                // the target could not parse the request
+	StartedByOther             // another incarnation of the target than the intended one started the run
 )
 
 var startResultNames = [...]string{
 	"started", "no_room", "outdated", "too_late", "unhealthy", "wrong_target", "unanswered", "fenced", "not_accepted",
+	"started_by_other",
 }
 
 // String returns the result's name.
