Send requests to targets again, and suspect a target by accrued silence

Hypothesis: where targets leave a share of their requests unanswered, most of the worth is lost because one unanswered start or renewal excludes a healthy target, and the start is stopped and made again elsewhere; starts, stops and renewals can be sent again unchanged.

Change: internal/process/repeat owns when a request is sent again (RFC 6298 timeout, doubling, one budget of spurious copies), which of its copies may still be carried out, and when a target is suspected: an accrual over attempts against the share that it lost before, in place of one unanswered request. A refused copy, or a refused connection, releases no run while another copy may be carried out; it is stopped first. A request that was lost, while others were answered, no longer stretches the timeout.

--- /dev/null
+++ b/internal/process/fleet/exchange.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/repeat"
+)
+
+// timerSlack is how late a timer may fire. A later one shows that this host was paused:
+// the answer may have arrived meanwhile.
+const timerSlack = 5 * time.Millisecond
+
+// copyFate is what became of a copy of a request.
+type copyFate int
+
+const (
+	copyAnswered copyFate = iota
+	copyUnanswered
+	copyNotSent // and is not under way
+)
+
+// exchange is a start or stop request to a target, of which copies are sent while none is
+// answered.
+type exchange[R any] struct {
+	session *session
+	name    string // for metrics
+	send    func(context.Context) (R, copyFate)
+	// handle handles the result of a copy that was answered or not sent. It reports whether
+	// the result decides the request: then no further copy is sent.
+	handle func(result R, copies *repeat.Copies) bool
+	giveUp func() // called at most once, before a result has decided the request
+
+	copies          *repeat.Copies
+	results         chan copyResult[R]
+	begunAt         time.Time
+	decided, gaveUp bool
+}
+
+// copyResult is the result of one copy.
+type copyResult[R any] struct {
+	number int
+	result R
+	fate   copyFate
+	at     time.Time
+}
+
+// run sends the request and returns once no copy may be answered any more. A copy is
+// cancelled only after repeat.MaxTimeout, also if another one has decided the request:
+// that would close its connection.
+func (x *exchange[R]) run() {
+	x.copies = repeat.NewCopies(&x.session.pool.answerTimer)
+	x.results = make(chan copyResult[R], 1)
+	x.begunAt = time.Now()
+	x.sendCopy()
+	timeout, paused := x.copies.Timeout(), false
+	due := time.Now().Add(timeout)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for x.copies.Awaited() > 0 || x.isOpen() {
+		select {
+		case r := <-x.results:
+			x.handleCopy(r)
+			continue
+		case <-timer.C:
+		}
+		if !x.isOpen() {
+			continue
+		}
+		if late := time.Since(due); late > timerSlack && !paused {
+			timeout, paused = min(late, repeat.MaxTimeout), true
+		} else {
+			timeout, paused = x.handleOverdue(), false
+		}
+		due = time.Now().Add(timeout)
+		timer.Reset(timeout)
+	}
+}
+
+// isOpen reports whether a further copy may be sent.
+func (x *exchange[R]) isOpen() bool { return !x.decided && !x.gaveUp && x.session.ctx.Err() == nil }
+
+func (x *exchange[R]) sendCopy() {
+	number := x.copies.Sent(time.Now())
+	go func() {
+		ctx, cancel := context.WithTimeout(x.session.ctx, repeat.MaxTimeout)
+		defer cancel()
+		result, fate := x.send(ctx)
+		x.results <- copyResult[R]{number, result, fate, time.Now()}
+	}()
+}
+
+func (x *exchange[R]) handleCopy(r copyResult[R]) {
+	switch r.fate {
+	case copyAnswered:
+		x.copies.Answered(r.number, r.at)
+		x.session.runSuspicion.RecordAnswered()
+	case copyUnanswered:
+		x.copies.Unanswered(r.number)
+		return
+	case copyNotSent:
+		x.copies.NotSent(r.number)
+	}
+	if !x.decided {
+		x.decided = x.handle(r.result, x.copies)
+	}
+}
+
+// handleOverdue sends another copy or gives the request up, if the budget allows that. It
+// returns the time to wait for an answer from now on.
+func (x *exchange[R]) handleOverdue() time.Duration {
+	x.session.runSuspicion.RecordUnanswered()
+	rest := repeat.MaxTimeout - time.Since(x.begunAt)
+	if rest <= 0 {
+		x.gaveUp = true
+		x.giveUp()
+		return 0
+	}
+	if !x.copies.Overdue() {
+		x.session.pool.metrics.recordWithheldCopy(x.name)
+		return rest
+	}
+	if x.copies.Count() > 1 && x.session.runSuspicion.Suspected() {
+		x.gaveUp = true
+		x.giveUp()
+		return 0
+	}
+	x.session.pool.metrics.recordCopy(x.name)
+	x.sendCopy()
+	return min(x.copies.Timeout(), rest)
+}
--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -54,6 +54,11 @@
 	m.scope.Tagged(map[string]string{"result": r.String()}).Counter("starts").Inc(1)
 }
 
+// recordCopy counts a copy of a request that was sent because no answer had come.
+func (m *poolMetrics) recordCopy(request string) {
+	m.scope.Tagged(map[string]string{"request": request}).Counter("request_copies").Inc(1)
+}
+
 // recordGivenUpStart counts a start request that was given up before its answer, by
 // whether the target answered it late or not at all.
 func (m *poolMetrics) recordGivenUpStart(answered bool) {
@@ -64,9 +69,11 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("starts_given_up").Inc(1)
 }
 
-// recordWithheldStartTimeout counts a start request that was not given up because the
-// budget of spurious timeouts is used up.
-func (m *poolMetrics) recordWithheldStartTimeout() { m.scope.Counter("start_timeouts_withheld").Inc(1) }
+// recordWithheldCopy counts a request that was not sent again because the budget of
+// spurious timeouts is used up.
+func (m *poolMetrics) recordWithheldCopy(request string) {
+	m.scope.Tagged(map[string]string{"request": request}).Counter("request_copies_withheld").Inc(1)
+}
 
 // recordLoss counts a run that was lost with its target.
 func (m *poolMetrics) recordLoss(c scheduler.LossCause) {
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -9,6 +9,7 @@
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/holder"
 	"wasabifield.example/wasabifield/internal/process/logging"
+	"wasabifield.example/wasabifield/internal/process/repeat"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/process/shards"
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -50,7 +51,7 @@
 	balanceCheckedAt   time.Time
 	shardsAtRelease    int // number of shards of the domain when targets were last released
 	metrics            *poolMetrics
-	startTimeout       startTimeout // used by any goroutine
+	answerTimer        repeat.Timer // of starts and stops; used by any goroutine
 
 	splitTimer shards.SplitTimer // how long the domain has had too many targets
 	balancer   shards.Balancer   // in a domain of uneven hosts
--- a/internal/process/fleet/reachability.go
+++ b/internal/process/fleet/reachability.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"wasabifield.example/wasabifield/internal/process/repeat"
 )
 
 const (
@@ -45,7 +47,7 @@
 			continue
 		}
 		go func() {
-			ctx, cancel := context.WithTimeout(p.node.runCtx, requestTimeout)
+			ctx, cancel := context.WithTimeout(p.node.runCtx, repeat.MaxTimeout)
 			defer cancel()
 			_, err := p.node.config.Targets.Renew(ctx, TargetRef{ID: a.Target.ID, Address: a.Target.Address}, RenewRequest{})
 			if err == nil || errors.Is(err, ErrFenced) {
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -2,26 +2,20 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/process/repeat"
 )
 
 // Times of the requests to a target. A lease lasts max_lease, usually 1 s.
 const (
-	requestTimeout       = 250 * time.Millisecond // of a stop request and, at most, of a start request; a target answers within a few milliseconds
-	renewMaxWait         = 300 * time.Millisecond // how long a target delays its answer while no run ends, at most
-	renewLeaseDivisor    = 3                      // the wait is at most the lease divided by this: the next renewal must arrive in time
-	renewAnswerMargin    = 200 * time.Millisecond // beyond the wait, until a renewal counts as lost
-	renewRetryDelay      = 60 * time.Millisecond  // after a renewal that failed
 	clearingPollInterval = 30 * time.Millisecond  // between renewals at a target where the runs of a former holder are being stopped
 	stopSettleTime       = 80 * time.Millisecond  // after a confirmed stop, until the run has surely ended
+	stopRetryDelay       = 60 * time.Millisecond  // after a stop request that failed with all its copies
 	maxAckDelay          = time.Second            // ended runs are acknowledged at the latest after this
 	leaseMargin          = 100 * time.Millisecond // beyond the lease, for clocks that drift apart
-	maxUnansweredLeases  = 2                      // a renewal extends no lease after this many consecutive unanswered ones
 )
 
 // session sends requests to one incarnation of a target under one fencing token. One
@@ -46,10 +40,8 @@
 	leaseSentAt  time.Time // when the last request with a lease was sent
 	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
 
-	// These belong to the goroutine of renewLoop.
-	recordedEnd        uint64 // sequence number of the last ended run that was recorded
-	acknowledgedEnd    uint64 // sequence number of the last ended run whose acknowledgement reached the target
-	unansweredRenewals int    // in a row
+	runSuspicion repeat.Suspicion // by start and stop requests
+	renewals     renewals         // belongs to the goroutine of renewLoop
 }
 
 // processStart is the origin of the local monotonic clock.
@@ -66,6 +58,7 @@
 		incarnation: a.Target.Incarnation,
 		token:       p.holderView.Claim().Token,
 		wake:        make(chan struct{}, 1),
+		renewals:    renewals{results: make(chan *renewal, 1)},
 	}
 	s.clearing.Store(true)
 	s.leaseSentAt = time.Now() // a former session may have sent a lease until now, and its requests may still arrive
@@ -168,153 +161,6 @@
 
 func (s *session) leaseExpired(now time.Time) bool { return s.leaseRemaining(now) <= 0 }
 
-// requestStop sends stop requests for a run until the target confirms one or all
-// leases have expired. If the start request was not answered, the target is asked whether
-// the run is there: if not, its task need not wait for the run to end.
-func (s *session) requestStop(r scheduler.Run, startUnanswered bool) {
-	go func() {
-		for s.ctx.Err() == nil {
-			ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
-			err := s.pool.node.config.Targets.Stop(ctx, s.ref, r, s.token)
-			cancel()
-			switch {
-			case err == nil:
-				s.wakeRenewLoop()
-				if !startUnanswered || !s.runIsAbsent(r) {
-					time.Sleep(stopSettleTime)
-				}
-				s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
-				return
-			case errors.Is(err, ErrFenced):
-				s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
-				return
-			case errors.Is(err, ErrWrongTarget):
-				s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
-				return
-			}
-			time.Sleep(renewRetryDelay)
-			if s.leaseExpired(time.Now()) {
-				return // renewLoop reports the expiry
-			}
-		}
-	}()
-}
-
-// runIsAbsent reports whether the target says that it has no run r, running or ended.
-func (s *session) runIsAbsent(r scheduler.Run) bool {
-	ctx, cancel := context.WithTimeout(s.ctx, s.pool.startTimeout.get())
-	defer cancel()
-	report, err := s.pool.node.config.Targets.Renew(ctx, s.ref, RenewRequest{Token: s.token})
-	return err == nil && (report.Incarnation == 0 || report.Incarnation == s.incarnation) && !report.lists(r)
-}
-
-// renewLoop renews the lease while something runs on the target, and acknowledges
-// ended runs.
-func (s *session) renewLoop() {
-	for s.ctx.Err() == nil {
-		if !s.awaitWork() {
-			return
-		}
-		report, err := s.renew()
-		switch {
-		case s.ctx.Err() != nil:
-			return
-		case err == nil:
-			s.handleReport(report)
-		case errors.Is(err, ErrFenced):
-			s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
-			s.pause(claimListenTime)
-		case errors.Is(err, ErrWrongTarget):
-			s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
-			return
-		default:
-			s.handleUnanswered(err)
-		}
-	}
-}
-
-// awaitWork waits until there is a lease to renew or an ended run to acknowledge. It
-// reports false once the session is closed.
-func (s *session) awaitWork() bool {
-	for s.activeRuns.Load() == 0 && !s.clearing.Load() {
-		var due <-chan time.Time
-		if s.recordedEnd > s.acknowledgedEnd {
-			due = time.After(maxAckDelay)
-		}
-		select {
-		case <-s.ctx.Done():
-			return false
-		case <-s.wake:
-		case <-due:
-			return true
-		}
-	}
-	return true
-}
-
-// renew sends one renewal request, which acknowledges the recorded ends. It extends the
-// lease if runs are active and the target has not left maxUnansweredLeases renewals
-// unanswered. The target may delay its answer if runs are active, it answered the last
-// renewal and no runs of a former holder may be there.
-func (s *session) renew() (TargetReport, error) {
-	r := RenewRequest{Token: s.token, AckCursor: s.recordedEnd}
-	var extended lease
-	if s.activeRuns.Load() > 0 && s.unansweredRenewals < maxUnansweredLeases {
-		extended = s.extendLease()
-		r.LeaseUntilMS = extended.untilMS
-	}
-	if s.activeRuns.Load() > 0 && s.unansweredRenewals == 0 && !s.clearing.Load() {
-		r.MaxWait = min(renewMaxWait, s.pool.node.config.MaxLease/renewLeaseDivisor)
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, r.MaxWait+renewAnswerMargin)
-	defer cancel()
-	report, err := s.pool.node.config.Targets.Renew(ctx, s.ref, r)
-	switch {
-	case err == nil:
-		s.acknowledgedEnd = max(s.acknowledgedEnd, r.AckCursor)
-	case errors.Is(err, ErrNotSent):
-		s.retractLease(extended)
-	}
-	return report, err
-}
-
-func (s *session) handleReport(r TargetReport) {
-	s.unansweredRenewals = 0
-	if r.Incarnation == 0 || r.Incarnation == s.incarnation {
-		s.syncClock(r.ClockMS)
-	}
-	for _, e := range r.Ended {
-		s.recordedEnd = max(s.recordedEnd, e.Sequence)
-	}
-	s.post(func(p *pool, now time.Time) {
-		if r.Incarnation != 0 && r.Incarnation != s.incarnation {
-			p.handleRestart(s, r, now)
-			return
-		}
-		p.handleReport(s, r, now)
-	})
-	if s.clearing.Load() {
-		s.pause(clearingPollInterval)
-	}
-}
-
-// handleUnanswered handles a renewal that got no answer.
-func (s *session) handleUnanswered(err error) {
-	s.unansweredRenewals++
-	if s.unansweredRenewals == 1 {
-		s.pool.log.Warn("A target does not answer.", "target", s.ref.ID, "error", err)
-	}
-	s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.MarkUnresponsive(s.ref.ID, now), now) })
-	s.reportLeaseExpiry()
-	delay := min(renewRetryDelay<<min(s.unansweredRenewals, 4), time.Second)
-	if remaining := s.leaseRemaining(time.Now()); 0 < remaining && remaining < delay {
-		s.pause(remaining) // the tasks wait for the expiry
-		s.reportLeaseExpiry()
-		delay -= remaining
-	}
-	s.pause(delay)
-}
-
 // reportLeaseExpiry tells the scheduler that the leases have expired, once for each time
 // that they do.
 func (s *session) reportLeaseExpiry() {
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -44,8 +44,7 @@
 		s.ctx = context.Background()
 		s.clearing.Store(false)
 		s.activeRuns.Store(1)
-		_, err = s.renew()
-		g.Expect(err).NotTo(HaveOccurred())
+		s.sendRenewal()
 		g.Expect(<-client.waits).To(Equal(want))
 	}
 }
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wasabifield.example/wasabifield/internal/process/repeat"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 )
 
@@ -11,86 +12,95 @@
 // result to the scheduler.
 func (s *session) requestStart(e scheduler.Start) {
 	request := StartRequest{Run: e.Run, Spec: e.Spec, LeaseUntilMS: s.extendLease().untilMS, Token: s.token}
-	s.pool.startTimeout.recordRequest()
+	givenUp, answered := false, false
+	x := &exchange[scheduler.StartResult]{
+		session: s, name: "start",
+		send: func(ctx context.Context) (scheduler.StartResult, copyFate) { return s.sendStart(ctx, request) },
+		handle: func(result scheduler.StartResult, copies *repeat.Copies) bool {
+			answered = answered || result != scheduler.NotSent
+			decision := decideStart(result, copies)
+			if decision.wait || givenUp && !decision.certain {
+				return false
+			}
+			s.handleStartResult(e.Run, decision)
+			return true
+		},
+		giveUp: func() {
+			givenUp = true
+			s.handleStartResult(e.Run, startDecision{result: scheduler.Unanswered, certain: true})
+		},
+	}
 	go func() {
-		sentAt := time.Now()
-		answer := make(chan scheduler.StartResult, 1)
-		go func() { answer <- s.sendStart(request) }()
-		s.awaitStart(e.Run, sentAt, answer)
+		x.run()
+		if givenUp {
+			s.pool.metrics.recordGivenUpStart(answered)
+		}
 	}()
 }
 
-// sendStart sends a start request and returns its result. The request is cancelled only
-// after maxStartTimeout, also if it was given up before: that would close its connection,
-// and its answer, though late, shows how long answers take.
-func (s *session) sendStart(request StartRequest) scheduler.StartResult {
-	ctx, cancel := context.WithTimeout(s.ctx, maxStartTimeout)
-	defer cancel()
+// sendStart sends one copy of a start request and returns its result.
+func (s *session) sendStart(ctx context.Context, request StartRequest) (scheduler.StartResult, copyFate) {
 	earliest := s.latestClock()
 	result, clock := s.pool.node.config.Targets.Start(ctx, s.ref, request)
+	switch result {
+	case scheduler.Unanswered:
+		return result, copyUnanswered
+	case scheduler.NotSent:
+		return result, copyNotSent
+	}
 	if clock != 0 && clock < earliest {
 		if result == scheduler.Started {
-			return scheduler.StartedByOther
+			result = scheduler.StartedByOther
 		}
-		return result
+		return result, copyAnswered
 	}
 	s.syncClock(clock)
-	return result
+	return result, copyAnswered
 }
 
-// awaitStart waits for the answer to a start request. It gives the request up once the
-// start timeout has passed and the budget allows it, and still passes on the result if
-// that comes later.
-func (s *session) awaitStart(run scheduler.Run, sentAt time.Time, answer <-chan scheduler.StartResult) {
-	timeouts := &s.pool.startTimeout
-	estimated := timeouts.get()
-	timeout := estimated // later the whole time if the budget does not allow less
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	givenUp, paused := false, false
-	for {
-		select {
-		case result := <-answer:
-			timeouts.observeAnswer(result, time.Since(sentAt), estimated, givenUp)
-			if givenUp {
-				s.pool.metrics.recordGivenUpStart(result != scheduler.Unanswered)
-			}
-			if result != scheduler.Unanswered || !givenUp {
-				s.handleStartResult(run, result)
-			}
-			return
-		case <-timer.C:
-			late := time.Since(sentAt) - timeout
-			switch {
-			case timeout >= maxStartTimeout: // sendStart returns now
-			case late > timerSlack && !paused:
-				paused = true // this host was: the answer may have arrived meanwhile
-				timer.Reset(min(late, timeout))
-			case !timeouts.tryGiveUp():
-				s.pool.metrics.recordWithheldStartTimeout()
-				timeout = maxStartTimeout
-			default:
-				givenUp = true
-				s.handleStartResult(run, scheduler.Unanswered)
-			}
+// startDecision is what the result of one copy of a start request decides.
+type startDecision struct {
+	result  scheduler.StartResult
+	certain bool // of a refusal: no other copy can start the run
+	wait    bool // another copy decides
+}
+
+// decideStart decides a start request by the result of one of its copies. A refusal for
+// want of capacity, or because the target is unhealthy, concerns that copy alone: another
+// one may be carried out later. A target that refuses a copy as outdated has ended the run
+// that another copy started; its next report tells how.
+func decideStart(result scheduler.StartResult, copies *repeat.Copies) startDecision {
+	switch result {
+	case scheduler.NotSent:
+		return startDecision{result: result, certain: true, wait: copies.Pending() > 0}
+	case scheduler.Outdated:
+		if copies.Count() > 1 {
+			return startDecision{result: scheduler.Started, certain: true}
 		}
+	case scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy:
+		return startDecision{result: result, certain: copies.Pending() == 0}
 	}
+	return startDecision{result: result, certain: true}
 }
 
 // handleStartResult passes the result of a start request to the scheduler.
-func (s *session) handleStartResult(run scheduler.Run, result scheduler.StartResult) {
+func (s *session) handleStartResult(run scheduler.Run, d startDecision) {
 	s.post(func(p *pool, now time.Time) {
-		if result != scheduler.Started {
+		if d.result != scheduler.Started {
 			p.log.Info("A start request did not succeed.", "job", run.Job, "task", run.TaskID(), "run", run.Number,
-				"target", s.ref.ID, "result", result.String())
+				"target", s.ref.ID, "result", d.result.String(), "certain", d.certain)
 		}
-		p.metrics.recordStart(result)
-		if result == scheduler.Fenced {
+		p.metrics.recordStart(d.result)
+		if d.result == scheduler.Fenced {
 			p.handleFenced(s, now)
 			return
 		}
-		p.applyEffects(p.core.HandleStartResult(s.ref.ID, run, result, now), now)
-		if result == scheduler.WrongTarget {
+		if !d.certain {
+			p.applyEffects(p.core.HandleUncertainRefusal(s.ref.ID, run, d.result, now), now)
+			return
+		}
+		p.applyEffects(p.core.HandleStartResult(s.ref.ID, run, d.result, now), now)
+		if d.result == scheduler.WrongTarget {
 			p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now)
 		}
 	})
--- /dev/null
+++ b/internal/process/fleet/stop.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wasabifield.example/wasabifield/internal/process/repeat"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+)
+
+// requestStop sends stop requests for a run until the target confirms one or all
+// leases have expired. If the start request was not answered, the target is asked whether
+// the run is there: if not, its task need not wait for the run to end.
+func (s *session) requestStop(r scheduler.Run, startUnanswered bool) {
+	go func() {
+		for s.ctx.Err() == nil {
+			err := s.stop(r)
+			switch {
+			case err == nil:
+				s.wakeRenewLoop()
+				if !startUnanswered || !s.runIsAbsent(r) {
+					time.Sleep(stopSettleTime)
+				}
+				s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
+				return
+			case errors.Is(err, ErrFenced):
+				s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
+				return
+			case errors.Is(err, ErrWrongTarget):
+				s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
+				return
+			}
+			time.Sleep(stopRetryDelay)
+			if s.leaseExpired(time.Now()) {
+				return // renewLoop reports the expiry
+			}
+		}
+	}()
+}
+
+// stopResult is the result of one copy of a stop request: nil once the target has confirmed
+// the stop.
+type stopResult struct{ err error }
+
+// stop sends a stop request, and copies of it while none is answered.
+func (s *session) stop(r scheduler.Run) error {
+	decided := make(chan error, 2) // an answer may come after the request was given up
+	x := &exchange[stopResult]{
+		session: s, name: "stop",
+		send: func(ctx context.Context) (stopResult, copyFate) {
+			err := s.pool.node.config.Targets.Stop(ctx, s.ref, r, s.token)
+			return stopResult{err}, stopFate(err)
+		},
+		handle: func(result stopResult, copies *repeat.Copies) bool {
+			if errors.Is(result.err, ErrNotSent) && copies.Pending() > 0 {
+				return false
+			}
+			decided <- result.err
+			return true
+		},
+		giveUp: func() { decided <- context.DeadlineExceeded },
+	}
+	go x.run()
+	select {
+	case err := <-decided:
+		return err
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+func stopFate(err error) copyFate {
+	switch {
+	case err == nil, errors.Is(err, ErrFenced), errors.Is(err, ErrWrongTarget), errors.Is(err, ErrUnhealthy):
+		return copyAnswered
+	case errors.Is(err, ErrNotSent):
+		return copyNotSent
+	}
+	return copyUnanswered
+}
+
+// runIsAbsent reports whether the target says that it has no run r, running or ended.
+func (s *session) runIsAbsent(r scheduler.Run) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, s.pool.answerTimer.Timeout())
+	defer cancel()
+	report, err := s.pool.node.config.Targets.Renew(ctx, s.ref, RenewRequest{Token: s.token})
+	return err == nil && (report.Incarnation == 0 || report.Incarnation == s.incarnation) && !report.lists(r)
+}
--- /dev/null
+++ b/internal/process/repeat/suspicion.go
@@ -0,0 +1,79 @@
+package repeat
+
+import (
+	"math"
+	"sync"
+)
+
+const (
+	// newestAttemptWeight is the weight of the newest attempt in the share of lost ones.
+	newestAttemptWeight = 1.0 / 16
+	// minLossShare is assumed of a target that has answered everything so far: one
+	// unanswered request is no evidence.
+	minLossShare = 1.0 / 64
+	// falseAlarmShare is how likely it may be that a target that still answers is
+	// suspected.
+	falseAlarmShare = 1.0 / 1000
+	// maxStreak bounds the number of unanswered attempts that a target is allowed.
+	maxStreak = 8
+)
+
+// Suspicion is what the answers to one kind of request show of a target. Like the accrual
+// detector of Hayashibara et al. (2004), it compares the silence with what was observed of
+// the target before: a target is suspected once so many attempts in a row stayed unanswered
+// as losses of single requests do not explain. It is safe for concurrent use.
+type Suspicion struct {
+	mu        sync.Mutex
+	lossShare float64 // share of the attempts before the streak that stayed unanswered
+	streak    int     // unanswered attempts since the last answer
+}
+
+// RecordUnanswered records an attempt that was not answered within its timeout.
+func (s *Suspicion) RecordUnanswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streak++
+}
+
+// RecordAnswered records an answer. The attempts before it were lost, or late.
+func (s *Suspicion) RecordAnswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range min(s.streak, maxStreak) {
+		s.lossShare += newestAttemptWeight * (1 - s.lossShare)
+	}
+	s.lossShare -= newestAttemptWeight * s.lossShare
+	s.streak = 0
+}
+
+// Suspected reports whether the target is probably lost.
+func (s *Suspicion) Suspected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.streak >= s.allowedStreak()
+}
+
+// LosesRequests reports whether the target, as far as it answers, has lately left requests
+// unanswered.
+func (s *Suspicion) LosesRequests() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lossShare > minLossShare
+}
+
+// allowedStreak returns how many attempts in a row must stay unanswered for the target to
+// be suspected. The caller holds the lock.
+func (s *Suspicion) allowedStreak() int {
+	share := max(s.lossShare, minLossShare)
+	if share >= 1 {
+		return maxStreak
+	}
+	return min(int(math.Ceil(math.Log(falseAlarmShare)/math.Log(share))), maxStreak)
+}
+
+// Streak returns the number of unanswered attempts since the last answer.
+func (s *Suspicion) Streak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.streak
+}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -158,7 +158,7 @@
 	case NoRoom:
 		t.recordNoRoom(now)
 		c.rejectStart(t, active, now)
-	case Unhealthy:
+	case Unhealthy, NotSent:
 		t.eject(now)
 		c.rejectStart(t, active, now)
 	case NotAccepted:
@@ -174,6 +174,24 @@
 	return c.drainEffects()
 }
 
+// HandleUncertainRefusal processes the refusal of one copy of a start request while another
+// copy may still be carried out: the run is stopped before its task may wait again.
+func (c *Core) HandleUncertainRefusal(id string, r Run, result StartResult, now time.Time) []Effect {
+	t, active := c.findRun(id, r)
+	if active == nil {
+		return nil
+	}
+	switch result {
+	case NoRoom:
+		t.recordNoRoom(now)
+	case Unhealthy:
+		t.eject(now)
+	}
+	c.stopRun(active, "a copy of its start request was refused, another may be under way")
+	c.placeTasks(now)
+	return c.drainEffects()
+}
+
 // rejectStart releases a run whose start the target refused.
 func (c *Core) rejectStart(t *target, r *run, now time.Time) {
 	c.emit(LogEntry{Message: "A target refused a start request.", Job: r.id.Job, Target: t.ID, Age: now.Sub(r.requestedAt)})
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -183,12 +183,13 @@
 	Unanswered                 // the run may have started, or may still start
 	Fenced                     // the target obeys a holder with a higher fencing token
 	NotAccepted                // the target could not parse the request
+	NotSent                    // the request did not reach the target and is not under way
 	StartedByOther             // another incarnation of the target than the intended one started the run
 )
 
 var startResultNames = [...]string{
 	"started", "no_room", "outdated", "too_late", "unhealthy", "wrong_target", "unanswered", "fenced", "not_accepted",
-	"started_by_other",
+	"not_sent", "started_by_other",
 }
 
 // String returns the result's name.
