Overlap the renewals at targets that lose requests

Hypothesis: a lost answer hides the ends of runs until its renewal is overdue, twice the run time of a short task; two renewals that overlap by half hide them only if both are lost.

At a target that has lately lost requests, the next renewal that waits for an end is sent after half of the wait. A renewal that was lost while a later one was answered counts as a loss, not as silence.

--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -93,6 +93,7 @@
 	defer timer.Stop()
 	leaseEnd := time.NewTimer(max(0, s.leaseRemaining(time.Now())))
 	defer leaseEnd.Stop()
+	next := s.overlap(current)
 	paused := false
 	for {
 		select {
@@ -100,6 +101,8 @@
 			return false
 		case <-leaseEnd.C:
 			s.reportLeaseExpiry()
+		case <-next:
+			return true
 		case r := <-s.renewals.results:
 			if !s.handleRenewal(r) {
 				return false
@@ -126,6 +129,22 @@
 	}
 }
 
+// overlap returns a channel that delivers when the next renewal is due although a renewal
+// that waits for an end is under way, or nil. At a target that loses requests, two of these
+// overlap by half: the answer that reports an end is then rarely lost, and the loss of one
+// is not noticed by the tasks. If both are lost, the newer one becomes overdue.
+func (s *session) overlap(r *renewal) <-chan time.Time {
+	if r.request.MaxWait == 0 || r.number > s.renewals.reported+1 || !s.losesRequests() {
+		return nil
+	}
+	return time.After(r.request.MaxWait / 2)
+}
+
+// losesRequests reports whether the target has lately left requests unanswered.
+func (s *session) losesRequests() bool {
+	return s.renewals.suspicion.LosesRequests() || s.runSuspicion.LosesRequests()
+}
+
 // renewMargin returns how long beyond its wait the answer to a renewal is awaited.
 func (s *session) renewMargin() time.Duration {
 	return min(renewTimeouts*s.pool.answerTimer.Timeout()<<min(s.renewals.unanswered, 4), renewAnswerMargin)
@@ -163,7 +182,7 @@
 // renewWait returns how long the target may delay its answer.
 func (s *session) renewWait() time.Duration {
 	wait := min(renewMaxWait, s.pool.node.config.MaxLease/renewLeaseDivisor)
-	if s.renewals.suspicion.LosesRequests() || s.runSuspicion.LosesRequests() {
+	if s.losesRequests() {
 		wait = min(wait, lossyWaitTimeouts*s.pool.answerTimer.Timeout())
 	}
 	return wait
@@ -195,6 +214,8 @@
 		return false
 	case r.isOverdue:
 		s.settle(r, false)
+	case r.number < n.reported:
+		n.suspicion.RecordLost()
 	case s.ctx.Err() == nil:
 		if errors.Is(r.err, ErrNotSent) {
 			s.retractLease(r.lease)
--- a/internal/process/repeat/suspicion.go
+++ b/internal/process/repeat/suspicion.go
@@ -46,6 +46,13 @@
 	s.streak = 0
 }
 
+// RecordLost records an attempt that stayed unanswered while a later one was answered.
+func (s *Suspicion) RecordLost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lossShare += newestAttemptWeight * (1 - s.lossShare)
+}
+
 // Suspected reports whether the target is probably lost.
 func (s *Suspicion) Suspected() bool {
 	s.mu.Lock()
