Keep two renewals under way at targets that lose requests

At a target that loses requests each answer is followed by the next renewal, and up to three overlap. A withheld copy is tried again after another timeout.

--- a/internal/process/fleet/exchange.go
+++ b/internal/process/fleet/exchange.go
@@ -109,17 +109,18 @@
 // handleOverdue sends another copy or gives the request up, if the budget allows that. It
 // returns the time to wait for an answer from now on.
 func (x *exchange[R]) handleOverdue() time.Duration {
-	x.session.runSuspicion.RecordUnanswered()
 	rest := repeat.MaxTimeout - time.Since(x.begunAt)
 	if rest <= 0 {
+		x.session.runSuspicion.RecordUnanswered()
 		x.gaveUp = true
 		x.giveUp()
 		return 0
 	}
 	if !x.copies.Overdue() {
 		x.session.pool.metrics.recordWithheldCopy(x.name)
-		return rest
+		return min(x.copies.Timeout(), rest) // the budget may allow it then
 	}
+	x.session.runSuspicion.RecordUnanswered()
 	if x.copies.Count() > 1 && x.session.runSuspicion.Suspected() {
 		x.gaveUp = true
 		x.giveUp()
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -22,6 +22,8 @@
 	// timeouts of a start request. The ends that a lost answer tells of are known only
 	// after the wait.
 	lossyWaitTimeouts = 4
+	// maxOverlapping is how many renewals may overlap before one is answered.
+	maxOverlapping = 3
 	// maxSilence is for how long a target may leave renewals unanswered until it is
 	// excluded from placement, whatever share of them it has left unanswered before. After
 	// that, renewals extend no lease.
@@ -107,7 +109,7 @@
 			if !s.handleRenewal(r) {
 				return false
 			}
-			if r.number >= current.number {
+			if r.number >= current.number || r.err == nil && s.losesRequests() {
 				return true
 			}
 		case <-timer.C:
@@ -123,7 +125,9 @@
 				s.handleUnanswered(current, context.DeadlineExceeded)
 				return true
 			default:
-				s.pool.metrics.recordWithheldCopy("renewal") // its own deadline ends it
+				s.pool.metrics.recordWithheldCopy("renewal")
+				due = time.Now().Add(s.renewMargin()) // the budget may allow it then; its own deadline ends it
+				timer.Reset(time.Until(due))
 			}
 		}
 	}
@@ -131,10 +135,10 @@
 
 // overlap returns a channel that delivers when the next renewal is due although a renewal
 // that waits for an end is under way, or nil. At a target that loses requests, two of these
-// overlap by half: the answer that reports an end is then rarely lost, and the loss of one
-// is not noticed by the tasks. If both are lost, the newer one becomes overdue.
+// overlap by half, so that the answer that reports an end is rarely lost. The newest one
+// becomes overdue if maxOverlapping of them stay unanswered.
 func (s *session) overlap(r *renewal) <-chan time.Time {
-	if r.request.MaxWait == 0 || r.number > s.renewals.reported+1 || !s.losesRequests() {
+	if r.request.MaxWait == 0 || r.number > s.renewals.reported+maxOverlapping || !s.losesRequests() {
 		return nil
 	}
 	return time.After(r.request.MaxWait / 2)
--- a/internal/process/repeat/timer.go
+++ b/internal/process/repeat/timer.go
@@ -80,7 +80,7 @@
 func (t *Timer) Timeout() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.mean == 0 || t.exhausted() {
+	if t.mean == 0 {
 		return MaxTimeout
 	}
 	return min(max(t.mean+deviationFactor*t.deviation, MinTimeout), MaxTimeout)
