Do not take a host for lost while this one did not run

Callers saw "another host took the pool over" on a busy machine: a host that had waited for the processor for most of a second found every other host silent, and claimed pools whose holders were alive.

The silence of another host counts only as far as this host could listen: pauses longer than the hello interval are taken out. Weighed and left out: a claim that needs the register's word, since a domain that is cut off must go on.

--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -155,9 +155,7 @@
 	})
 	group.Go(func() error { return n.controller.Run(ctx) })
 	group.Go(func() error { return n.catalogs.follow(ctx) })
-	if n.config.EvacuateWithin > 0 {
-		group.Go(func() error { return n.pauses.run(ctx) })
-	}
+	group.Go(func() error { return n.pauses.run(ctx) })
 	group.Go(func() error { return n.forwardAnnouncements(ctx) })
 	group.Go(func() error { return n.reportLosses(ctx) })
 	group.Go(func() error { return n.measureBusyness(ctx) })
@@ -251,8 +249,9 @@
 func (n *Node) isAlive(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h, age, ok := n.hostTable.Get(address, time.Now())
-	return ok && age <= n.aliveWindow(h)
+	now := time.Now()
+	h, age, ok := n.hostTable.Get(address, now)
+	return ok && n.pauses.listened(age, now) <= n.aliveWindow(h)
 }
 
 // Self returns this host as it describes itself to others.
--- a/internal/process/fleet/parts_test.go
+++ b/internal/process/fleet/parts_test.go
@@ -84,7 +84,14 @@
 func (f *fixture) runInParts(caller *runningNode, j scheduler.Job) <-chan scheduler.Answer {
 	f.t.Helper()
 	answer := f.submitLater(caller, j)
-	f.g.Eventually(func() int { return f.running()[firstPool] + f.running()[secondPool] }, testTimeout, 5*time.Millisecond).Should(Equal(j.TaskCount()))
+	f.g.Eventually(func() (int, error) {
+		select {
+		case a := <-answer:
+			return 0, StopTrying(fmt.Sprintf("the job was answered %v before its tasks ran: %s", a.Outcome, a.Reason))
+		default:
+			return f.running()[firstPool] + f.running()[secondPool], nil
+		}
+	}, testTimeout, 5*time.Millisecond).Should(Equal(j.TaskCount()))
 	f.g.Expect(f.running()).To(HaveEach(BeNumerically(">", 0)))
 	return answer
 }
--- a/internal/process/fleet/pauses.go
+++ b/internal/process/fleet/pauses.go
@@ -14,6 +14,12 @@
 	// resumePhase is how long after a pause requests may still arrive that were sent
 	// before or during it: those that wait in the buffers of this machine.
 	resumePhase = 300 * time.Millisecond
+	// deafGap is the length of a pause in which this host misses hello messages. A shorter
+	// one only delays them.
+	deafGap = helloEntryInterval
+	// maxDeafGaps bounds the pauses that are remembered: those of more than the longest
+	// time that a host counts as alive.
+	maxDeafGaps = 64
 )
 
 // pauseWatch notices that the process was suspended: its beats are late.
@@ -21,8 +27,12 @@
 	mu        sync.Mutex
 	beatAt    time.Time
 	resumedAt time.Time // end of the last pause; zero if there was none
+	deafGaps  []gap     // pauses of deafGap or more, the oldest first
 }
 
+// gap is a time in which the process did not run.
+type gap struct{ from, to time.Time }
+
 func newPauseWatch(now time.Time) *pauseWatch { return &pauseWatch{beatAt: now} }
 
 // run records beats until ctx is cancelled.
@@ -50,6 +60,9 @@
 	if now.Sub(w.beatAt) > pauseThreshold {
 		w.resumedAt = now
 	}
+	if now.Sub(w.beatAt) > deafGap {
+		w.deafGaps = append(w.deafGaps[max(0, len(w.deafGaps)-maxDeafGaps+1):], gap{w.beatAt, now})
+	}
 	w.beatAt = now
 }
 
@@ -60,3 +73,26 @@
 	w.recordBeat(now)
 	return !w.resumedAt.IsZero() && now.Sub(w.resumedAt) < resumePhase
 }
+
+// listened returns for how long of the last age this host could hear from others. Another
+// host that was silent while this one did not run is not lost: on a busy machine, a host
+// that had waited for the processor claimed pools whose holders were alive.
+func (w *pauseWatch) listened(age time.Duration, now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.recordBeat(now)
+	since, deaf := now.Add(-age), time.Duration(0)
+	for _, g := range w.deafGaps {
+		if g.to.After(since) {
+			deaf += g.to.Sub(later(g.from, since))
+		}
+	}
+	return age - deaf
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
