--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -19,11 +19,18 @@
 	scope       tally.Scope
 	freeTasks   tally.Gauge
 	queuedTasks tally.Gauge
+	lossy       tally.Gauge
+	suspected   tally.Gauge
+	budgetUsed  tally.Gauge
 }
 
 func newPoolMetrics(m *metrics.Metrics, pool string) *poolMetrics {
 	scope := m.Scope().Tagged(map[string]string{"pool": pool})
-	return &poolMetrics{scope: scope, freeTasks: scope.Gauge("pool_free_tasks"), queuedTasks: scope.Gauge("pool_queued_tasks")}
+	return &poolMetrics{
+		scope: scope, freeTasks: scope.Gauge("pool_free_tasks"), queuedTasks: scope.Gauge("pool_queued_tasks"),
+		lossy: scope.Gauge("pool_lossy_targets"), suspected: scope.Gauge("pool_suspected_targets"),
+		budgetUsed: scope.Gauge("request_copies_budget_used"),
+	}
 }
 
 // recordBusyness sets the processor time that this host has used lately, of its share.
@@ -69,6 +76,14 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("starts_given_up").Inc(1)
 }
 
+// recordTargets sets how many targets have lately left requests unanswered and how many are
+// suspected, and the share of the budget of copies that is used.
+func (m *poolMetrics) recordTargets(lossy, suspected int, budgetUsed float64) {
+	m.lossy.Update(float64(lossy))
+	m.suspected.Update(float64(suspected))
+	m.budgetUsed.Update(budgetUsed)
+}
+
 // recordWithheldCopy counts a request that was not sent again because the budget of
 // spurious timeouts is used up.
 func (m *poolMetrics) recordWithheldCopy(request string) {
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -277,6 +277,7 @@
 	}
 	free, queued := p.core.Load(now)
 	p.metrics.recordLoad(free, queued)
+	p.recordTargets()
 	c := p.claimMessage()
 	c.FreeSlots, c.Queued = uint32(free), uint32(queued)
 	p.publishedClaim.Store(c)
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -144,11 +144,6 @@
 	return time.After(r.request.MaxWait / 2)
 }
 
-// losesRequests reports whether the target has lately left requests unanswered.
-func (s *session) losesRequests() bool {
-	return s.renewals.suspicion.LosesRequests() || s.runSuspicion.LosesRequests()
-}
-
 // renewMargin returns how long beyond its wait the answer to a renewal is awaited.
 func (s *session) renewMargin() time.Duration {
 	return min(renewTimeouts*s.pool.answerTimer.Timeout()<<min(s.renewals.unanswered, 4), renewAnswerMargin)
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -161,6 +161,25 @@
 
 func (s *session) leaseExpired(now time.Time) bool { return s.leaseRemaining(now) <= 0 }
 
+// losesRequests reports whether the target has lately left requests unanswered.
+func (s *session) losesRequests() bool {
+	return s.renewals.suspicion.LosesRequests() || s.runSuspicion.LosesRequests()
+}
+
+// recordTargets sets the metrics of the targets that leave requests unanswered.
+func (p *pool) recordTargets() {
+	lossy, suspected := 0, 0
+	for _, s := range p.sessions {
+		if s.losesRequests() {
+			lossy++
+		}
+		if s.renewals.suspicion.Suspected() || s.runSuspicion.Suspected() {
+			suspected++
+		}
+	}
+	p.metrics.recordTargets(lossy, suspected, p.answerTimer.BudgetUsed())
+}
+
 // reportLeaseExpiry tells the scheduler that the leases have expired, once for each time
 // that they do.
 func (s *session) reportLeaseExpiry() {
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -13,22 +13,21 @@
 func (s *session) requestStart(e scheduler.Start) {
 	request := StartRequest{Run: e.Run, Spec: e.Spec, LeaseUntilMS: s.extendLease().untilMS, Token: s.token}
 	givenUp, answered := false, false
-	x := &exchange[scheduler.StartResult]{
-		session: s, name: "start",
-		send: func(ctx context.Context) (scheduler.StartResult, copyFate) { return s.sendStart(ctx, request) },
-		handle: func(result scheduler.StartResult, copies *repeat.Copies) bool {
-			answered = answered || result != scheduler.NotSent
-			decision := decideStart(result, copies)
-			if decision.wait || givenUp && !decision.certain {
-				return false
-			}
-			s.handleStartResult(e.Run, decision)
-			return true
-		},
-		giveUp: func() {
-			givenUp = true
-			s.handleStartResult(e.Run, startDecision{result: scheduler.Unanswered, certain: true})
-		},
+	x := &exchange[scheduler.StartResult]{session: s, name: "start"}
+	x.send = func(ctx context.Context) (scheduler.StartResult, copyFate) { return s.sendStart(ctx, request) }
+	x.handle = func(result scheduler.StartResult, copies *repeat.Copies) bool {
+		answered = answered || result != scheduler.NotSent
+		decision := decideStart(result, copies)
+		if decision.wait || givenUp && !decision.certain {
+			return false
+		}
+		decision.copies = copies.Count()
+		s.handleStartResult(e.Run, decision)
+		return true
+	}
+	x.giveUp = func() {
+		givenUp = true
+		s.handleStartResult(e.Run, startDecision{result: scheduler.Unanswered, certain: true, copies: x.copies.Count()})
 	}
 	go func() {
 		x.run()
@@ -63,6 +62,7 @@
 	result  scheduler.StartResult
 	certain bool // of a refusal: no other copy can start the run
 	wait    bool // another copy decides
+	copies  int  // sent until the decision
 }
 
 // decideStart decides a start request by the result of one of its copies. A refusal for
@@ -88,7 +88,7 @@
 	s.post(func(p *pool, now time.Time) {
 		if d.result != scheduler.Started {
 			p.log.Info("A start request did not succeed.", "job", run.Job, "task", run.TaskID(), "run", run.Number,
-				"target", s.ref.ID, "result", d.result.String(), "certain", d.certain)
+				"target", s.ref.ID, "result", d.result.String(), "copies", d.copies, "certain", d.certain)
 		}
 		p.metrics.recordStart(d.result)
 		if d.result == scheduler.Fenced {
--- a/internal/process/repeat/timer.go
+++ b/internal/process/repeat/timer.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// BudgetUsed returns the share of the budget that is spent or charged, from 0 to 1.
+func (t *Timer) BudgetUsed() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return min((t.spurious+float64(t.open))/MaxSpurious, 1)
+}
+
 // Open returns the number of charges that are not settled.
 func (t *Timer) Open() int {
 	t.mu.Lock()
