--- a/internal/connection/health/tracker_test.go
+++ b/internal/connection/health/tracker_test.go
@@ -31,7 +31,7 @@
 }
 
 // run ends n tasks of a group at random targets, 10 ms apart; a task whose target is
-// not usable is skipped. The function fails says whether a target fails its task. The
+// not usable is skipped. The function fails states whether a target fails its task. The
 // result is the number of failed tasks.
 func (sim *simulation) run(n int, group string, fails func(target string) bool) int {
 	failed := 0
--- a/internal/process/controller/config.go
+++ b/internal/process/controller/config.go
@@ -41,7 +41,7 @@
 	// register. Nil means this host, if it has a disk, and all hosts in Peers
 	// with a disk.
 	InitialVoters []string
-	// Bootstrapped says that the register was bootstrapped before. An empty disk
+	// Bootstrapped states that the register was bootstrapped before. An empty disk
 	// then joins the existing voters and never bootstraps a register.
 	Bootstrapped bool
 	// VoterCount is the number of disks that vote; the others are standbys. 0
--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -168,7 +168,7 @@
 // step bootstraps the register once all hosts have reported in one survey,
 // including those without a disk, which may hold a value in memory. As one of
 // those may be down, bootstrapSurveys consecutive surveys in which no host
-// reported a value also suffice. surveyEnded says that the survey is about to be
+// reported a value also suffice. surveyEnded states that the survey is about to be
 // replaced by the next one.
 func (c *Controller) planJoin(surveyEnded bool) {
 	if c.survey.ballot == (register.Ballot{}) {
--- a/internal/process/controller/operation.go
+++ b/internal/process/controller/operation.go
@@ -51,7 +51,7 @@
 }
 
 // abandonError returns the error of an operation that ended without a result.
-// undecided says that its change may still take effect.
+// undecided states that its change may still take effect.
 func (o *operation) abandonError(undecided bool) error {
 	switch {
 	case undecided:
--- a/internal/process/controlplane/caughtup.go
+++ b/internal/process/controlplane/caughtup.go
@@ -36,7 +36,7 @@
 }
 
 // update re-evaluates whether this host, which holds the given version, is caught
-// up, and returns the result. confirmed says that a quorum has confirmed the
+// up, and returns the result. confirmed states that a quorum has confirmed the
 // version since the start of the process.
 func (i *caughtUpTracker) update(version uint64, confirmed bool) bool {
 	i.mu.Lock()
--- a/internal/process/dispatch/spill.go
+++ b/internal/process/dispatch/spill.go
@@ -43,7 +43,7 @@
 	return c.queue.EstimateWait(c.newJob(now, 0, spec).queueJob(), c.slotCapacity(now))
 }
 
-// spill passes a job to another domain on a goroutine of its own. refusal says why
+// spill passes a job to another domain on a goroutine of its own. refusal states why
 // this domain refused the job; it is nil if this domain can run the job as well.
 func (l *Loop) spill(id JobID, spec *job.Spec, refusal error) {
 	ctx, cancel := context.WithCancel(l.runContext)
--- a/internal/process/fleet/capacity.go
+++ b/internal/process/fleet/capacity.go
@@ -110,7 +110,7 @@
 	return true
 }
 
-// observeHolder tells the balancer who holds the pool.
+// observeHolder informs the balancer who holds the pool.
 func (p *pool) observeHolder(now time.Time) {
 	address := p.holderView.Claim().Holder
 	if address == "" {
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -34,11 +34,11 @@
 	leaveTimeout            = time.Second            // for a stopping host to give up its vote
 	catalogConfirmInterval  = time.Second            // mean time between reads that confirm the catalog
 	claimListenTime         = 300 * time.Millisecond // how long a host listens for a holder, a little longer than the hello interval, before it claims a pool
-	claimAloneDelay         = 2 * time.Second        // a host that hears from no other host claims a pool after this
+	claimAloneDelay         = 2 * time.Second        // a host that receives messages from no other host claims a pool after this
 	maxHelloWait            = 2 * claimAloneDelay    // how long after its start a host waits to hear from the hosts of its domain that others list: a list and the hello that follows may each be late on a busy machine
 	startedTogether         = time.Second            // hosts whose starts are less apart than this start together; a host may hold pools claimListenTime after its start
 	unconfirmedCatalogDelay = 3 * time.Second        // an unconfirmed catalog is used after this
-	fencedClaimDelay        = 5 * time.Second        // how long a host that was fenced and hears from no other host claims nothing
+	fencedClaimDelay        = 5 * time.Second        // how long a host that was fenced and receives messages from no other host claims nothing
 	tokenRaiseWindow        = 3 * time.Second        // for this long after its start, a host assumes that a higher token is its own from before the restart
 	returnHomeDelay         = time.Second            // an entry host is heard from for this long before its domain's pool returns to it
 	handoverTimeout         = 500 * time.Millisecond // for another host to answer the state of a pool
--- a/internal/process/fleet/evacuations.go
+++ b/internal/process/fleet/evacuations.go
@@ -231,7 +231,7 @@
 
 func (evacuationsEvent) apply(p *pool, now time.Time) { p.followEvacuations(now) }
 
-// followEvacuations tells the scheduler whether the pool's domain is evacuated. While the
+// followEvacuations informs the scheduler whether the pool's domain is evacuated. While the
 // jobs are handed over, the other host decides on them.
 func (p *pool) followEvacuations(now time.Time) {
 	receivedAt, evacuated := p.node.evacuations.find(p.id.Domain)
--- a/internal/process/fleet/evacuations_test.go
+++ b/internal/process/fleet/evacuations_test.go
@@ -31,7 +31,7 @@
 }
 
 // A host that claims a pool long after it has received an evacuation must not start the
-// grace period anew.
+// grace period again.
 func TestTheGracePeriodBeginsWhenTheHostReceivesTheEvacuation(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -55,7 +55,7 @@
 	}}
 }
 
-// An entry host of a large system hears from holders of other domains every 2 s or less
+// An entry host of a large system receives messages from holders of other domains every 2 s or less
 // often. While its domain is evacuated it sends them its jobs, by their loads.
 func TestHoldersOfOtherDomainsAreHeardFromOftenDuringAnEvacuation(t *testing.T) {
 	t.Parallel()
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -53,7 +53,7 @@
 type announcementEvent struct{ announcement Announcement }
 
 // apply uses the newest announcement of the target: events of two announcements that
-// arrived at once may be in either order, and the older one tells of a former capacity.
+// arrived at once may be in either order, and the older one reports a former capacity.
 func (e announcementEvent) apply(p *pool, now time.Time) {
 	a := e.announcement
 	if newest, ok := p.node.announcements.get(a.Target.ID); ok {
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -132,7 +132,7 @@
 	return TargetReport{}, ctx.Err()
 }
 
-// After a loss of power of all hosts, the targets of a large domain are split anew as
+// After a loss of power of all hosts, the targets of a large domain are split again as
 // they become known. The new shards must not wait for former pools, which there are not.
 func TestANewShardWaitsOnlyForAFormerPool(t *testing.T) {
 	t.Parallel()
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -39,7 +39,7 @@
 }
 
 // helloInterval returns the time until the next hello message to a host. A host with a
-// disk sends fewer to entry hosts that it hears from, as those send hello messages to
+// disk sends fewer to entry hosts that it receives messages from, as those send hello messages to
 // it.
 func (n *Node) helloInterval(address string) time.Duration {
 	n.mu.Lock()
@@ -204,7 +204,7 @@
 	}
 	for _, c := range hello.GetClaims() {
 		if told := c.GetHolder() != sender.Address; told && (c.GetHolder() == n.config.Self.Address || n.knowsClaim(c)) {
-			continue // a claim that another host tells of carries no load, and this host knows its own
+			continue // a claim that another host reports carries no load, and this host knows its own
 		}
 		n.recordClaim(c)
 	}
--- a/internal/process/fleet/losses.go
+++ b/internal/process/fleet/losses.go
@@ -150,7 +150,7 @@
 	}
 }
 
-// lossFrom returns the loss that a message tells of. A verdict that this release does not
+// lossFrom returns the loss that a message reports. A verdict that this release does not
 // know counts as unresolved.
 func lossFrom(m *fleetpb.Loss, now time.Time) losses.Loss {
 	verdict := losses.Verdict(m.GetVerdict())
--- a/internal/process/fleet/parts.go
+++ b/internal/process/fleet/parts.go
@@ -124,7 +124,7 @@
 }
 
 // recordAnsweredLoad records the load of a pool that its holder told with an answer. A
-// host of a former release tells none.
+// host of a former release reports none.
 func (n *Node) recordAnsweredLoad(pool, holder string, reply *fleetpb.JobReply) {
 	if reply.GetFreeSlots() == 0 || reply.GetQueued() == 0 || !n.isSplit(pool) {
 		return
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -204,7 +204,7 @@
 }
 
 // decideClaim claims the pool if no host that is alive holds it and this host is the
-// first candidate. A host that was fenced and hears from no other host claims nothing
+// first candidate. A host that was fenced and receives messages from no other host claims nothing
 // for fencedClaimDelay.
 func (p *pool) decideClaim(now time.Time) {
 	isolated := p.node.isIsolated()
--- a/internal/process/fleet/pools.go
+++ b/internal/process/fleet/pools.go
@@ -111,7 +111,7 @@
 
 // claimHeardAtStart returns the claim on a pool that this host has heard of since it
 // started, while it has just started. The pool's goroutine may process the event that
-// tells it of the claim only after awaitsHello has ended its wait.
+// reports the claim only after awaitsHello has ended its wait.
 func (n *Node) claimHeardAtStart(pool string, now time.Time) (holder.Claim, bool) {
 	if now.Sub(n.startedAt) > maxHelloWait {
 		return holder.Claim{}, false
--- a/internal/process/fleet/racks.go
+++ b/internal/process/fleet/racks.go
@@ -13,7 +13,7 @@
 // added or replaced, which announce themselves every few seconds.
 const rackIndexLifetime = time.Second
 
-// rackIndex tells which pools of this host's domain have targets in a rack. An entry host has
+// rackIndex reports which pools of this host's domain have targets in a rack. An entry host has
 // the announcements of all targets of its domain, so no message is needed for it.
 type rackIndex struct {
 	mu         sync.Mutex
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -19,7 +19,7 @@
 	// that waits for an end answers up to a timeout later than one that answers at once.
 	renewTimeouts = 2
 	// lossyWaitTimeouts is the longest wait at a target that leaves requests unanswered, in
-	// timeouts of a start request. The ends that a lost answer tells of are known only
+	// timeouts of a start request. The ends that a lost answer reports are known only
 	// after the wait.
 	lossyWaitTimeouts = 4
 	// maxOverlapping is how many renewals may overlap before one is answered.
--- a/internal/process/fleet/restart_test.go
+++ b/internal/process/fleet/restart_test.go
@@ -52,7 +52,7 @@
 }
 
 // A leaving host has handed its pool over to a host of another domain. A host of its domain
-// that starts meanwhile hears from the leaving one first.
+// that starts meanwhile receives messages from the leaving one first.
 func TestALeavingHostTellsWhoHoldsItsPoolNow(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -180,7 +180,7 @@
 	p.metrics.recordTargets(lossy, suspected, p.answerTimer.BudgetUsed())
 }
 
-// reportLeaseExpiry tells the scheduler that the leases have expired, once for each time
+// reportLeaseExpiry informs the scheduler that the leases have expired, once for each time
 // that they do.
 func (s *session) reportLeaseExpiry() {
 	s.mu.Lock()
--- a/internal/process/fleet/split_test.go
+++ b/internal/process/fleet/split_test.go
@@ -75,7 +75,7 @@
 				s.ids = append(s.ids, fmt.Sprint("new-", i))
 			}
 			if announced {
-				s.play(15*time.Second, leaving) // longer than any delay: only the draining state tells
+				s.play(15*time.Second, leaving) // longer than any delay: only the draining state shows it
 			}
 			s.ids = s.ids[39:]
 			s.play(15*time.Second, nil)
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -80,7 +80,7 @@
 	return copyUnanswered
 }
 
-// runIsAbsent reports whether the target says that it has no run r, running or ended.
+// runIsAbsent reports whether the target lists no run r, running or ended.
 func (s *session) runIsAbsent(r scheduler.Run) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, s.pool.answerTimer.Timeout())
 	defer cancel()
--- a/internal/process/fleet/submit_test.go
+++ b/internal/process/fleet/submit_test.go
@@ -40,8 +40,8 @@
 }
 
 // Loads that are up to 250 ms old would plan parts for pools that are full by now. What a
-// holder tells with an answer counts, and so does what this host has sent there since; a
-// host of a former release tells nothing, and a domain with one pool has nothing to plan.
+// holder reports with an answer counts, and so does what this host has sent there since; a
+// host of a former release reports nothing, and a domain with one pool has nothing to plan.
 func TestLoadsFollowAnswersAndSentTasks(t *testing.T) {
 	g := NewWithT(t)
 	n, err := New(Config{
--- a/internal/process/holder/view.go
+++ b/internal/process/holder/view.go
@@ -43,7 +43,7 @@
 
 // NewView returns the View of the host self, without a holder. Once the host has heard
 // from any other host, it listens for listenTime before it claims a pool that has no
-// known holder. A host that hears from no other host claims after aloneDelay, because
+// known holder. A host that receives messages from no other host claims after aloneDelay, because
 // hosts that start together must discover each other first.
 func NewView(self string, listenTime, aloneDelay time.Duration, now time.Time) *View {
 	return &View{self: self, listenTime: listenTime, aloneDelay: aloneDelay, listeningSince: now, startedAt: now}
@@ -92,7 +92,7 @@
 // this host is the first of the candidates and it has listened for long enough. The
 // candidates are alive and in order of preference. The token is at least the current
 // time in Unix milliseconds, so it grows even if a restart lost the last token. While
-// the holder is alive, each call starts the listening anew.
+// the holder is alive, each call starts the listening again.
 func (v *View) TryClaim(alive func(host string) bool, candidates []string, now time.Time) Transition {
 	if v.HeldHere() {
 		return Unchanged
--- a/internal/process/scheduler/capacity_test.go
+++ b/internal/process/scheduler/capacity_test.go
@@ -52,7 +52,7 @@
 }
 
 // A target whose capacity has shrunk refuses starts until its next announcement, up to
-// 1.5 s later, tells of it.
+// 1.5 s later, reports it.
 func TestAShrunkTargetIsNotAskedAgainAndAgain(t *testing.T) {
 	g := NewWithT(t)
 	c := newCore(1)
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -312,7 +312,7 @@
 	g.Expect(answer[0].Answer.Kind).To(Equal(failure.NeverRunnable))
 }
 
-// The refusal of a job that has waited tells its caller that no task of the job ran,
+// The refusal of a job that has waited informs its caller that no task of the job ran,
 // which must be true.
 func TestAJobIsRefusedOnlyBeforeItsFirstStart(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -62,7 +62,7 @@
 	OnlyAtOnce    bool      // spilled on trial: to be refused unless all its tasks can start at once
 	Returned      bool      // refused by the pools that it was spilled to; its demand is counted already
 	FirstTask     int       // index in the whole job of the first task, for a part of a job; its only step's Count is the part's
-	Resubmitted   bool      // the pool's former holder handed the job over; to be continued, but never started anew
+	Resubmitted   bool      // the pool's former holder handed the job over; to be continued, but never started again
 }
 
 // TaskCount returns the number of tasks in all steps of the job.
--- a/internal/process/shards/split.go
+++ b/internal/process/shards/split.go
@@ -40,7 +40,7 @@
 	return count
 }
 
-// SplitTimer tells when a domain is split. The zero value is ready for use.
+// SplitTimer reports when a domain is split. The zero value is ready for use.
 type SplitTimer struct {
 	largeSince time.Time // of the series of counts that call for a split; zero if the last one did not
 	countedAt  time.Time // when the targets were last counted
--- a/internal/process/shards/split_test.go
+++ b/internal/process/shards/split_test.go
@@ -21,7 +21,7 @@
 	})).To(Equal(0))
 }
 
-// The delay of a split begins anew when the domain was small enough in between, and when
+// The delay of a split begins again when the domain was small enough in between, and when
 // the host has not counted for a while. The number then follows from the lowest count.
 func TestASplitWaitsUntilTheCountStaysAboveTheBound(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/process/slots/reconcile.go
+++ b/internal/process/slots/reconcile.go
@@ -9,7 +9,7 @@
 
 // imbalance records since when too few (below 0) or too many slots of a target have been
 // held, all hosts taken together, and the smallest such number. The smallest number is
-// determined anew in the second half of the window: by then every peer has sent a report.
+// determined again in the second half of the window: by then every peer has sent a report.
 type imbalance struct {
 	since      time.Time // when the imbalance was first seen
 	smallest   int       // in absolute value, since the window or its second half started
--- a/internal/process/tool/fake_test.go
+++ b/internal/process/tool/fake_test.go
@@ -189,7 +189,7 @@
 }
 
 // editTrail drops or edits the second entry of the stored audit trail, as its
-// argument "drop" or "edit" says.
+// argument "drop" or "edit" states.
 func editTrail(ts *testscript.TestScript, _ bool, args []string) {
 	systemOf(ts).register.EditTrail(func(entries []control.Entry) []control.Entry {
 		if args[0] == "drop" {
--- a/internal/request/failure/doc.go
+++ b/internal/request/failure/doc.go
@@ -3,8 +3,8 @@
 // retry. All packages that return errors to callers or operators use it. The package
 // decides nothing about a particular request and writes no log.
 //
-// Every answer states two facts separately. AttemptRan says whether the submission
-// being answered started a task. JobRan says whether any submission of the same job
+// Every answer states two facts separately. AttemptRan states whether the submission
+// being answered started a task. JobRan states whether any submission of the same job
 // may have started a task. A host that cannot reach the holder of a job's record can
 // state the first and not the second.
 package failure
--- a/internal/request/failure/kind.go
+++ b/internal/request/failure/kind.go
@@ -42,7 +42,7 @@
 	Internal          Kind = "internal"           // an unexpected error in the host
 )
 
-// Ran says whether a task was started: yes, no or unknown.
+// Ran states whether a task was started: yes, no or unknown.
 type Ran string
 
 // The values of Ran.
--- a/internal/request/job/answer.go
+++ b/internal/request/job/answer.go
@@ -41,7 +41,7 @@
 }
 
 // IsTemporaryRefusal reports whether no task of the job was started and the answer
-// says when the job may be submitted again.
+// states when the job may be submitted again.
 func (a *Answer) IsTemporaryRefusal() bool {
 	return a.Outcome == NotRun && a.Error != nil && a.Error.RetryAfterMS != nil
 }
--- a/internal/request/job/job.go
+++ b/internal/request/job/job.go
@@ -35,7 +35,7 @@
 	Payload     json.RawMessage `json:"payload,omitempty"`     // passed to the target unchanged
 }
 
-// Outcome says how a job ended.
+// Outcome states how a job ended.
 type Outcome string
 
 // The outcomes of a job. There is no partial outcome.
@@ -61,7 +61,7 @@
 	Output json.RawMessage `json:"output"`
 }
 
-// Error says in an answer why the job failed or did not run.
+// Error states in an answer why the job failed or did not run.
 type Error struct {
 	Kind         string `json:"kind"`
 	Field        string `json:"field,omitempty"`
--- a/internal/request/report/report.go
+++ b/internal/request/report/report.go
@@ -27,7 +27,7 @@
 	Jobs uint64       `json:"jobs"`
 }
 
-// BundleInForce says since when a bundle was in force at a host.
+// BundleInForce states since when a bundle was in force at a host.
 type BundleInForce struct {
 	Host    string        `json:"host"`
 	Version uint64        `json:"version"`
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -92,7 +92,7 @@
 }
 
 // updateTicket stores the next ticket of a final answer. Before another attempt it keeps
-// the ticket, unless the answer says that the job needs another one, and selects the next
+// the ticket, unless the answer states that the job needs another one, and selects the next
 // entry host. It returns the time to wait before that attempt and whether the answer is
 // final.
 func (c *Caller) updateTicket(answer job.Answer) (wait time.Duration, done bool) {
--- a/internal/standin/cmd/capacity/table.go
+++ b/internal/standin/cmd/capacity/table.go
@@ -83,7 +83,7 @@
 	return fmt.Sprintf(", extrapolated %.1f times", target/most)
 }
 
-// machine says what the measurements were made on.
+// machine states what the measurements were made on.
 func machine() string {
 	load, err := os.ReadFile("/proc/loadavg")
 	if err != nil {
--- a/internal/standin/cmd/prooflist/main.go
+++ b/internal/standin/cmd/prooflist/main.go
@@ -1,5 +1,5 @@
 // Command prooflist checks docs/PROOFS.md: each row names a test that exists
-// in the tree, or says that its point is not proved. It prints how many points
+// in the tree, or states that its point is not proved. It prints how many points
 // are proved and exits 1 if a row is wrong.
 package main
 
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -23,7 +23,7 @@
 	Standin string // targets
 }
 
-// FleetConfig says what a fleet consists of.
+// FleetConfig states what a fleet consists of.
 type FleetConfig struct {
 	Programs
 	Domains          int
--- a/internal/standin/measure/load.go
+++ b/internal/standin/measure/load.go
@@ -65,7 +65,7 @@
 	Answered bool
 }
 
-// LoadConfig says where a load is sent.
+// LoadConfig states where a load is sent.
 type LoadConfig struct {
 	Entries  []string
 	Teams    int           // jobs take turns among this many teams
--- a/internal/standin/scenario/combined.go
+++ b/internal/standin/scenario/combined.go
@@ -111,7 +111,7 @@
 }
 
 // serveAgain waits for the last bundle at each host, submits one job there and
-// expects it complete. A job that meets the failing target is submitted anew.
+// expects it complete. A job that meets the failing target is submitted again.
 func (c *combined) serveAgain() error {
 	c.log("version %d was accepted last, disks lost: %v", c.last, c.wiped)
 	for _, host := range combinedHostSeq {
--- a/internal/standin/scenario/combined_load.go
+++ b/internal/standin/scenario/combined_load.go
@@ -83,7 +83,7 @@
 }
 
 // changeBundles brings one bundle after the other into force, each through a
-// host drawn anew until one says that it is done.
+// host drawn again until one states that it is done.
 func (c *combined) changeBundles(ctx context.Context) error {
 	random := rand.New(rand.NewPCG(c.config.Seed, 5))
 	for ctx.Err() == nil {
--- a/internal/standin/scenario/control.go
+++ b/internal/standin/scenario/control.go
@@ -212,7 +212,7 @@
 const proposeTries = 20
 
 // propose runs the tool until the answer is final and returns it. An unknown
-// outcome, and a refusal that says when to come back, are not.
+// outcome, and a refusal that states when to come back, are not.
 func propose(flags []string) ([]byte, error) {
 	for range proposeTries {
 		command := exec.Command(toolProgram, flags...)
--- a/internal/version/bundle/diff.go
+++ b/internal/version/bundle/diff.go
@@ -2,7 +2,7 @@
 
 import "strings"
 
-// Op says what a diff does with a line.
+// Op states what a diff does with a line.
 type Op string
 
 // The operations of a diff.
--- a/internal/version/register/proposer.go
+++ b/internal/version/register/proposer.go
@@ -258,7 +258,7 @@
 	return p.applyChange(newest)
 }
 
-// recordVote records the entry that a voter holds. chosen says that the voter knows
+// recordVote records the entry that a voter holds. chosen states that the voter knows
 // the entry to be chosen.
 func (p *Proposer) recordVote(identity uint64, e Entry, chosen bool) {
 	p.votes[identity] = e
