--- a/internal/process/fleet/exchange.go
+++ b/internal/process/fleet/exchange.go
@@ -111,9 +111,7 @@
 	rest := repeat.MaxTimeout - time.Since(x.begunAt)
 	if rest <= 0 {
 		x.session.runSuspicion.RecordUnanswered()
-		x.gaveUp = true
-		x.giveUp()
-		return 0
+		return x.abandon()
 	}
 	if !x.copies.Overdue() {
 		x.session.pool.metrics.recordWithheldCopy(x.name)
@@ -121,11 +119,16 @@
 	}
 	x.session.runSuspicion.RecordUnanswered()
 	if x.copies.Count() > 1 && x.session.runSuspicion.Suspected() {
-		x.gaveUp = true
-		x.giveUp()
-		return 0
+		return x.abandon()
 	}
 	x.session.pool.metrics.recordCopy(x.name)
 	x.sendCopy()
 	return min(x.copies.Timeout(), rest)
 }
+
+// abandon gives the request up: no further copy is sent, and no time is waited for one.
+func (x *exchange[R]) abandon() time.Duration {
+	x.gaveUp = true
+	x.giveUp()
+	return 0
+}
--- a/internal/process/repeat/suspicion.go
+++ b/internal/process/repeat/suspicion.go
@@ -87,10 +87,3 @@
 	}
 	return min(int(math.Ceil(math.Log(falseAlarmShare)/math.Log(share))), maxStreak)
 }
-
-// Streak returns the number of unanswered attempts since the last answer.
-func (s *Suspicion) Streak() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.streak
-}
--- a/internal/process/repeat/suspicion_test.go
+++ b/internal/process/repeat/suspicion_test.go
@@ -23,7 +23,7 @@
 	for range attempts {
 		state = state*1664525 + 1013904223
 		if float64(state>>8)/(1<<24) >= share {
-			s.RecordAnswered(s.Streak())
+			s.RecordAnswered(s.streak)
 			continue
 		}
 		wasSuspected := s.Suspected()
