--- a/internal/process/fleet/pauses.go
+++ b/internal/process/fleet/pauses.go
@@ -84,15 +84,8 @@
 	since, deaf := now.Add(-age), time.Duration(0)
 	for _, g := range w.deafGaps {
 		if g.to.After(since) {
-			deaf += g.to.Sub(later(g.from, since))
+			deaf += min(g.to.Sub(g.from), g.to.Sub(since))
 		}
 	}
 	return age - deaf
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
