Log and count what a run was taken for over by before its task starts again

From the logs nobody could tell whether a second run of a task began after the target's own word or after a belief: a lease that must have expired, a target that was taken for gone. Neither did they name the incarnation and the token of a start.

Change: a released run leaves its evidence with its task. Each start request logs it with the incarnation and the token, and is counted by it (starts_requested). It takes the place of the target's id that a task kept.

--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -56,6 +56,12 @@
 	m.scope.Tagged(tags).Histogram("pool_job", jobDurationBuckets).RecordDuration(took)
 }
 
+// recordRequestedStart counts a start request by what the task's former run was taken for
+// over by.
+func (m *poolMetrics) recordRequestedStart(former scheduler.Evidence) {
+	m.scope.Tagged(map[string]string{"former": former.String()}).Counter("starts_requested").Inc(1)
+}
+
 // recordStart counts a target's answer to a start request.
 func (m *poolMetrics) recordStart(r scheduler.StartResult) {
 	m.scope.Tagged(map[string]string{"result": r.String()}).Counter("starts").Inc(1)
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -363,7 +363,10 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case scheduler.Start:
-			p.log.Info("A start was requested.", "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target)
+			p.metrics.recordRequestedStart(e.Former.Evidence)
+			p.log.Info("A start was requested.", "job", e.Run.Job, "task", e.Run.TaskID(), "run", e.Run.Number, "target", e.Target,
+				"born", e.Incarnation, "token", p.holderView.Claim().Token, "former_target", e.Former.Target,
+				"former_over_by", e.Former.Evidence.String(), "age", formerAge(e.Former, now))
 			if s, ok := p.sessions[e.Target]; ok {
 				s.requestStart(e)
 			}
@@ -407,3 +410,11 @@
 	p.publishLoad(now)
 	w.answer <- r.Answer
 }
+
+// formerAge returns how long ago a task's former run was taken for over, 0 if there was none.
+func formerAge(r scheduler.Release, now time.Time) time.Duration {
+	if r.At.IsZero() {
+		return 0
+	}
+	return now.Sub(r.At)
+}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -195,7 +195,7 @@
 // rejectStart releases a run whose start the target refused.
 func (c *Core) rejectStart(t *target, r *run, now time.Time) {
 	c.emit(LogEntry{Message: "A target refused a start request.", Job: r.id.Job, Target: t.ID, Age: now.Sub(r.requestedAt)})
-	c.releaseRun(r)
+	c.releaseRun(r, EvidenceRefused, now)
 }
 
 // HandleRunStopped processes a target's confirmation that a run is stopped and will
@@ -203,7 +203,7 @@
 func (c *Core) HandleRunStopped(id string, r Run, now time.Time) []Effect {
 	if t, active := c.findRun(id, r); active != nil {
 		t.markResponsive()
-		c.releaseRun(active)
+		c.releaseRun(active, EvidenceStopped, now)
 		c.placeTasks(now)
 	}
 	return c.drainEffects()
@@ -216,7 +216,7 @@
 		return nil
 	}
 	stopped := active.state == stopping
-	c.releaseRun(active)
+	c.releaseRun(active, EvidenceReported, now)
 	switch {
 	case end == EndDone:
 		c.recordRunTime(t, active, now)
@@ -322,14 +322,14 @@
 	return t, t.runs[r]
 }
 
-func (c *Core) releaseRuns(runs []*run) {
+func (c *Core) releaseRuns(runs []*run, by Evidence, now time.Time) {
 	for _, r := range runs {
-		c.releaseRun(r)
+		c.releaseRun(r, by, now)
 	}
 }
 
 // releaseRun frees the resources of a run; its task waits again.
-func (c *Core) releaseRun(r *run) {
+func (c *Core) releaseRun(r *run, by Evidence, now time.Time) {
 	if t, ok := c.targets[r.targetID]; ok {
 		t.removeRun(r)
 	}
@@ -342,7 +342,7 @@
 		return
 	}
 	t.run = nil
-	t.avoidTargetID = r.targetID
+	t.released = Release{Target: r.targetID, Evidence: by, At: now}
 	s.pendingTasks++
 	if s.pendingTasks == 1 {
 		c.enqueue(s)
@@ -377,7 +377,7 @@
 	t := s.taskOf(r)
 	t.failureCount++
 	c.emit(LogEntry{
-		Message: "A task failed.", Job: r.Job, Target: t.avoidTargetID,
+		Message: "A task failed.", Job: r.Job, Target: t.released.Target,
 		Reason: fmt.Sprintf("task %s, run %d, %d of %d attempts used", r.TaskID(), r.Number, t.failureCount, s.MaxAttempts),
 	})
 	if t.failureCount >= s.MaxAttempts {
--- a/internal/process/scheduler/detached.go
+++ b/internal/process/scheduler/detached.go
@@ -50,7 +50,7 @@
 		}
 		delete(c.detachedRuns, r)
 		c.emit(RunLost{Target: r.targetID, Run: r.id, Cause: TargetMoved, Age: now.Sub(r.requestedAt)})
-		c.releaseRun(r)
+		c.releaseRun(r, EvidenceLease, now)
 	}
 }
 
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -12,7 +12,7 @@
 	failureCount  int
 	done          bool
 	run           *run       // in progress; nil while the task waits or once it is done
-	avoidTargetID string     // target of the last released run; used again only if no other fits
+	released      Release    // end of the last run; its target is used again only if no other fits
 	suspect       bool       // a target was lost under the task, here or at another host
 	localWait     *localWait // for a target in the data rack; nil if the task has never waited for one
 }
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -78,7 +78,7 @@
 
 // dropTarget removes a target; tasks that ran there wait again.
 func (c *Core) dropTarget(t *target, cause LossCause, now time.Time) {
-	c.releaseRuns(c.loseRuns(t, cause, now))
+	c.releaseRuns(c.loseRuns(t, cause, now), evidenceOf(cause), now)
 	delete(c.targets, t.ID)
 	c.targetIDs = slices.DeleteFunc(c.targetIDs, func(id string) bool { return id == t.ID })
 	c.emit(LogEntry{Message: "A target was removed.", Target: t.ID, Reason: cause.String()})
@@ -123,7 +123,7 @@
 	if !ok || len(t.runs) == 0 {
 		return nil
 	}
-	c.releaseRuns(c.loseRuns(t, LeasesExpired, now))
+	c.releaseRuns(c.loseRuns(t, LeasesExpired, now), EvidenceLease, now)
 	c.emit(LogEntry{Message: "The leases of a target expired.", Target: id})
 	c.placeTasks(now)
 	return c.drainEffects()
--- a/internal/process/scheduler/localcache.go
+++ b/internal/process/scheduler/localcache.go
@@ -38,7 +38,7 @@
 
 // localPlaces returns the places in the data rack of a task. freeAt is empty if there is none.
 func (c *Core) localPlaces(s *jobState, t *task, now time.Time) localPlaces {
-	key := localKey{s, t.step, t.avoidTargetID}
+	key := localKey{s, t.step, t.released.Target}
 	if known, ok := c.localWaits.cache.local[key]; ok {
 		return known
 	}
@@ -47,7 +47,7 @@
 	locals := 0
 	for _, id := range c.targetIDs {
 		candidate := c.targets[id]
-		if candidate.Service != s.Service || !candidate.isLocal(step) || candidate.cold(now) || id == t.avoidTargetID {
+		if candidate.Service != s.Service || !candidate.isLocal(step) || candidate.cold(now) || id == t.released.Target {
 			continue
 		}
 		if step.AntiAffinity > 0 && s.countRunsOn(t.step, id) >= step.AntiAffinity {
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -91,7 +91,7 @@
 		if step.AntiAffinity > 0 && c.countRunsOn(s, t.step, id) >= step.AntiAffinity {
 			continue
 		}
-		if id == t.avoidTargetID {
+		if id == t.released.Target {
 			avoided = candidate
 			continue
 		}
@@ -139,7 +139,7 @@
 	s.pendingTasks--
 	s.hasStarted = true
 	chosen.addRun(r)
-	c.emit(Start{Target: chosen.ID, Run: r.id, Spec: s.Spec})
+	c.emit(Start{Target: chosen.ID, Run: r.id, Spec: s.Spec, Incarnation: chosen.Incarnation, Former: t.released})
 }
 
 // Tick drops imported jobs that were not submitted again, gives up jobs with deadly
--- /dev/null
+++ b/internal/process/scheduler/release.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import "time"
+
+// Evidence is what a run was taken for over by, so that its task may start again.
+type Evidence int
+
+// The evidence that a run is over.
+const (
+	EvidenceNone     Evidence = iota // the task has not run here
+	EvidenceReported                 // the target listed the run as ended
+	EvidenceStopped                  // the target confirmed its stop
+	EvidenceRefused                  // the target refused its start, or the request was not sent
+	EvidenceLease                    // all leases that were sent for it have expired
+	EvidenceGone                     // the target left, or another one has its address
+)
+
+var evidenceNames = [...]string{"none", "reported", "stopped", "refused", "lease", "gone"}
+
+// String returns the evidence's name.
+func (e Evidence) String() string { return evidenceNames[e] }
+
+// evidenceOf returns the evidence that the loss of a target gives.
+func evidenceOf(cause LossCause) Evidence {
+	if cause == LeasesExpired || cause == TargetMoved {
+		return EvidenceLease
+	}
+	return EvidenceGone
+}
+
+// Release is the end of a task's run, as the scheduler learned it.
+type Release struct {
+	Target   string
+	Evidence Evidence
+	At       time.Time
+}
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -134,9 +134,11 @@
 
 // Start is a request to a target to start a run.
 type Start struct {
-	Target string
-	Run    Run
-	Spec   string
+	Target      string
+	Incarnation uint64 // of the target, as far as it is known
+	Run         Run
+	Spec        string
+	Former      Release // end of the task's former run here
 }
 
 // Stop is a request to a target to stop a run, and to reject a start request for
