Take the time of a stop and the slowness of a clock from what the settings say

What callers would see: on a deployment whose targets take 200 ms to end a run that they are told to stop, or whose leases last 10 s, a task starts again while its former run goes on.

Cause: a run counted as over 80 ms after its stop was confirmed, and 100 ms after its lease, whatever the settings say of stops (stop_ms) and however long the lease is; a target's clock may be slow by 2%, which is 200 ms of a lease of 10 s.

Change: the wait is stop_ms + 30 ms, the margin of a lease 2% + 80 ms.

The tests failed before: 80 ms where 400 are to pass, and a lease that is over 10.1 s after it was sent. Two bounds of older tests name the function now (1.1 s as before, and 1.1 s in place of 1.2).

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -230,8 +230,11 @@
 	return p.node.longestLease()
 }
 
-// longestLease returns how long a lease that has just been sent may be in force.
-func (n *Node) longestLease() time.Duration { return n.config.MaxLease + leaseMargin }
+// longestLease returns how long a lease that has just been sent may be in force, by this
+// host's clock. A target measures it on a clock that may be slow.
+func (n *Node) longestLease() time.Duration {
+	return n.config.MaxLease + n.config.MaxLease/slowClockDivisor + leaseMargin
+}
 
 // receivePool takes over the pool from another host and returns the new claim.
 func (p *pool) receivePool(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -11,11 +11,13 @@
 
 // Times of the requests to a target. A lease lasts max_lease, usually 1 s.
 const (
-	clearingPollInterval = 30 * time.Millisecond  // between renewals at a target where the runs of a former holder are being stopped
-	stopSettleTime       = 80 * time.Millisecond  // after a confirmed stop, until the run has surely ended
-	stopRetryDelay       = 60 * time.Millisecond  // after a stop request that failed with all its copies
-	maxAckDelay          = time.Second            // ended runs are acknowledged at the latest after this
-	leaseMargin          = 100 * time.Millisecond // beyond the lease, for clocks that drift apart
+	clearingPollInterval = 30 * time.Millisecond // between renewals at a target where the runs of a former holder are being stopped
+	defaultRunStopTime   = 50 * time.Millisecond // that a target takes to end a run whose stop it has confirmed
+	stopMargin           = 30 * time.Millisecond // beyond that time, until the run has surely ended
+	stopRetryDelay       = 60 * time.Millisecond // after a stop request that failed with all its copies
+	maxAckDelay          = time.Second           // ended runs are acknowledged at the latest after this
+	leaseMargin          = 80 * time.Millisecond // beyond the lease, until the runs have surely ended
+	slowClockDivisor     = 50                    // a target's clock may be slow by one part in this many
 )
 
 // session sends requests to one incarnation of a target under one fencing token. One
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -63,7 +63,36 @@
 	now := time.Now()
 	g.Expect(s.leaseExpired(now)).To(BeFalse())
 	g.Expect(s.leaseExpired(now.Add(n.config.MaxLease))).To(BeFalse())
-	g.Expect(s.leaseExpired(now.Add(n.config.MaxLease + 2*leaseMargin))).To(BeTrue())
+	g.Expect(s.leaseExpired(now.Add(n.longestLease()))).To(BeTrue())
+}
+
+func TestALeaseOnAClockThatIsSlowIsWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	p.node.config.MaxLease = 10 * time.Second
+	s := newSession(p, Announcement{ReceivedAt: time.Now()})
+	g.Expect(s.leaseExpired(time.Now().Add(10_200 * time.Millisecond))).To(BeFalse())
+}
+
+// promptTargets confirm a stop at once. The run ends later.
+type promptTargets struct{ silentTargets }
+
+func (promptTargets) Stop(context.Context, TargetRef, scheduler.Run, uint64) error { return nil }
+
+func TestATaskStartsAgainOnlyOnceItsStoppedRunHasEnded(t *testing.T) {
+	for runStopTime, least := range map[time.Duration]time.Duration{0: 50 * time.Millisecond, 400 * time.Millisecond: 400 * time.Millisecond} {
+		n := newTestPool(t, "127.0.0.1:1").node
+		synctest.Test(t, func(t *testing.T) {
+			p := newPool(n, shards.Pool{Domain: "north"})
+			p.node.config.RunStopTime, p.node.config.Targets = runStopTime, promptTargets{}
+			s := newSession(p, deskTargetAnnouncement(1, 4000, time.Now()))
+			s.ctx = t.Context()
+			since := time.Now()
+			s.requestStop(scheduler.Run{Job: "j", Number: 1}, false)
+			<-p.events
+			NewWithT(t).Expect(time.Since(since)).To(BeNumerically(">", least))
+		})
+	}
 }
 
 // crashedTarget accepts one start and then refuses connections.
@@ -117,7 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(n, shards.Pool{Domain: "north"})
 		took := runAtCrashedTarget(t, p, func() bool { return p.node.losses.Knows("j") })
-		NewWithT(t).Expect(took).To(BeNumerically("<=", p.node.config.MaxLease+leaseMargin))
+		NewWithT(t).Expect(took).To(BeNumerically("<=", p.node.longestLease()))
 	})
 }
 
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -20,7 +21,7 @@
 			case err == nil:
 				s.wakeRenewLoop()
 				if !startUnanswered || !s.runIsAbsent(r) {
-					time.Sleep(stopSettleTime)
+					time.Sleep(s.pool.node.stopSettleTime())
 				}
 				s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
 				return
@@ -39,6 +40,11 @@
 	}()
 }
 
+// stopSettleTime returns how long after a confirmed stop the run has surely ended.
+func (n *Node) stopSettleTime() time.Duration {
+	return cmp.Or(n.config.RunStopTime, defaultRunStopTime) + stopMargin
+}
+
 // stopResult is the result of one copy of a stop request: nil once the target has confirmed
 // the stop.
 type stopResult struct{ err error }
