Fence the orders to a former incarnation of a target

Cause: a target that starts again under its id has seen no fencing token, knows of no stopped run, and its clock begins anew. A copy of a start that was left under way for some seconds names only the id: the new incarnation carries it out, under a lease that it cuts to a full one, while the task runs elsewhere. A late renewal likewise prolongs the runs of the new incarnation beyond what the holder believes, and acknowledges ends that it has not reported. The holder contacted the new incarnation with the token of the session with the old one, so such orders passed.

Change: the session with a new incarnation has a higher token than the session with the former one. The pool remembers closed sessions for 30 s and raises the token of its claim by one where the former session had the present token; sessions with other targets keep theirs. The claim carries the raised token, so hello messages, hand-overs and the pools of new shards exceed it. A claim after the loss of a holder exceeds the highest token heard of by 100: with clocks 2 s apart it could otherwise equal a raise that was not heard of. The raise is by one and not to the time, so that it neither overtakes another host's claim nor the clock of a host that restarts.

The stand-in target kept token, clock and stopped runs across a restart, so no test played this. Now a restart replaces it; it reports its incarnation, cuts a longer lease, and takes the token of a stop as well.

Ruled out: a raise to the present time: a holder that is cut off would overtake the claim of the host that replaced it, and both would give the pool up. A raise once leases have expired: the same incarnation refuses the old orders by their lease, which is in the past on its clock. That the host takes its own raise for another's claim: answers of a closed session are dropped (tested).

Remains: an order that is carried out before the first request of the new session reaches the target. The stand-in delivers late copies only after that.

--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -28,27 +28,47 @@
 // fakeTargets are targets in memory. Like those of the platform, they refuse a request
 // with a lower fencing token than they have seen, end all runs when the lease expires,
 // and refuse a start request that arrives after the lease it carries, or after a stop
-// request for its run.
+// request for its run. A target that restarts under its id knows nothing of before, and its
+// clock begins anew.
 type fakeTargets struct {
 	mu          sync.Mutex
 	byID        map[string]*fakeTarget
 	starts      map[string]int // by task
 	overlapping []string       // tasks that had two runs in progress at once
 	runDuration time.Duration
+	maxLease    time.Duration                // a longer lease is cut
 	deadly      map[string]bool              // tasks that crash each target that starts them
 	down        map[string]bool              // ids of targets that have crashed
 	onCrash     func(target fleet.TargetRef) // called without the lock
 	onStart     func(target string)          // called with the lock at each start; may be nil
 }
 
+// fakeTarget is one incarnation of a target.
 type fakeTarget struct {
-	token   uint64
-	leaseMS int64 // end of the lease, on the targets' clock
-	lastEnd uint64
-	running map[scheduler.Run]time.Time // start time by run
-	ended   []fleet.EndedRun
-	highest map[string]int // highest run number that ended or was stopped, by task
-	changed chan struct{}
+	incarnation  uint64    // 0 if it is not reported
+	address      string    // to which the sessions with this incarnation send; empty if not known
+	contactToken uint64    // highest token of a request in these sessions
+	bornAt       time.Time // when its clock began
+	token        uint64
+	leaseMS      int64 // end of the lease, on the target's clock
+	lastEnd      uint64
+	running      map[scheduler.Run]time.Time // start time by run
+	ended        []fleet.EndedRun
+	highest      map[string]int // highest run number that ended or was stopped, by task
+	changed      chan struct{}
+}
+
+func newFakeTarget() *fakeTarget {
+	return &fakeTarget{bornAt: targetClockStart, running: map[scheduler.Run]time.Time{}, highest: map[string]int{}, changed: make(chan struct{})}
+}
+
+func (t *fakeTarget) clockMS() int64 { return time.Since(t.bornAt).Milliseconds() + 1 }
+
+// recordContact records a request of a session with this incarnation.
+func (t *fakeTarget) recordContact(to fleet.TargetRef, token uint64) {
+	if to.Address == t.address {
+		t.contactToken = max(t.contactToken, token)
+	}
 }
 
 // refuseUpTo refuses further starts of a task up to the number of a run that has ended or
@@ -59,7 +79,7 @@
 
 func newFakeTargets(runDuration time.Duration) *fakeTargets {
 	return &fakeTargets{
-		byID: map[string]*fakeTarget{}, starts: map[string]int{}, runDuration: runDuration, deadly: map[string]bool{}, down: map[string]bool{},
+		byID: map[string]*fakeTarget{}, starts: map[string]int{}, runDuration: runDuration, maxLease: time.Second, deadly: map[string]bool{}, down: map[string]bool{},
 	}
 }
 
@@ -79,14 +99,43 @@
 	}
 }
 
+// restart replaces a target that has crashed with a new incarnation.
+func (f *fakeTargets) restart(t fleet.TargetRef, incarnation uint64) {
+	delete(f.down, t.ID)
+	f.byID[t.ID] = newFakeTarget()
+	f.byID[t.ID].incarnation, f.byID[t.ID].address, f.byID[t.ID].bornAt = incarnation, t.Address, time.Now()
+}
+
+// obeys reports whether a new incarnation has been contacted in a session of its own with a
+// token that is not below that of a late order. Before that, no token keeps the order off.
+func (f *fakeTargets) obeys(id string, token uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.get(id)
+	return t.address == "" || t.contactToken >= token
+}
+
 func (f *fakeTargets) get(id string) *fakeTarget {
 	if f.byID[id] == nil {
-		f.byID[id] = &fakeTarget{running: map[scheduler.Run]time.Time{}, highest: map[string]int{}, changed: make(chan struct{})}
+		f.byID[id] = newFakeTarget()
 	}
 	return f.byID[id]
 }
 
-// targetClockStart is the origin of the clock of all targets.
+func (f *fakeTargets) incarnationOf(id string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.get(id).incarnation
+}
+
+// clockMS returns the clock of a target.
+func (f *fakeTargets) clockMS(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.get(id).clockMS()
+}
+
+// targetClockStart is the origin of the clock of each target that has not restarted.
 var targetClockStart = time.Unix(0, 0) // before the time of a test in a bubble
 
 func targetClockMS() int64 { return time.Since(targetClockStart).Milliseconds() + 1 }
@@ -94,11 +143,12 @@
 // extendLease extends the lease of a target's runs, as a request with a lease does.
 func (f *fakeTargets) extendLease(id string, leaseUntilMS int64) {
 	target := f.get(id)
+	leaseUntilMS = min(leaseUntilMS, target.clockMS()+f.maxLease.Milliseconds())
 	if leaseUntilMS <= target.leaseMS {
 		return
 	}
 	target.leaseMS = leaseUntilMS
-	time.AfterFunc(time.Duration(leaseUntilMS-targetClockMS())*time.Millisecond, func() {
+	time.AfterFunc(time.Duration(leaseUntilMS-target.clockMS())*time.Millisecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.endExpired(id)
@@ -109,7 +159,7 @@
 // first, because a timer may fire late.
 func (f *fakeTargets) endExpired(id string) {
 	target := f.get(id)
-	if targetClockMS() < target.leaseMS {
+	if target.clockMS() < target.leaseMS {
 		return
 	}
 	for r := range target.running {
@@ -138,19 +188,20 @@
 	if f.down[t.ID] {
 		return scheduler.Unhealthy, 0
 	}
+	target.recordContact(t, request.Token)
 	if request.Token < target.token {
-		return scheduler.Fenced, targetClockMS()
+		return scheduler.Fenced, target.clockMS()
 	}
 	target.token = request.Token
-	if request.LeaseUntilMS <= targetClockMS() {
-		return scheduler.TooLate, targetClockMS()
+	if request.LeaseUntilMS <= target.clockMS() {
+		return scheduler.TooLate, target.clockMS()
 	}
 	f.extendLease(t.ID, request.LeaseUntilMS)
 	if request.Run.Number <= target.highest[request.Run.TaskID()] {
-		return scheduler.Outdated, targetClockMS()
+		return scheduler.Outdated, target.clockMS()
 	}
 	if _, ok := target.running[request.Run]; ok {
-		return scheduler.Started, targetClockMS() // the request came twice
+		return scheduler.Started, target.clockMS() // the request came twice
 	}
 	for id, other := range f.byID {
 		f.endExpired(id)
@@ -166,16 +217,19 @@
 	}
 	if f.deadly[request.Run.TaskID()] {
 		f.crash(t)
-		return scheduler.Started, targetClockMS()
+		return scheduler.Started, target.clockMS()
 	}
 	target.running[request.Run] = time.Now()
 	time.AfterFunc(f.runDuration, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if f.byID[t.ID] != target {
+			return // it has restarted
+		}
 		f.endExpired(t.ID)
 		f.end(t.ID, request.Run, scheduler.EndDone)
 	})
-	return scheduler.Started, targetClockMS()
+	return scheduler.Started, target.clockMS()
 }
 
 func (f *fakeTargets) Stop(_ context.Context, t fleet.TargetRef, r scheduler.Run, token uint64) error {
@@ -184,10 +238,13 @@
 	if f.down[t.ID] {
 		return errDown
 	}
-	if token < f.get(t.ID).token {
+	target := f.get(t.ID)
+	target.recordContact(t, token)
+	if token < target.token {
 		return fleet.ErrFenced
 	}
-	f.get(t.ID).refuseUpTo(r)
+	target.token = token
+	target.refuseUpTo(r)
 	f.end(t.ID, r, scheduler.EndStopped)
 	return nil
 }
@@ -200,6 +257,7 @@
 		f.mu.Unlock()
 		return fleet.TargetReport{}, errDown
 	}
+	target.recordContact(t, r.Token)
 	if r.Token < target.token {
 		f.mu.Unlock()
 		return fleet.TargetReport{}, fleet.ErrFenced
@@ -222,10 +280,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endExpired(t.ID)
-	if f.down[t.ID] {
+	if f.down[t.ID] || f.byID[t.ID] != target {
 		return fleet.TargetReport{}, errDown
 	}
-	report := fleet.TargetReport{ClockMS: targetClockMS(), Ended: append([]fleet.EndedRun(nil), target.ended...)}
+	report := fleet.TargetReport{ClockMS: target.clockMS(), Incarnation: target.incarnation, Ended: append([]fleet.EndedRun(nil), target.ended...)}
 	for run, startedAt := range target.running {
 		percent := int(min(99, 100*time.Since(startedAt)/f.runDuration))
 		report.Running = append(report.Running, fleet.RunningRun{Run: run, PercentDone: percent})
@@ -272,6 +330,9 @@
 // startAt starts a host at an address, in place of a former host of the same name.
 func (f *fixture) startAt(name, domain, at string) *runningNode {
 	f.t.Helper()
+	f.targets.mu.Lock()
+	f.targets.maxLease = f.lease
+	f.targets.mu.Unlock()
 	listener, err := net.Listen("tcp", at)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	address := listener.Addr().String()
--- a/internal/process/fleet/handover_property_test.go
+++ b/internal/process/fleet/handover_property_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,25 @@
 	*fakeTargets
 	seed    uint64
 	host    int
-	pending *sync.Map // runs whose start is under way
+	pending *sync.Map     // runs whose start is under way
+	late    *atomic.Int64 // copies that reached an incarnation which was not there when they were sent
+}
+
+// leaveUnderWay delivers a copy of a message seconds later, by draw.
+func (l lossyTargets) leaveUnderWay(kind string, t fleet.TargetRef, r scheduler.Run, token uint64, deliver func()) {
+	fate := l.fate("late "+kind, t.ID, r)
+	if fate >= 20 {
+		return
+	}
+	life := l.incarnationOf(t.ID)
+	time.AfterFunc(2*time.Second+time.Duration(fate)*500*time.Millisecond, func() {
+		if l.obeys(t.ID, token) {
+			if l.incarnationOf(t.ID) != life {
+				l.late.Add(1)
+			}
+			deliver()
+		}
+	})
 }
 
 // fate draws what becomes of a message, from 0 to 99. Equal messages at equal times have
@@ -41,6 +60,7 @@
 func (l lossyTargets) Start(ctx context.Context, t fleet.TargetRef, request fleet.StartRequest) (scheduler.StartResult, int64) {
 	l.pending.Store(request.Run, true)
 	defer l.pending.Delete(request.Run)
+	l.leaveUnderWay("start", t, request.Run, request.Token, func() { l.fakeTargets.Start(context.Background(), t, request) })
 	fate := l.fate("start", t.ID, request.Run)
 	switch {
 	case fate < 8:
@@ -81,6 +101,11 @@
 }
 
 func (l lossyTargets) Renew(ctx context.Context, t fleet.TargetRef, r fleet.RenewRequest) (fleet.TargetReport, error) {
+	l.leaveUnderWay("renew", t, scheduler.Run{}, r.Token, func() {
+		late := r
+		late.MaxWait = 0
+		_, _ = l.fakeTargets.Renew(context.Background(), t, late)
+	})
 	fate := l.fate("renew", t.ID, scheduler.Run{})
 	if fate < 5 {
 		<-ctx.Done()
@@ -107,6 +132,7 @@
 	metrics *metrics.Metrics
 	targets *fakeTargets
 	pending sync.Map
+	late    *atomic.Int64
 	stepAt  int
 
 	mu     sync.Mutex
@@ -134,7 +160,7 @@
 	h, err := fleet.StartMemoryHost(w.ctx, fleet.Config{
 		Self:     discovery.Host{Address: hostAddress(i), Domain: "north", Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
 		MaxLease: time.Second, VoterCount: 1, Log: slog.New(slog.DiscardHandler), Metrics: w.metrics,
-		Targets: lossyTargets{w.targets, w.seed, i, &w.pending}, Parse: parseDocument,
+		Targets: lossyTargets{w.targets, w.seed, i, &w.pending, w.late}, Parse: parseDocument,
 	}, others)
 	if err != nil {
 		panic(err)
@@ -160,11 +186,18 @@
 	return nil
 }
 
+// lifeOf returns an incarnation of a target. Its address tells the stand-in which session a
+// request belongs to.
+func lifeOf(target int, life uint64) fleet.TargetRef {
+	return fleet.TargetRef{ID: fmt.Sprintf("t%d", target), Address: fmt.Sprintf("127.0.%d.1:%d", life, target+1)}
+}
+
 func (w *takeover) announce(i int) {
 	w.mu.Lock()
 	life := w.lives[i]
 	w.mu.Unlock()
-	t := newAnnouncement(fleet.TargetRef{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)}, "north", life)
+	t := newAnnouncement(lifeOf(i, life), "north", life)
+	t.ClockMS = w.targets.clockMS(t.Target.ID)
 	for _, h := range w.allHosts() {
 		h.Announce(t)
 	}
@@ -246,12 +279,13 @@
 		w.targets.crash(ref)
 		w.targets.mu.Unlock()
 		time.AfterFunc(2*time.Second, func() {
-			w.targets.mu.Lock()
-			delete(w.targets.down, ref.ID)
-			w.targets.mu.Unlock()
 			w.mu.Lock()
 			w.lives[step.target]++
+			life := w.lives[step.target]
 			w.mu.Unlock()
+			w.targets.mu.Lock()
+			w.targets.restart(lifeOf(step.target, life), life)
+			w.targets.mu.Unlock()
 			w.announce(step.target)
 		})
 	case "lose host":
@@ -273,8 +307,7 @@
 	}
 }
 
-func drawTakeoverSteps(rt *rapid.T) []takeoverStep {
-	kinds := []string{"hand over", "hand over", "hand over", "split", "split", "submit", "submit", "submit", "submit", "lose target", "lose host", "claim"}
+func drawTakeoverSteps(rt *rapid.T, kinds []string) []takeoverStep {
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) takeoverStep {
 		return takeoverStep{
 			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"), host: rapid.IntRange(0, takeoverHosts-1).Draw(rt, "host"),
@@ -285,51 +318,56 @@
 	}), 10, 40).Draw(rt, "steps")
 }
 
+// playTakeover plays steps, and returns the tasks that had two runs at once.
+func (w *takeover) play(t *testing.T, steps []takeoverStep) []string {
+	ctx, cancel := context.WithCancel(t.Context())
+	w.ctx, w.hosts, w.lives = ctx, make([]*fleet.MemoryHost, takeoverHosts), make([]uint64, takeoverTargets)
+	for i := range w.hosts {
+		w.startHost(i)
+	}
+	for i := range takeoverTargets {
+		w.lives[i] = 1
+		w.announce(i)
+	}
+	for range 16 { // beyond the start phase, in which a new shard has no former pool
+		w.exchange(-1)
+		time.Sleep(250 * time.Millisecond)
+	}
+	for i, step := range steps {
+		w.stepAt = i
+		for target := range takeoverTargets {
+			w.announce(target)
+		}
+		w.apply(step)
+	}
+	for range 12 {
+		w.exchange(-1)
+		time.Sleep(250 * time.Millisecond)
+	}
+	cancel()
+	for _, h := range w.allHosts() {
+		h.Kill()
+	}
+	time.Sleep(5 * time.Second)
+	w.targets.mu.Lock()
+	defer w.targets.mu.Unlock()
+	return w.targets.overlapping
+}
+
 // A pool changes hands by hand-overs, splits that one host knows and another does not yet,
 // claims and losses of hosts and targets, while start, stop and hand-over messages are late,
-// lost or doubled. A holder that does not know of a run starts its task a second time.
+// lost, doubled or carried out by the next incarnation of a target. A holder that does not
+// know of a run starts its task a second time.
 func TestNoTaskRunsTwiceAtOnceWhenPoolsChangeHands(t *testing.T) {
-	states := map[string]int{}
+	states, late := map[string]int{}, new(atomic.Int64)
 	m := metrics.NewMetrics(nil)
+	kinds := []string{"hand over", "hand over", "hand over", "split", "split", "submit", "submit", "submit", "submit", "lose target", "lose host", "claim"}
 	rapid.Check(t, func(rt *rapid.T) {
-		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawTakeoverSteps(rt)
+		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawTakeoverSteps(rt, kinds)
 		var overlapping []string
 		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			w := &takeover{
-				ctx: ctx, seed: seed, metrics: m, targets: newFakeTargets(600 * time.Millisecond), hosts: make([]*fleet.MemoryHost, takeoverHosts),
-				lives: make([]uint64, takeoverTargets), states: states,
-			}
-			for i := range w.hosts {
-				w.startHost(i)
-			}
-			for i := range takeoverTargets {
-				w.lives[i] = 1
-				w.announce(i)
-			}
-			for range 16 { // beyond the start phase, in which a new shard has no former pool
-				w.exchange(-1)
-				time.Sleep(250 * time.Millisecond)
-			}
-			for i, step := range steps {
-				w.stepAt = i
-				for target := range takeoverTargets {
-					w.announce(target)
-				}
-				w.apply(step)
-			}
-			for range 12 {
-				w.exchange(-1)
-				time.Sleep(250 * time.Millisecond)
-			}
-			cancel()
-			for _, h := range w.allHosts() {
-				h.Kill()
-			}
-			time.Sleep(5 * time.Second)
-			w.targets.mu.Lock()
-			overlapping = w.targets.overlapping
-			w.targets.mu.Unlock()
+			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(600 * time.Millisecond), states: states, late: late}
+			overlapping = w.play(t, steps)
 		})
 		if len(overlapping) > 0 {
 			rt.Fatalf("tasks ran twice at once: %v", overlapping)
@@ -339,5 +377,24 @@
 	for _, state := range []string{"starting", "running", "stopping", "on a target that moves"} {
 		g.Expect(states[state]).To(BeNumerically(">", 0), "no pool changed hands with a run that was "+state)
 	}
-	t.Log(states)
+	t.Log(states, late.Load())
+}
+
+func TestNoTaskRunsTwiceAtOnceWhenTargetsRestartUnderTheirIDs(t *testing.T) {
+	states, late := map[string]int{}, new(atomic.Int64)
+	m := metrics.NewMetrics(nil)
+	kinds := []string{"lose target", "lose target", "lose target", "submit", "submit", "submit", "submit", "hand over", "split", "lose host"}
+	rapid.Check(t, func(rt *rapid.T) {
+		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawTakeoverSteps(rt, kinds)
+		var overlapping []string
+		synctest.Test(t, func(t *testing.T) {
+			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(3 * time.Second), states: states, late: late}
+			overlapping = w.play(t, steps)
+		})
+		if len(overlapping) > 0 {
+			rt.Fatalf("tasks ran twice at once: %v", overlapping)
+		}
+	})
+	NewWithT(t).Expect(late.Load()).To(BeNumerically(">", 0), "no message of before reached a target that had restarted")
+	t.Log(states, late.Load())
 }
--- /dev/null
+++ b/internal/process/fleet/late_orders_test.go
@@ -0,0 +1,188 @@
+package fleet_test
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/fleet"
+	"wasabifield.example/wasabifield/internal/process/metrics"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
+)
+
+// lateOrders are targets to which a test passes requests on later: all start requests to
+// the targets in holdStarts, and copies of the renewals of those in copyRenewals. Targets
+// in silent get nothing.
+type lateOrders struct {
+	*fakeTargets
+	mu                               sync.Mutex
+	holdStarts, copyRenewals, silent map[string]bool // by id
+	underWay                         []func()
+}
+
+func newLateOrders(runDuration time.Duration) *lateOrders {
+	return &lateOrders{
+		fakeTargets: newFakeTargets(runDuration),
+		holdStarts:  map[string]bool{}, copyRenewals: map[string]bool{}, silent: map[string]bool{},
+	}
+}
+
+// set sets or clears an id in one of the sets.
+func (l *lateOrders) set(ids map[string]bool, id string, in bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids[id] = in
+}
+
+// deliver passes on the requests that are under way. They stay under way.
+func (l *lateOrders) deliver() {
+	l.mu.Lock()
+	orders := slices.Clone(l.underWay)
+	l.mu.Unlock()
+	for _, order := range orders {
+		order()
+	}
+}
+
+// lose records a request that is under way, and reports whether it gets no answer.
+func (l *lateOrders) lose(id string, underWay map[string]bool, order func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if underWay[id] {
+		l.underWay = append(l.underWay, order)
+	}
+	return l.silent[id]
+}
+
+func (l *lateOrders) Start(ctx context.Context, t fleet.TargetRef, r fleet.StartRequest) (scheduler.StartResult, int64) {
+	silent := l.lose(t.ID, l.holdStarts, func() { l.fakeTargets.Start(context.Background(), t, r) })
+	l.mu.Lock()
+	silent = silent || l.holdStarts[t.ID]
+	l.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return scheduler.Unanswered, 0
+	}
+	return l.fakeTargets.Start(ctx, t, r)
+}
+
+func (l *lateOrders) Stop(ctx context.Context, t fleet.TargetRef, r scheduler.Run, token uint64) error {
+	if l.lose(t.ID, nil, nil) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return l.fakeTargets.Stop(ctx, t, r, token)
+}
+
+func (l *lateOrders) Renew(ctx context.Context, t fleet.TargetRef, r fleet.RenewRequest) (fleet.TargetReport, error) {
+	late := r
+	late.MaxWait = 0
+	if l.lose(t.ID, l.copyRenewals, func() { _, _ = l.fakeTargets.Renew(context.Background(), t, late) }) {
+		<-ctx.Done()
+		return fleet.TargetReport{}, ctx.Err()
+	}
+	return l.fakeTargets.Renew(ctx, t, r)
+}
+
+// loneHolder is a host that holds the pool of targets whose orders may be late.
+type loneHolder struct {
+	*fleet.MemoryHost
+	targets *lateOrders
+}
+
+// holdAlone starts a host and waits until it holds the pool.
+func holdAlone(ctx context.Context, m *metrics.Metrics, targets *lateOrders) *loneHolder {
+	h, err := fleet.StartMemoryHost(ctx, fleet.Config{
+		Self:     discovery.Host{Address: hostAddress(0), Domain: "north", Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
+		MaxLease: time.Second, VoterCount: 1, Log: slog.New(slog.DiscardHandler), Metrics: m, Targets: targets, Parse: parseDocument,
+	}, nil)
+	if err != nil {
+		panic(err)
+	}
+	time.Sleep(5 * time.Second)
+	return &loneHolder{h, targets}
+}
+
+func (h *loneHolder) announce(id string, incarnation uint64) {
+	a := newAnnouncement(fleet.TargetRef{ID: id, Address: id}, "north", incarnation)
+	a.ClockMS = h.targets.clockMS(id)
+	h.Announce(a)
+}
+
+// restart replaces a target with a new incarnation, and announces it.
+func (h *loneHolder) restart(id string, incarnation uint64) {
+	h.targets.fakeTargets.mu.Lock()
+	h.targets.crash(fleet.TargetRef{ID: id})
+	h.targets.restart(fleet.TargetRef{ID: id, Address: id}, incarnation)
+	h.targets.fakeTargets.mu.Unlock()
+	h.announce(id, incarnation)
+}
+
+// runsOf returns how many runs are on a target.
+func (l *lateOrders) runsOf(id string) int {
+	l.fakeTargets.mu.Lock()
+	defer l.fakeTargets.mu.Unlock()
+	return len(l.get(id).running)
+}
+
+func (l *lateOrders) tasksThatOverlapped() []string {
+	l.fakeTargets.mu.Lock()
+	defer l.fakeTargets.mu.Unlock()
+	return slices.Clone(l.overlapping)
+}
+
+func TestAStartLeftUnderWayIsNotCarriedOutByTheNextIncarnation(t *testing.T) {
+	m := metrics.NewMetrics(nil) // its goroutine outlives the bubble
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		targets := newLateOrders(6 * time.Second)
+		h := holdAlone(t.Context(), m, targets)
+		defer h.Kill()
+		h.announce("t", 1)
+		targets.set(targets.holdStarts, "t", true)
+		go h.SubmitTo(t.Context(), "north", job("j", 1))
+		time.Sleep(20 * time.Millisecond)
+		h.announce("other", 1)
+		time.Sleep(2 * time.Second)
+		g.Expect(targets.runsOf("other")).To(Equal(1), "the task runs elsewhere once the stop of its first run is confirmed")
+		h.restart("t", 2)
+		time.Sleep(500 * time.Millisecond)
+		targets.deliver()
+		time.Sleep(time.Second)
+		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "the new incarnation carried out the start of the former one")
+		g.Expect(targets.runsOf("other")).To(Equal(1))
+	})
+}
+
+func TestARenewalLeftUnderWayProlongsNoRunOfTheNextIncarnation(t *testing.T) {
+	m := metrics.NewMetrics(nil) // its goroutine outlives the bubble
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		targets := newLateOrders(6 * time.Second)
+		h := holdAlone(t.Context(), m, targets)
+		defer h.Kill()
+		h.announce("t", 1)
+		targets.set(targets.copyRenewals, "t", true)
+		g.Expect(h.SubmitTo(t.Context(), "north", job("first", 1)).Outcome).To(Equal(scheduler.Completed))
+		targets.set(targets.copyRenewals, "t", false)
+		h.restart("t", 2)
+		go h.SubmitTo(t.Context(), "north", job("second", 1))
+		time.Sleep(time.Second)
+		g.Expect(targets.runsOf("t")).To(Equal(1))
+		h.announce("other", 1)
+		targets.set(targets.silent, "t", true)
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			targets.deliver()
+		}
+		g.Expect(targets.runsOf("other")).To(Equal(1), "the task starts elsewhere once its lease has expired")
+		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "a renewal of the former incarnation prolonged the run")
+	})
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -34,6 +34,7 @@
 	holderView         *holder.View
 	core               *scheduler.Core
 	sessions           map[string]*session
+	closedSessions     map[string]closedSession // by target; see raiseTokenFor
 	waiters            map[uint64]waiter
 	tokenRaisedAt      time.Time     // when the token was last raised
 	fencedAt           time.Time     // when the pool was given up because a target obeyed another holder
@@ -83,6 +84,8 @@
 		sessions:   map[string]*session{},
 		waiters:    map[uint64]waiter{},
 		metrics:    newPoolMetrics(n.config.Metrics, name),
+
+		closedSessions: map[string]closedSession{},
 	}
 	p.core = p.newCore()
 	p.formerPoolUntil = formerPoolUntil(id, n.startedAt, time.Now())
@@ -199,6 +202,7 @@
 		p.node.resolveLosses(now)
 		p.applyEffects(p.core.Tick(now), now)
 		p.withdrawLostSenders(now)
+		p.forgetClosedSessions(now)
 	}
 	p.publishClaim(now)
 }
@@ -263,10 +267,10 @@
 }
 
 func (p *pool) closeSessions() {
-	for _, s := range p.sessions {
-		s.close()
+	now := time.Now()
+	for id := range p.sessions {
+		p.closeSession(id, now)
 	}
-	p.sessions = map[string]*session{}
 }
 
 // publishClaim updates the claim and load that hello messages carry.
@@ -313,10 +317,11 @@
 	}
 	s, ok := p.sessions[id]
 	if ok && (s.incarnation != a.Target.Incarnation || s.ref.Address != a.Target.Address) {
-		s.close()
+		p.closeSession(id, now)
 		ok = false
 	}
 	if !ok {
+		p.raiseTokenFor(a.Target, now)
 		s = newSession(p, a)
 		p.sessions[id] = s
 		s.open(p.node.runCtx)
@@ -340,10 +345,7 @@
 }
 
 func (p *pool) removeTarget(id string, cause scheduler.LossCause, now time.Time) {
-	if s, ok := p.sessions[id]; ok {
-		s.close()
-		delete(p.sessions, id)
-	}
+	p.closeSession(id, now)
 	p.applyEffects(p.core.RemoveTarget(id, cause, now), now)
 }
 
--- a/internal/process/holder/view.go
+++ b/internal/process/holder/view.go
@@ -105,6 +105,7 @@
 	if !isFirst || !v.hasListened(now) {
 		return Unchanged
 	}
+	v.highestToken += unheardRaises
 	v.claimWithNewToken(now)
 	return Acquired
 }
@@ -136,6 +137,15 @@
 	v.listeningSince = now
 }
 
+// RaiseOwnToken raises the token of this host's claim, for a session with a target that
+// must not obey the requests of a former one. The hosts that know the claim know the holder,
+// so the token need not follow the clock: the next holder's token is higher although it may
+// not have heard of the raise.
+func (v *View) RaiseOwnToken() {
+	v.highestToken = max(v.highestToken, v.claim.Token) + 1
+	v.claim.Token = v.highestToken
+}
+
 // RaiseToken claims the pool with a higher token at once. It is for a host that knows
 // that no other host can hold the pool.
 func (v *View) RaiseToken(now time.Time) {
@@ -143,6 +153,10 @@
 	v.claimWithNewToken(now)
 }
 
+// unheardRaises is more than the times that a holder may have raised its token since this
+// host last heard of its claim.
+const unheardRaises = 100
+
 // tokenRaise is added to the token of a fenced host, in milliseconds: it exceeds a token
 // taken from a clock that is up to 10 s ahead of this host's.
 const tokenRaise = 10_000
--- a/internal/process/holder/view_test.go
+++ b/internal/process/holder/view_test.go
@@ -91,6 +91,21 @@
 	g.Expect(v.Claim().Token).To(BeNumerically(">", before+5000))
 }
 
+func TestTheNextHoldersTokenExceedsOneThatItsFormerHolderRaisedUnheard(t *testing.T) {
+	g := NewWithT(t)
+	a, b := holder.NewView("a", 0, 0, startTime), holder.NewView("b", 0, 0, startTime)
+	a.TryClaim(noneAlive, []string{"a"}, startTime.Add(2*time.Second)) // by a clock that is ahead
+	b.RecordClaim(a.Claim())
+	claimed := a.Claim().Token
+	for range 10 {
+		a.RaiseOwnToken()
+	}
+	g.Expect(a.Claim()).To(Equal(holder.Claim{Holder: "a", Token: claimed + 10}))
+	g.Expect(b.TryClaim(noneAlive, []string{"b"}, startTime)).To(Equal(holder.Acquired))
+	g.Expect(b.Claim().Supersedes(a.Claim())).To(BeTrue(), "targets obey the former holder")
+	g.Expect(a.RecordClaim(b.Claim())).To(Equal(holder.Yielded))
+}
+
 // A former holder that was cut off and is fenced must learn of the current holder before
 // it claims again. Otherwise both hosts would raise their tokens in turn.
 func TestAFencedHolderListensBeforeItClaimsAgain(t *testing.T) {
@@ -125,7 +140,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(-2000, 2000).Draw(t, "ms")) * time.Millisecond)
 			n := rapid.SampledFrom(names).Draw(t, "host")
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0:
 				if views[n].TryClaim(noneAlive, []string{n}, now) == holder.Acquired {
 					tokenUsers[views[n].Claim().Token] += n
@@ -138,6 +153,10 @@
 				}
 			case 3:
 				views[n].RecordRelease(now)
+			case 4:
+				if views[n].HeldHere() {
+					views[n].RaiseOwnToken()
+				}
 			}
 		}
 		for range names {
