Bound an idle target's clock by its age, and read it from announcements

Cause: a lease ends at a time on the target's clock, which the holder computes from the clock in the target's last answer. An idle target is asked nothing, and its clock may be 2% slow: after 90 s the end of the first lease is 1.8 s too late. A start that arrives after the holder has given the target up, and started the task elsewhere, is then in time, and the target cuts the lease to a full one.

Change: the holder computes the least that the target's clock can show: the last reading less 2% of its age. Announcements, which come each 1.5 s, carry readings as well. One that was under way for long says less than the reading before it and is left out, unless that is older than 4 s: a machine that was suspended goes on with the clock that it had. An answer always counts, as before.

Failed before: TestALateStartAtAnIdleTargetWithASlowClockIsRefused, "the lease end was too late by what the clock had lost ... [j.0.0]". TestALeaseSufficesAtAnIdleTarget holds before and after, for clocks at rates of 0.98 and 1 and with each third announcement a second late. It fails if each announcement is believed (a run lapsed) and if none is (a start came too late).

Ruled out: the age alone: after 50 s without an announcement or an answer the lease of a start would have ended before it is sent. Such a target, which is heard from by nobody, now refuses its first start as too late; the refusal carries its clock. The best reading of all: a clock that stood still would be overrated for minutes.

--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -34,6 +35,7 @@
 	mu          sync.Mutex
 	byID        map[string]*fakeTarget
 	starts      map[string]int // by task
+	tooLate     int            // start requests that came after the lease that they carried
 	overlapping []string       // tasks that had two runs in progress at once
 	runDuration time.Duration
 	maxLease    time.Duration                // a longer lease is cut
@@ -49,6 +51,7 @@
 	address      string    // to which the sessions with this incarnation send; empty if not known
 	contactToken uint64    // highest token of a request in these sessions
 	bornAt       time.Time // when its clock began
+	clockRate    float64   // of its clock, by the real time
 	token        uint64
 	leaseMS      int64 // end of the lease, on the target's clock
 	lastEnd      uint64
@@ -59,10 +62,12 @@
 }
 
 func newFakeTarget() *fakeTarget {
-	return &fakeTarget{bornAt: targetClockStart, running: map[scheduler.Run]time.Time{}, highest: map[string]int{}, changed: make(chan struct{})}
+	return &fakeTarget{bornAt: targetClockStart, clockRate: 1, running: map[scheduler.Run]time.Time{}, highest: map[string]int{}, changed: make(chan struct{})}
 }
 
-func (t *fakeTarget) clockMS() int64 { return time.Since(t.bornAt).Milliseconds() + 1 }
+func (t *fakeTarget) clockMS() int64 {
+	return int64(float64(time.Since(t.bornAt).Milliseconds())*t.clockRate) + 1
+}
 
 // recordContact records a request of a session with this incarnation.
 func (t *fakeTarget) recordContact(to fleet.TargetRef, token uint64) {
@@ -148,7 +153,8 @@
 		return
 	}
 	target.leaseMS = leaseUntilMS
-	time.AfterFunc(time.Duration(leaseUntilMS-target.clockMS())*time.Millisecond, func() {
+	left := float64(leaseUntilMS-target.clockMS()) / target.clockRate
+	time.AfterFunc(time.Duration(math.Ceil(left))*time.Millisecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.endExpired(id)
@@ -194,6 +200,7 @@
 	}
 	target.token = request.Token
 	if request.LeaseUntilMS <= target.clockMS() {
+		f.tooLate++
 		return scheduler.TooLate, target.clockMS()
 	}
 	f.extendLease(t.ID, request.LeaseUntilMS)
--- a/internal/process/fleet/late_orders_test.go
+++ b/internal/process/fleet/late_orders_test.go
@@ -91,6 +91,15 @@
 	return l.fakeTargets.Renew(ctx, t, r)
 }
 
+const announceInterval = 1500 * time.Millisecond
+
+// setClockRate sets the rate of a target's clock, which begins now.
+func (l *lateOrders) setClockRate(id string, rate float64) {
+	l.fakeTargets.mu.Lock()
+	defer l.fakeTargets.mu.Unlock()
+	l.get(id).clockRate, l.get(id).bornAt = rate, time.Now()
+}
+
 // loneHolder is a host that holds the pool of targets whose orders may be late.
 type loneHolder struct {
 	*fleet.MemoryHost
@@ -110,12 +119,29 @@
 	return &loneHolder{h, targets}
 }
 
-func (h *loneHolder) announce(id string, incarnation uint64) {
+func (h *loneHolder) announce(id string, incarnation uint64) { h.announceLate(id, incarnation, 0) }
+
+// announceLate delivers an announcement that is late by the given time.
+func (h *loneHolder) announceLate(id string, incarnation uint64, delay time.Duration) {
 	a := newAnnouncement(fleet.TargetRef{ID: id, Address: id}, "north", incarnation)
 	a.ClockMS = h.targets.clockMS(id)
+	time.Sleep(delay)
+	a.ReceivedAt = time.Now()
 	h.Announce(a)
 }
 
+// idle announces an idle target for a time. Each third announcement is late.
+func (h *loneHolder) idle(id string, d time.Duration) {
+	for i := range int(d / announceInterval) {
+		delay := time.Duration(0)
+		if i%3 == 2 {
+			delay = time.Second
+		}
+		h.announceLate(id, 1, delay)
+		time.Sleep(announceInterval - delay)
+	}
+}
+
 // restart replaces a target with a new incarnation, and announces it.
 func (h *loneHolder) restart(id string, incarnation uint64) {
 	h.targets.fakeTargets.mu.Lock()
@@ -132,6 +158,19 @@
 	return len(l.get(id).running)
 }
 
+func (l *lateOrders) runsStarted(task string) int {
+	l.fakeTargets.mu.Lock()
+	defer l.fakeTargets.mu.Unlock()
+	return l.starts[task]
+}
+
+// refusedLate returns how many start requests came after the lease that they carried.
+func (l *lateOrders) refusedLate() int {
+	l.fakeTargets.mu.Lock()
+	defer l.fakeTargets.mu.Unlock()
+	return l.tooLate
+}
+
 func (l *lateOrders) tasksThatOverlapped() []string {
 	l.fakeTargets.mu.Lock()
 	defer l.fakeTargets.mu.Unlock()
@@ -186,3 +225,44 @@
 		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "a renewal of the former incarnation prolonged the run")
 	})
 }
+
+func TestALateStartAtAnIdleTargetWithASlowClockIsRefused(t *testing.T) {
+	m := metrics.NewMetrics(nil)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		targets := newLateOrders(6 * time.Second)
+		h := holdAlone(t.Context(), m, targets)
+		defer h.Kill()
+		targets.setClockRate("t", 0.98)
+		h.idle("t", 90*time.Second)
+		targets.set(targets.holdStarts, "t", true)
+		targets.set(targets.silent, "t", true)
+		go h.SubmitTo(t.Context(), "north", job("j", 1))
+		time.Sleep(20 * time.Millisecond)
+		h.announce("other", 1)
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(targets.runsOf("other")).To(Equal(1), "the task runs elsewhere once its lease has expired")
+		for range 10 {
+			targets.deliver()
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "the lease end was too late by what the clock had lost")
+	})
+}
+
+func TestALeaseSufficesAtAnIdleTarget(t *testing.T) {
+	for _, rate := range []float64{0.98, 1} {
+		m := metrics.NewMetrics(nil)
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			targets := newLateOrders(3 * time.Second)
+			h := holdAlone(t.Context(), m, targets)
+			defer h.Kill()
+			targets.setClockRate("t", rate)
+			h.idle("t", 90*time.Second)
+			g.Expect(h.SubmitTo(t.Context(), "north", job("j", 1)).Outcome).To(Equal(scheduler.Completed))
+			g.Expect(targets.runsStarted("j.0.0")).To(Equal(1), "a run lapsed with a clock at rate %v", rate)
+			g.Expect(targets.refusedLate()).To(BeZero(), "a start came too late with a clock at rate %v", rate)
+		})
+	}
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -320,7 +320,9 @@
 		p.closeSession(id, now)
 		ok = false
 	}
-	if !ok {
+	if ok {
+		s.syncAnnouncedClock(a)
+	} else {
 		p.raiseTokenFor(a.Target, now)
 		s = newSession(p, a)
 		p.sessions[id] = s
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -35,7 +35,7 @@
 	cancel      context.CancelFunc
 
 	mu           sync.Mutex
-	clockOffset  int64     // the target's clock minus the local monotonic clock, milliseconds
+	clock        targetClock
 	clockSeen    int64     // latest time on the target's clock that it has sent, milliseconds
 	leaseSentAt  time.Time // when the last request with a lease was sent
 	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
@@ -62,7 +62,7 @@
 	}
 	s.clearing.Store(true)
 	s.leaseSentAt = time.Now() // a former session may have sent a lease until now, and its requests may still arrive
-	s.clockOffset = a.ClockMS - monotonicMillis(a.ReceivedAt)
+	s.clock.record(a.ClockMS, a.ReceivedAt)
 	s.clockSeen = a.ClockMS
 	return s
 }
@@ -110,7 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	l := lease{untilMS: monotonicMillis(now) + s.clockOffset + s.pool.node.config.MaxLease.Milliseconds(), sentAt: now, previous: s.leaseSentAt}
+	l := lease{untilMS: s.clock.at(now) + s.pool.node.config.MaxLease.Milliseconds(), sentAt: now, previous: s.leaseSentAt}
 	s.leaseSentAt = now
 	return l
 }
@@ -123,10 +123,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.clockOffset = clock - monotonicMillis(time.Now())
+	s.clock.record(clock, time.Now())
 	s.clockSeen = max(s.clockSeen, clock)
 }
 
+// syncAnnouncedClock records the time on the target's clock that an announcement carries; 0
+// if it carries none.
+func (s *session) syncAnnouncedClock(a Announcement) {
+	if a.ClockMS == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock.recordAnnounced(a.ClockMS, a.ReceivedAt)
+}
+
 // latestClock returns the latest time on the target's clock that it has sent. The answer
 // of the same incarnation to a request that is sent now carries no earlier one: the clock
 // never goes back, but begins again with each incarnation.
