Wait for a long lease by the slowest clock

What callers would see: two runs of one task at once where targets grant leases of more than 5 s and one of them falls silent.

Cause: a lease was waited for 0.1 s beyond its length. On a clock that is 2% slow, a lease of 10 s takes 10.2 s.

Change: the margin is at least a fortieth of the lease. With leases up to 4 s it stays at 0.1 s.

Failed before: TestARunOnASlowClockHasEndedWhenALongLeaseExpires, with a lease of 10 s: "the lease was in force for longer on the target's clock ... [j.0.0]".

Ruled out: a longer margin for all leases: it delays the tasks of lost targets.

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -231,7 +231,9 @@
 }
 
 // longestLease returns how long a lease that has just been sent may be in force.
-func (n *Node) longestLease() time.Duration { return n.config.MaxLease + leaseMargin }
+func (n *Node) longestLease() time.Duration {
+	return n.config.MaxLease + max(leaseMargin, n.config.MaxLease/longLeaseMargin)
+}
 
 // receivePool takes over the pool from another host and returns the new claim.
 func (p *pool) receivePool(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
--- a/internal/process/fleet/late_orders_test.go
+++ b/internal/process/fleet/late_orders_test.go
@@ -19,18 +19,19 @@
 
 // lateOrders are targets to which a test passes requests on later: all start requests to
 // the targets in holdStarts, and copies of the renewals of those in copyRenewals. Targets
-// in silent get nothing.
+// in silent get nothing, and the answers of those in loseAnswers are lost.
 type lateOrders struct {
 	*fakeTargets
 	mu                               sync.Mutex
 	holdStarts, copyRenewals, silent map[string]bool // by id
+	loseAnswers                      map[string]bool
 	underWay                         []func()
 }
 
 func newLateOrders(runDuration time.Duration) *lateOrders {
 	return &lateOrders{
 		fakeTargets: newFakeTargets(runDuration),
-		holdStarts:  map[string]bool{}, copyRenewals: map[string]bool{}, silent: map[string]bool{},
+		holdStarts:  map[string]bool{}, copyRenewals: map[string]bool{}, silent: map[string]bool{}, loseAnswers: map[string]bool{},
 	}
 }
 
@@ -61,6 +62,12 @@
 	return l.silent[id]
 }
 
+func (l *lateOrders) losesAnswer(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loseAnswers[id]
+}
+
 func (l *lateOrders) Start(ctx context.Context, t fleet.TargetRef, r fleet.StartRequest) (scheduler.StartResult, int64) {
 	silent := l.lose(t.ID, l.holdStarts, func() { l.fakeTargets.Start(context.Background(), t, r) })
 	l.mu.Lock()
@@ -88,7 +95,12 @@
 		<-ctx.Done()
 		return fleet.TargetReport{}, ctx.Err()
 	}
-	return l.fakeTargets.Renew(ctx, t, r)
+	report, err := l.fakeTargets.Renew(ctx, t, r)
+	if l.losesAnswer(t.ID) {
+		<-ctx.Done()
+		return fleet.TargetReport{}, ctx.Err()
+	}
+	return report, err
 }
 
 const announceInterval = 1500 * time.Millisecond
@@ -110,7 +122,7 @@
 func holdAlone(ctx context.Context, m *metrics.Metrics, targets *lateOrders) *loneHolder {
 	h, err := fleet.StartMemoryHost(ctx, fleet.Config{
 		Self:     discovery.Host{Address: hostAddress(0), Domain: "north", Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
-		MaxLease: time.Second, VoterCount: 1, Log: slog.New(slog.DiscardHandler), Metrics: m, Targets: targets, Parse: parseDocument,
+		MaxLease: targets.maxLease, VoterCount: 1, Log: slog.New(slog.DiscardHandler), Metrics: m, Targets: targets, Parse: parseDocument,
 	}, nil)
 	if err != nil {
 		panic(err)
@@ -266,3 +278,24 @@
 		})
 	}
 }
+
+func TestARunOnASlowClockHasEndedWhenALongLeaseExpires(t *testing.T) {
+	m := metrics.NewMetrics(nil)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		targets := newLateOrders(30 * time.Second)
+		targets.maxLease = 10 * time.Second
+		h := holdAlone(t.Context(), m, targets)
+		defer h.Kill()
+		targets.setClockRate("t", 0.98)
+		h.announce("t", 1)
+		go h.SubmitTo(t.Context(), "north", job("j", 1))
+		time.Sleep(2 * time.Second)
+		g.Expect(targets.runsOf("t")).To(Equal(1))
+		h.announce("other", 1)
+		targets.set(targets.loseAnswers, "t", true)
+		time.Sleep(14 * time.Second)
+		g.Expect(targets.runsOf("other")).To(Equal(1), "the task starts elsewhere once its lease has expired")
+		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "the lease was in force for longer on the target's clock")
+	})
+}
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -16,6 +16,7 @@
 	stopRetryDelay       = 60 * time.Millisecond  // after a stop request that failed with all its copies
 	maxAckDelay          = time.Second            // ended runs are acknowledged at the latest after this
 	leaseMargin          = 100 * time.Millisecond // beyond the lease, for clocks that drift apart
+	longLeaseMargin      = 40                     // the margin is at least the lease divided by this: more than a clock may lag
 )
 
 // session sends requests to one incarnation of a target under one fencing token. One
