--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -233,7 +233,7 @@
 // longestLease returns how long a lease that has just been sent may be in force, by this
 // host's clock. A target measures it on a clock that may be slow.
 func (n *Node) longestLease() time.Duration {
-	return n.config.MaxLease + n.config.MaxLease/slowClockDivisor + leaseMargin
+	return n.config.MaxLease + n.config.MaxLease/(maxClockLag-1) + leaseMargin
 }
 
 // receivePool takes over the pool from another host and returns the new claim.
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -17,7 +17,6 @@
 	stopRetryDelay       = 60 * time.Millisecond // after a stop request that failed with all its copies
 	maxAckDelay          = time.Second           // ended runs are acknowledged at the latest after this
 	leaseMargin          = 80 * time.Millisecond // beyond the lease, until the runs have surely ended
-	slowClockDivisor     = 50                    // a target's clock may be slow by one part in this many
 )
 
 // session sends requests to one incarnation of a target under one fencing token. One
@@ -37,7 +36,7 @@
 	cancel      context.CancelFunc
 
 	mu           sync.Mutex
-	clockOffset  int64     // the target's clock minus the local monotonic clock, milliseconds
+	clock        targetClock
 	clockSeen    int64     // latest time on the target's clock that it has sent, milliseconds
 	leaseSentAt  time.Time // when the last request with a lease was sent
 	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
@@ -64,7 +63,7 @@
 	}
 	s.clearing.Store(true)
 	s.leaseSentAt = time.Now() // a former session may have sent a lease until now, and its requests may still arrive
-	s.clockOffset = a.ClockMS - monotonicMillis(a.ReceivedAt)
+	s.clock.record(a.ClockMS, a.ReceivedAt)
 	s.clockSeen = a.ClockMS
 	return s
 }
@@ -112,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	l := lease{untilMS: monotonicMillis(now) + s.clockOffset + s.pool.node.config.MaxLease.Milliseconds(), sentAt: now, previous: s.leaseSentAt}
+	l := lease{untilMS: s.clock.at(now) + s.pool.node.config.MaxLease.Milliseconds(), sentAt: now, previous: s.leaseSentAt}
 	s.leaseSentAt = now
 	return l
 }
@@ -125,10 +124,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.clockOffset = clock - monotonicMillis(time.Now())
+	s.clock.record(clock, time.Now())
 	s.clockSeen = max(s.clockSeen, clock)
 }
 
+// syncAnnouncedClock records the time on the target's clock that an announcement carries; 0
+// if it carries none.
+func (s *session) syncAnnouncedClock(a Announcement) {
+	if a.ClockMS == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock.recordAnnounced(a.ClockMS, a.ReceivedAt)
+}
+
 // latestClock returns the latest time on the target's clock that it has sent. The answer
 // of the same incarnation to a request that is sent now carries no earlier one: the clock
 // never goes back, but begins again with each incarnation.
