Do not take a target's overtaken report for its state

Cause: at a target that loses requests, renewals overlap. Their answers come over several connections; that to the later request may tell of an earlier state (request 108 answered at the target's clock 2960176, request 107 at 2960353 and handled first). Reports were ordered by the request alone.

Change: a report of the session's incarnation whose clock is below that of a report that was handled is not used.

The test failed before.

Ruled out: that such a report lets a task start twice. It stops runs, and a run that it misses is looked for only 700 ms after its start.

--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -35,6 +35,7 @@
 	results         chan *renewal // answered or failed
 	sent            uint64
 	reported        uint64     // number of the newest renewal that was answered
+	reportedClock   int64      // the target's clock in the newest report that was handled
 	recordedEnd     uint64     // sequence number of the last ended run that was recorded
 	acknowledgedEnd uint64     // sequence number of the last ended run whose acknowledgement reached the target
 	unanswered      int        // in a row
@@ -202,6 +203,9 @@
 		n.unanswered, n.excluded = 0, false
 		n.suspicion.RecordAnswered(lost)
 		n.acknowledgedEnd = max(n.acknowledgedEnd, r.request.AckCursor)
+		if s.isOvertaken(r.report) {
+			return true
+		}
 		s.handleReport(r.report)
 	case errors.Is(r.err, ErrFenced):
 		s.settle(r, true)
@@ -244,6 +248,19 @@
 	}
 }
 
+// isOvertaken reports whether a report is older than one that was handled: its target may
+// have answered a later renewal first. It records the time of a report that is not.
+func (s *session) isOvertaken(r TargetReport) bool {
+	if r.Incarnation == 0 || r.Incarnation != s.incarnation {
+		return false
+	}
+	if r.ClockMS < s.renewals.reportedClock {
+		return true
+	}
+	s.renewals.reportedClock = r.ClockMS
+	return false
+}
+
 func (s *session) handleReport(r TargetReport) {
 	if r.Incarnation == 0 || r.Incarnation == s.incarnation {
 		s.syncClock(r.ClockMS)
--- a/internal/process/fleet/renewals_test.go
+++ b/internal/process/fleet/renewals_test.go
@@ -34,3 +34,21 @@
 		close(p.stopped)
 	})
 }
+
+func TestAReportThatWasOvertakenIsNotTakenForTheTargetsState(t *testing.T) {
+	g := NewWithT(t)
+	p := newTestPool(t, "127.0.0.1:1")
+	s := newSession(p, deskTargetAnnouncement(1, 4000, time.Now()))
+	s.ctx = t.Context()
+	s.clearing.Store(false)
+	s.renewals.sent = 4
+	answer := func(number uint64, incarnation uint64, clock int64) bool {
+		before := len(p.events)
+		s.handleRenewal(&renewal{number: number, report: TargetReport{Incarnation: incarnation, ClockMS: clock}})
+		return len(p.events) > before
+	}
+	g.Expect(answer(1, s.incarnation, 500)).To(BeTrue())
+	g.Expect(answer(2, s.incarnation, 300)).To(BeFalse(), "the report is older")
+	g.Expect(answer(3, s.incarnation+1, 10)).To(BeTrue(), "the clock of a new incarnation begins anew")
+	g.Expect(answer(4, 0, 10)).To(BeTrue(), "the incarnation is not known")
+}
