Bound the forecast of a target by its slots, not by its capacity

Cause: the forecast of a waiting job makes one entry of 24 bytes for each task of typical size that fits on a target. Neither factor was bounded. One entry with a large number as its capacity (under the id of a true target, which answers for it) makes the next job that must wait allocate until the process is killed. The same without any odd entry: a task that needs an accelerator only states no CPU. The first such job set the typical need to 0, the next one to a fiftieth of its own.

Change: a target counts as at most 4,096 tasks of typical size, in forecasts and in the load that other hosts see, and a task as at least a tenth of a core in the moving average.

Ruled out: dropping large capacities only at the boundary. The typical need is the other factor, and true jobs set it.

--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -30,16 +31,31 @@
 // initialTypicalCPUMilli is the CPU need of a typical task before any was submitted.
 const initialTypicalCPUMilli = 1000
 
+// minTypicalCPUMilli is the least that a task counts as in the average. A task may need no
+// CPU, and any number of such tasks would fit on a target.
+const minTypicalCPUMilli = 100
+
 // observe adds count equal tasks to the average, of which at most 8 are weighed.
 func (n *taskNeed) observe(r Resources, count int) {
+	cpuMilli := float64(max(minTypicalCPUMilli, r.CPUMilli))
 	for range min(count, 8) {
 		if !n.initialized {
-			n.initialized, n.cpuMilli = true, float64(r.CPUMilli)
+			n.initialized, n.cpuMilli = true, cpuMilli
 		}
-		n.cpuMilli += newestNeedWeight * (float64(r.CPUMilli) - n.cpuMilli)
+		n.cpuMilli += newestNeedWeight * (cpuMilli - n.cpuMilli)
 	}
 }
 
+// maxTargetSlots bounds the slots of a target, each of which takes memory in a forecast. It
+// is above the tasks of typical size that any machine runs at once.
+const maxTargetSlots = 4096
+
+// slots returns how many tasks of typical size fit into an amount of CPU, negative if the
+// amount is.
+func (n *taskNeed) slots(cpuMilli int64) int {
+	return int(min(maxTargetSlots, math.Floor(float64(cpuMilli)/n.cpuMilli)))
+}
+
 // SetPoolCapacities replaces the free capacities of other pools. The scheduler
 // reduces them by the jobs that it spills.
 func (c *Core) SetPoolCapacities(capacities []PoolCapacity) { c.poolCapacities = capacities }
@@ -160,7 +176,7 @@
 	n := 0
 	for _, t := range c.targets {
 		if (service == "" || t.Service == service) && t.usable(now) && !t.withheld() {
-			n += t.limitIfCold(int(float64(max(0, t.free().CPUMilli))/c.typicalNeed.cpuMilli), now) // negative once the capacity has shrunk below what runs
+			n += t.limitIfCold(c.typicalNeed.slots(max(0, t.free().CPUMilli)), now) // negative once the capacity has shrunk below what runs
 		}
 	}
 	return n
--- a/internal/process/scheduler/forecast.go
+++ b/internal/process/scheduler/forecast.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"slices"
 	"time"
 )
@@ -38,12 +37,12 @@
 			earliest = until
 		}
 		if t.withheld() {
-			for range int(float64(t.Capacity.CPUMilli) / c.typicalNeed.cpuMilli) {
+			for range c.typicalNeed.slots(t.Capacity.CPUMilli) {
 				out = append(out, t.idleAt(earliest))
 			}
 			continue
 		}
-		free := int(math.Floor(float64(t.free().CPUMilli) / c.typicalNeed.cpuMilli))
+		free := c.typicalNeed.slots(t.free().CPUMilli)
 		if t.cold(now) {
 			free = min(free, 1-len(t.runs))
 		}
