Refuse and drop announcements that no target can have sent

Cause: of an announcement only the presence of its fields was checked, and of what other hosts pass on nothing. So one entry of another writer

- with an id that is no UTF-8 (%ff in the path) was recorded, and no message with it can be encoded: the announcements sent together with it, the list for hosts that start, and the state of a pool in a handover, whose jobs are given up then;
- with the largest sequence or a start in the far future, under the id of a true target, made each true announcement look outdated;
- with a capacity of the largest or smallest number overflowed the sums of the pool, and its address (port 0, unspecified, multicast, with a zone) could be that of this host;
- put 40,000 bytes of its own into a log line; 8,192 of these may wait.

Texts of other writers are clipped in log lines. New fields, a service that is in no catalog yet and a domain that is not in the settings are accepted as before.

Ruled out: a limit of 4 MiB for heartbeats. On the users' page that is the size of an answer that still acknowledges; a heartbeat has a few hundred bytes.

--- /dev/null
+++ b/internal/process/fleet/check.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"wasabifield.example/wasabifield/internal/request/failure"
+)
+
+// Bounds of what a target reports of itself. They are far above what any target has, so that
+// only an entry of another writer exceeds them. What is counted with them stays far below the
+// largest number.
+const (
+	maxNameBytes   = 256     // of an id, a service, a domain and an address
+	maxLabelBytes  = 4 << 10 // of all labels
+	maxLabels      = 256
+	maxCapacity    = 1 << 30 // of each resource: a million cores, a petabyte
+	maxColdTime    = 24 * time.Hour
+	maxTargetClock = 100 * 365 * 24 * time.Hour
+	// maxSequence leaves numbers for the announcements after the last that is accepted.
+	maxSequence = 1 << 62
+	// maxClockLead is how far the clock of a target may be ahead of this host's. An
+	// incarnation from further ahead would hide all true ones.
+	maxClockLead = 24 * time.Hour
+)
+
+// Check returns an InvalidRequest failure that names the field that no target can have
+// announced, or nil.
+func (a Announcement) Check() error {
+	t := a.Target
+	for _, named := range []struct{ field, name string }{{"id", t.ID}, {"service", t.Service}, {"zone", t.Domain}, {"address", t.Address}} {
+		if err := checkName(named.field, named.name); err != nil {
+			return err
+		}
+	}
+	labels := strings.Join(t.Labels, "")
+	if len(t.Labels) > maxLabels || len(labels) > maxLabelBytes || !utf8.ValidString(labels) {
+		return failure.Invalid("labels", fmt.Sprintf("must be at most %d, of at most %d bytes of text", maxLabels, maxLabelBytes))
+	}
+	c := t.Capacity
+	latestStart := a.ReceivedAt.Add(maxClockLead).UnixMilli()
+	switch {
+	case min(c.CPUMilli, c.MemoryMB, c.GPUs) < 0 || max(c.CPUMilli, c.MemoryMB, c.GPUs) > maxCapacity:
+		return failure.Invalid("capacity", fmt.Sprintf("is %v, must be from 0 to %d of each", c, maxCapacity))
+	case a.Sequence > maxSequence:
+		return failure.Invalid("sequence", fmt.Sprintf("is %d, must be at most %d", a.Sequence, uint64(maxSequence)))
+	case t.Incarnation > uint64(max(0, latestStart)):
+		return failure.Invalid("born", fmt.Sprintf("is %d, which is more than %v ahead", t.Incarnation, maxClockLead))
+	case a.ClockMS < 0 || a.ClockMS > maxTargetClock.Milliseconds():
+		return failure.Invalid("clock_ms", fmt.Sprintf("is %d, must be from 0 to %d", a.ClockMS, maxTargetClock.Milliseconds()))
+	case t.ColdUntil.After(a.ReceivedAt.Add(maxColdTime)):
+		return failure.Invalid("cold_remaining_ms", fmt.Sprintf("is more than %v", maxColdTime))
+	}
+	return nil
+}
+
+// checkName checks a name that goes into messages between hosts, which must be valid UTF-8
+// as a whole, into headers and into logs.
+func checkName(field, name string) error {
+	switch {
+	case name == "":
+		return failure.Invalid(field, "must not be empty")
+	case len(name) > maxNameBytes:
+		return failure.Invalid(field, fmt.Sprintf("has %d bytes, at most %d are allowed", len(name), maxNameBytes))
+	case !utf8.ValidString(name) || strings.ContainsFunc(name, unicode.IsControl):
+		return failure.Invalid(field, "contains bytes that are no text")
+	}
+	return nil
+}
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -273,7 +273,7 @@
 	}
 	p.acceptedToken = token
 	for _, a := range e.message.GetTargets() {
-		p.node.announcements.record(announcementFrom(a, now))
+		p.node.recordIfUsable(announcementFrom(a, now))
 	}
 	// The pool's targets must be known before its jobs, whose runs they take over. Those
 	// that belong to another shard by now stay unknown.
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/process/shards"
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -36,11 +37,21 @@
 
 // recordForwarded records an announcement that another host forwarded.
 func (n *Node) recordForwarded(a Announcement) {
-	if n.announcements.record(a) {
+	if n.recordIfUsable(a) {
 		n.postToPools(a)
 	}
 }
 
+// recordIfUsable records an announcement that another host passed on, and reports whether it
+// is newer than the recorded one. One that no target can have sent is dropped.
+func (n *Node) recordIfUsable(a Announcement) bool {
+	if err := a.Check(); err != nil {
+		n.log.Warn("An announcement from another host was dropped.", "target", logging.Clip(a.Target.ID), "reason", err.Error())
+		return false
+	}
+	return n.announcements.record(a)
+}
+
 // postToPools posts an announcement to those of this host's pools that contain its
 // target.
 func (n *Node) postToPools(a Announcement) {
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -26,3 +26,15 @@
 func For(root *slog.Logger, component string) *slog.Logger {
 	return root.With("part", component)
 }
+
+// maxClipped is the length of a text of another writer in a log line, bytes. The lines that
+// wait to be written take memory.
+const maxClipped = 256
+
+// Clip returns a text of another writer for a log line: its beginning if it is long.
+func Clip(text string) string {
+	if len(text) <= maxClipped {
+		return text
+	}
+	return text[:maxClipped] + "..."
+}
