Forget an odd entry under the id of a true target

Cause: a host kept the announcement with the highest start and sequence of an id until it looked at all that it knows, which a host that holds no pool never does; and the scheduler ignored each start earlier than the one it had heard of, without end. One entry with numbers that a target can have - a sequence far ahead, a start an hour ahead, with another address or service, no capacity, or deregistered - hid the true target for good.

Change: an announcement that no newer one has followed for 30 s (forgetTargetAfter) gives way to any other of its id. A pool whose session is of a later start than the newest announcement begins anew with the target, once nothing runs there in its books, so that no task runs twice.

Remains: up to 30 s in which such an entry stands for the target. It cannot be told from a restart or a stop by what it says.

--- a/internal/process/fleet/announcements.go
+++ b/internal/process/fleet/announcements.go
@@ -34,12 +34,13 @@
 	return &announcementTable{byID: map[string]Announcement{}}
 }
 
-// record stores an announcement and reports whether it is newer than the stored one.
+// record stores an announcement and reports whether it is newer than the stored one, or that
+// one was received so long ago that it is forgotten.
 func (t *announcementTable) record(a Announcement) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.byID[a.Target.ID]
-	if ok && !a.isNewerThan(known) {
+	if ok && !a.isNewerThan(known) && a.ReceivedAt.Sub(known.ReceivedAt) <= forgetTargetAfter {
 		return false
 	}
 	t.byID[a.Target.ID] = a
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -312,6 +312,13 @@
 		return
 	}
 	s, ok := p.sessions[id]
+	if ok && s.incarnation > a.Target.Incarnation { // the later one announced nothing more and is forgotten
+		if p.core.RunCount(id) > 0 {
+			return // these may be on the target, and end there or with their lease
+		}
+		p.removeTarget(id, scheduler.TargetReplaced, now)
+		ok = false
+	}
 	if ok && (s.incarnation != a.Target.Incarnation || s.ref.Address != a.Target.Address) {
 		s.close()
 		ok = false
