Take the clock of a target from the target itself

Cause: a session began with the clock of the announcement and took each answer with an earlier one for that of a later start of the target. One entry with a clock far ahead, the first that a new holder sees, made it disown and stop each run on that target until the target's next start.

Change: the first report that names the session's start sets the clock. It comes before the first start, as a session first looks for runs of a former holder. A report that names no start or another one sets nothing back.

Before: the result of each start was started_by_other.

Remains: a target that does not state its start (born) is not helped by this; it is by its next announcement only once the session begins anew.

--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -38,6 +38,7 @@
 	recordedEnd     uint64     // sequence number of the last ended run that was recorded
 	acknowledgedEnd uint64     // sequence number of the last ended run whose acknowledgement reached the target
 	unanswered      int        // in a row
+	clockConfirmed  bool       // the target itself has stated its clock
 	excluded        bool       // the scheduler was told that the target does not answer
 	silentSince     time.Time  // when the first of these was sent
 	overdue         []*renewal // not answered in time, under way, and charged to the budget
@@ -248,6 +249,9 @@
 	if r.Incarnation == 0 || r.Incarnation == s.incarnation {
 		s.syncClock(r.ClockMS)
 	}
+	if r.Incarnation == s.incarnation && r.Incarnation != 0 {
+		s.confirmClock(r.ClockMS)
+	}
 	for _, e := range r.Ended {
 		s.renewals.recordedEnd = max(s.renewals.recordedEnd, e.Sequence)
 	}
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -127,6 +127,19 @@
 	s.clockSeen = max(s.clockSeen, clock)
 }
 
+// confirmClock records the time on the clock of a target that names the session's incarnation.
+// The announcement that the session began with may have come from another writer, with a later
+// time.
+func (s *session) confirmClock(clock int64) {
+	if s.renewals.clockConfirmed || clock == 0 {
+		return
+	}
+	s.renewals.clockConfirmed = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clockSeen = clock
+}
+
 // latestClock returns the latest time on the target's clock that it has sent. The answer
 // of the same incarnation to a request that is sent now carries no earlier one: the clock
 // never goes back, but begins again with each incarnation.
