Stop a run that its target goes on listing with one series of requests

Cause: each report that lists a run which the scheduler does not know began another series of stop requests, which ends with the target's confirmation or with the lease.

Change: one series for each such run and session.

--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -112,7 +112,7 @@
 		if !p.core.RecordProgress(id, run, listed.PercentDone, now) {
 			unknownRuns++
 			p.log.Info("An unknown run is stopped.", "job", run.Job, "task", run.TaskID(), "run", run.Number, "target", id)
-			s.requestStop(run, false)
+			s.stopUnknown(run)
 		}
 	}
 	p.applyEffects(p.core.StopUnlisted(id, listedRuns, now), now)
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -40,6 +40,7 @@
 	leaseSentAt  time.Time // when the last request with a lease was sent
 	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
 
+	unknownStops sync.Map         // by scheduler.Run: stops under way of runs that the scheduler does not know
 	runSuspicion repeat.Suspicion // by start and stop requests
 	renewals     renewals         // belongs to the goroutine of renewLoop
 }
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -13,30 +13,44 @@
 // leases have expired. If the start request was not answered, the target is asked whether
 // the run is there: if not, its task need not wait for the run to end.
 func (s *session) requestStop(r scheduler.Run, startUnanswered bool) {
+	go s.stopUntilConfirmed(r, startUnanswered)
+}
+
+// stopUnknown stops a run that the target lists and the scheduler does not know, unless that
+// is under way: the target lists the run in each report until it has ended.
+func (s *session) stopUnknown(r scheduler.Run) {
+	if _, underWay := s.unknownStops.LoadOrStore(r, true); underWay {
+		return
+	}
 	go func() {
-		for s.ctx.Err() == nil {
-			err := s.stop(r)
-			switch {
-			case err == nil:
-				s.wakeRenewLoop()
-				if !startUnanswered || !s.runIsAbsent(r) {
-					time.Sleep(stopSettleTime)
-				}
-				s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
-				return
-			case errors.Is(err, ErrFenced):
-				s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
-				return
-			case errors.Is(err, ErrWrongTarget):
-				s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
-				return
-			}
-			time.Sleep(stopRetryDelay)
-			if s.leaseExpired(time.Now()) {
-				return // renewLoop reports the expiry
+		defer s.unknownStops.Delete(r)
+		s.stopUntilConfirmed(r, false)
+	}()
+}
+
+func (s *session) stopUntilConfirmed(r scheduler.Run, startUnanswered bool) {
+	for s.ctx.Err() == nil {
+		err := s.stop(r)
+		switch {
+		case err == nil:
+			s.wakeRenewLoop()
+			if !startUnanswered || !s.runIsAbsent(r) {
+				time.Sleep(stopSettleTime)
 			}
+			s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
+			return
+		case errors.Is(err, ErrFenced):
+			s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
+			return
+		case errors.Is(err, ErrWrongTarget):
+			s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
+			return
 		}
-	}()
+		time.Sleep(stopRetryDelay)
+		if s.leaseExpired(time.Now()) {
+			return // renewLoop reports the expiry
+		}
+	}
 }
 
 // stopResult is the result of one copy of a stop request: nil once the target has confirmed
