Leave out the odd rows of a target's lists and keep the others

Cause: the lists of runs were decoded as a whole. One row of another form - a number that does not fit, null, a name that is none - made the whole answer an error, so the target counted as silent: its leases were not renewed in the books, its tasks were given up at their expiry and started elsewhere, and it got no work for as long as it listed the row.

Change: each row is decoded for itself. One that names no run is left out and counted; the count is logged when it changes. What remains unsafe is kept safe: a row that cannot be read may name a run of a former holder, so a target that a holder has just taken over gets work only once such leases have expired, and nothing is concluded from a run's absence.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -122,6 +122,16 @@
 	Incarnation uint64 // Unix milliseconds of the target's start; 0 if the target did not report it
 	Running     []RunningRun
 	Ended       []EndedRun
+	Unreadable  int   // rows that name no run and were left out
+	FirstError  error // of these rows
+}
+
+// AddUnreadable counts a row that names no run.
+func (r *TargetReport) AddUnreadable(err error) {
+	if r.Unreadable == 0 {
+		r.FirstError = err
+	}
+	r.Unreadable++
 }
 
 // lists reports whether the target lists a run as running or ended.
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -116,7 +116,8 @@
 		}
 	}
 	p.applyEffects(p.core.StopUnlisted(id, listedRuns, now), now)
-	if s.clearing.Load() && unknownRuns == 0 && !s.movingAway {
+	unreadable := r.Unreadable > 0 && !s.leaseExpired(now) // a row may name a run of a former holder
+	if s.clearing.Load() && unknownRuns == 0 && !unreadable && !s.movingAway {
 		s.clearing.Store(false)
 		p.applyEffects(p.core.SetClearing(id, false, now), now)
 	}
--- a/internal/process/fleet/oddrows_test.go
+++ b/internal/process/fleet/oddrows_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -40,3 +42,20 @@
 	g.Consistently(target.stops.Load, "50ms", "10ms").Should(BeNumerically("<", reports/10))
 	s.close()
 }
+
+// A row that cannot be read may name a run of the former holder, until its lease has expired.
+func TestATargetWithUnreadableRowsGetsWorkOnceFormerLeasesHaveExpired(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	p.node.config.Targets = idleTargets{}
+	p.handleAnnouncement(deskTargetAnnouncement(1, 16000, now), now)
+	s := p.sessions["t"]
+	s.close()
+	report := TargetReport{Unreadable: 1, FirstError: errors.New("odd")}
+	submitTestJob(p, "j", now)
+	p.handleReport(s, report, now.Add(10*time.Millisecond))
+	g.Expect(s.clearing.Load()).To(BeTrue())
+	p.handleReport(s, report, time.Now().Add(p.node.longestLease()))
+	g.Expect(s.clearing.Load()).To(BeFalse())
+}
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -39,6 +39,7 @@
 	acknowledgedEnd uint64     // sequence number of the last ended run whose acknowledgement reached the target
 	unanswered      int        // in a row
 	clockConfirmed  bool       // the target itself has stated its clock
+	unreadable      int        // rows of the newest report
 	excluded        bool       // the scheduler was told that the target does not answer
 	silentSince     time.Time  // when the first of these was sent
 	overdue         []*renewal // not answered in time, under way, and charged to the budget
@@ -262,7 +263,11 @@
 		}
 		p.handleReport(s, r, now)
 	})
-	if s.clearing.Load() {
+	if r.Unreadable != s.renewals.unreadable {
+		s.renewals.unreadable = r.Unreadable
+		s.pool.log.Warn("The rows of a target's lists that cannot be read are left out.", "target", s.ref.ID, "rows", r.Unreadable, "error", r.FirstError)
+	}
+	if s.clearing.Load() || r.Unreadable > 0 { // an end that cannot be acknowledged is answered at once
 		s.pause(clearingPollInterval)
 	}
 }
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -99,5 +99,5 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.pool.answerTimer.Timeout())
 	defer cancel()
 	report, err := s.pool.node.config.Targets.Renew(ctx, s.ref, RenewRequest{Token: s.token})
-	return err == nil && (report.Incarnation == 0 || report.Incarnation == s.incarnation) && !report.lists(r)
+	return err == nil && report.Unreadable == 0 && (report.Incarnation == 0 || report.Incarnation == s.incarnation) && !report.lists(r)
 }
