Bound the announcements and drop sessions of entries that name no target

Cause: the table of announcements had no bound. A host that holds no pool dropped nothing from it at all, and a pool kept the session of each entry for ever, which looks for runs of a former holder once a second. Each entry under a new id cost memory and requests without end, also those of a writer that only counts up.

Change: at most 8,192 announcements are kept, each of up to 5 KB; where another has no room, the oldest of 16 drawn at random goes. True targets announce themselves again and again and are seldom the oldest. A pool removes a target that has announced nothing for 30 s, has never answered and has no runs.

Ruled out: refusing new ids where the table is full, which would hide true targets that start during a flood; a limit by sender, which can be any.

Remains: the entries of one flood in this pool's domain may hold up to 8,192 sessions for half a minute; many of them for 6 s split the domain, which is not undone. Not measured.

Not clean: TestANewlyStartedHostTakesAShardWithItsRunningTasks failed in each of four runs of the package with the race detector, at a load of 20 and more on eight cores.

--- a/internal/process/fleet/announcements.go
+++ b/internal/process/fleet/announcements.go
@@ -13,7 +13,8 @@
 const (
 	// forgetTargetAfter is how long a target without announcements is remembered:
 	// several announcement intervals, as an unreachable target may come back.
-	forgetTargetAfter = 30 * time.Second
+	forgetTargetAfter     = 30 * time.Second
+	forgottenDropInterval = time.Second // between looks for sessions of forgotten targets
 	// forwardTimeout bounds telling another host of announcements or losses. The next
 	// announcement makes up for a lost one.
 	forwardTimeout = 500 * time.Millisecond
@@ -21,7 +22,11 @@
 	// message. This is short beside the seconds for which a draining target keeps
 	// serving.
 	maxBatchDelay = 200 * time.Millisecond
-	forwardRing   = 512 // announcements that wait to be forwarded; more than all targets send in a second
+	// maxAnnouncements bounds the memory for announcements, each of up to 5 KB: four for each
+	// worker of the largest deployment.
+	maxAnnouncements = 8192
+	evictionSample   = 16  // announcements of which the oldest is dropped where another has no room
+	forwardRing      = 512 // announcements that wait to be forwarded; more than all targets send in a second
 )
 
 // announcementTable holds the newest announcement of each target.
@@ -43,10 +48,28 @@
 	if ok && !a.isNewerThan(known) && a.ReceivedAt.Sub(known.ReceivedAt) <= forgetTargetAfter {
 		return false
 	}
+	if !ok && len(t.byID) >= maxAnnouncements {
+		t.evictLocked()
+	}
 	t.byID[a.Target.ID] = a
 	return true
 }
 
+// evictLocked drops the oldest of a random sample of announcements: true targets announce
+// themselves again and again. The caller holds the lock.
+func (t *announcementTable) evictLocked() {
+	oldest, seen := "", 0
+	for id, a := range t.byID { // begins at a random entry
+		if seen == 0 || a.ReceivedAt.Before(t.byID[oldest].ReceivedAt) {
+			oldest = id
+		}
+		if seen++; seen == evictionSample {
+			break
+		}
+	}
+	delete(t.byID, oldest)
+}
+
 // recent returns the announcements received within forgetTargetAfter and drops the
 // others.
 func (t *announcementTable) recent(now time.Time) []Announcement {
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -49,7 +49,8 @@
 	targetsCountedAt   time.Time     // when the targets of the domain were last counted
 	unbalancedSince    time.Time     // since when this host holds several pools while a host that could take over this one holds none; zero if that is not so
 	balanceCheckedAt   time.Time
-	shardsAtRelease    int // number of shards of the domain when targets were last released
+	forgottenDroppedAt time.Time // when forgotten targets were last dropped
+	shardsAtRelease    int       // number of shards of the domain when targets were last released
 	metrics            *poolMetrics
 	answerTimer        repeat.Timer // of starts and stops; used by any goroutine
 
@@ -192,6 +193,7 @@
 	if p.heldHere.Load() {
 		p.splitIfLarge(now)
 		p.releaseMovedTargets(now)
+		p.dropForgottenTargets(now)
 		p.takeFromFormerPool(now)
 		p.balancePools(now)
 		p.followEvacuations(now)
@@ -346,6 +348,24 @@
 	p.handleAnnouncement(a, now)
 }
 
+// dropForgottenTargets removes the targets that have announced nothing for forgetTargetAfter
+// and have never answered: an entry of another writer names no target, and its session would
+// look for runs for ever.
+func (p *pool) dropForgottenTargets(now time.Time) {
+	if now.Sub(p.forgottenDroppedAt) < forgottenDropInterval {
+		return
+	}
+	p.forgottenDroppedAt = now
+	for id, s := range p.sessions {
+		if !s.clearing.Load() || p.core.RunCount(id) > 0 {
+			continue
+		}
+		if a, known := p.node.announcements.get(id); !known || now.Sub(a.ReceivedAt) > forgetTargetAfter {
+			p.removeTarget(id, scheduler.TargetLeft, now)
+		}
+	}
+}
+
 func (p *pool) removeTarget(id string, cause scheduler.LossCause, now time.Time) {
 	if s, ok := p.sessions[id]; ok {
 		s.close()
