Drop claims with a token that no host reaches

Cause: a host gives a pool up to any claim with a higher token, and the next claim must have a higher one. After a claim or a handover with the largest number, which a host of another release may send, the next token overflows to the present time, so every other host and each target that has seen the large one refuses it: nobody holds the pool any more.

Before: the pool is given up to such a claim.

--- a/internal/process/fleet/check.go
+++ b/internal/process/fleet/check.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 	"unicode"
 	"unicode/utf8"
 
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/request/failure"
 )
 
@@ -27,6 +30,21 @@
 	maxClockLead = 24 * time.Hour
 )
 
+// maxToken is the highest fencing token that a host accepts. Tokens begin at the Unix time in
+// milliseconds and rise with each claim; the next holder needs a higher one.
+const maxToken = 1 << 62
+
+// dropOddClaims returns the claims that a host can make.
+func (n *Node) dropOddClaims(claims []*fleetpb.Claim) []*fleetpb.Claim {
+	return slices.DeleteFunc(claims, func(c *fleetpb.Claim) bool {
+		odd := c.GetFencingToken() > maxToken
+		if odd {
+			n.log.Warn("A claim of another host was dropped.", "pool", logging.Clip(c.GetPool()), "holder", logging.Clip(c.GetHolder()), "token", c.GetFencingToken())
+		}
+		return odd
+	})
+}
+
 // Check returns an InvalidRequest failure that names the field that no target can have
 // announced, or nil.
 func (a Announcement) Check() error {
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -104,6 +104,9 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	if m.GetFencingToken() > maxToken {
+		return nil, status.Error(codes.InvalidArgument, "no claim has this token")
+	}
 	return s.node.openPool(id).receivePool(ctx, m)
 }
 
