--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -112,11 +112,12 @@
 		if !p.core.RecordProgress(id, run, listed.PercentDone, now) {
 			unknownRuns++
 			p.log.Info("An unknown run is stopped.", "job", run.Job, "task", run.TaskID(), "run", run.Number, "target", id)
-			s.requestStop(run, false)
+			s.stopUnknown(run)
 		}
 	}
 	p.applyEffects(p.core.StopUnlisted(id, listedRuns, now), now)
-	if s.clearing.Load() && unknownRuns == 0 && !s.movingAway {
+	unreadable := r.Unreadable > 0 && !s.leaseExpired(now) // a row may name a run of a former holder
+	if s.clearing.Load() && unknownRuns == 0 && !unreadable && !s.movingAway {
 		s.clearing.Store(false)
 		p.applyEffects(p.core.SetClearing(id, false, now), now)
 	}
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -276,7 +276,7 @@
 	}
 	p.acceptedToken = token
 	for _, a := range e.message.GetTargets() {
-		p.node.announcements.record(announcementFrom(a, now))
+		p.node.recordIfUsable(announcementFrom(a, now))
 	}
 	// The pool's targets must be known before its jobs, whose runs they take over. Those
 	// that belong to another shard by now stay unknown.
@@ -296,6 +296,10 @@
 	for _, j := range e.message.GetJobs() {
 		p.node.recordLosses(j.GetRequest().GetLosses())
 		job := runningJobFrom(j, p.node.longestLease(), now)
+		if err := job.Job.Check(); err != nil {
+			p.log.Warn("A job of a handover was dropped.", "pool", p.name, "job", job.Job.ID, "reason", err.Error())
+			continue
+		}
 		p.node.clearDeregistered(job.Tasks)
 		jobs = append(jobs, job)
 	}
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -39,6 +39,8 @@
 	recordedEnd     uint64     // sequence number of the last ended run that was recorded
 	acknowledgedEnd uint64     // sequence number of the last ended run whose acknowledgement reached the target
 	unanswered      int        // in a row
+	clockConfirmed  bool       // the target itself has stated its clock
+	unreadable      int        // rows of the newest report
 	excluded        bool       // the scheduler was told that the target does not answer
 	silentSince     time.Time  // when the first of these was sent
 	overdue         []*renewal // not answered in time, under way, and charged to the budget
@@ -265,6 +267,9 @@
 	if r.Incarnation == 0 || r.Incarnation == s.incarnation {
 		s.syncClock(r.ClockMS)
 	}
+	if r.Incarnation == s.incarnation && r.Incarnation != 0 {
+		s.confirmClock(r.ClockMS)
+	}
 	for _, e := range r.Ended {
 		s.renewals.recordedEnd = max(s.renewals.recordedEnd, e.Sequence)
 	}
@@ -275,7 +280,11 @@
 		}
 		p.handleReport(s, r, now)
 	})
-	if s.clearing.Load() {
+	if r.Unreadable != s.renewals.unreadable {
+		s.renewals.unreadable = r.Unreadable
+		s.pool.log.Warn("The rows of a target's lists that cannot be read are left out.", "target", s.ref.ID, "rows", r.Unreadable, "error", r.FirstError)
+	}
+	if s.clearing.Load() || r.Unreadable > 0 { // an end that cannot be acknowledged is answered at once
 		s.pause(clearingPollInterval)
 	}
 }
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+	"wasabifield.example/wasabifield/internal/process/logging"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 	"wasabifield.example/wasabifield/internal/process/shards"
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -36,11 +37,21 @@
 
 // recordForwarded records an announcement that another host forwarded.
 func (n *Node) recordForwarded(a Announcement) {
-	if n.announcements.record(a) {
+	if n.recordIfUsable(a) {
 		n.postToPools(a)
 	}
 }
 
+// recordIfUsable records an announcement that another host passed on, and reports whether it
+// is newer than the recorded one. One that no target can have sent is dropped.
+func (n *Node) recordIfUsable(a Announcement) bool {
+	if err := a.Check(); err != nil {
+		n.log.Warn("An announcement from another host was dropped.", "target", logging.Clip(a.Target.ID), "reason", err.Error())
+		return false
+	}
+	return n.announcements.record(a)
+}
+
 // postToPools posts an announcement to those of this host's pools that contain its
 // target.
 func (n *Node) postToPools(a Announcement) {
@@ -64,12 +75,23 @@
 // Submit implements fleetpb.FleetServer.
 func (s *service) Submit(ctx context.Context, m *fleetpb.JobRequest) (*fleetpb.JobReply, error) {
 	s.node.recordLosses(m.GetLosses())
-	reply := replyMessage(s.node.submitLocally(ctx, m.GetPool(), jobFrom(m, time.Now()), m.GetSender()))
+	reply := replyMessage(s.node.submitForwarded(ctx, m))
 	reply.Losses = s.node.lossMessages(m.GetId(), time.Now())
 	s.node.setLoad(reply, m.GetPool())
 	return reply, nil
 }
 
+// submitForwarded runs a job that another host forwarded, or refuses one that no host of this
+// release would forward.
+func (n *Node) submitForwarded(ctx context.Context, m *fleetpb.JobRequest) scheduler.Answer {
+	j := jobFrom(m, time.Now())
+	if err := j.Check(); err != nil {
+		n.log.Warn("A job of another host was refused.", "job", j.ID, "peer", m.GetSender(), "reason", err.Error())
+		return refusalAnswer(err)
+	}
+	return n.submitLocally(ctx, m.GetPool(), j, m.GetSender())
+}
+
 // HandOver implements fleetpb.FleetServer.
 func (s *service) HandOver(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
 	if !s.node.config.Self.Entry || s.node.leaving.Load() {
@@ -82,6 +104,9 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	if m.GetFencingToken() > maxToken {
+		return nil, status.Error(codes.InvalidArgument, "no claim has this token")
+	}
 	return s.node.openPool(id).receivePool(ctx, m)
 }
 
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -41,6 +41,7 @@
 	leaseSentAt  time.Time // when the last request with a lease was sent
 	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
 
+	unknownStops sync.Map         // by scheduler.Run: stops under way of runs that the scheduler does not know
 	runSuspicion repeat.Suspicion // by start and stop requests
 	renewals     renewals         // belongs to the goroutine of renewLoop
 }
@@ -139,6 +140,19 @@
 	s.clock.recordAnnounced(a.ClockMS, a.ReceivedAt)
 }
 
+// confirmClock records the time on the clock of a target that names the session's incarnation.
+// The announcement that the session began with may have come from another writer, with a later
+// time.
+func (s *session) confirmClock(clock int64) {
+	if s.renewals.clockConfirmed || clock == 0 {
+		return
+	}
+	s.renewals.clockConfirmed = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clockSeen = clock
+}
+
 // latestClock returns the latest time on the target's clock that it has sent. The answer
 // of the same incarnation to a request that is sent now carries no earlier one: the clock
 // never goes back, but begins again with each incarnation.
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -14,30 +14,44 @@
 // leases have expired. If the start request was not answered, the target is asked whether
 // the run is there: if not, its task need not wait for the run to end.
 func (s *session) requestStop(r scheduler.Run, startUnanswered bool) {
+	go s.stopUntilConfirmed(r, startUnanswered)
+}
+
+// stopUnknown stops a run that the target lists and the scheduler does not know, unless that
+// is under way: the target lists the run in each report until it has ended.
+func (s *session) stopUnknown(r scheduler.Run) {
+	if _, underWay := s.unknownStops.LoadOrStore(r, true); underWay {
+		return
+	}
 	go func() {
-		for s.ctx.Err() == nil {
-			err := s.stop(r)
-			switch {
-			case err == nil:
-				s.wakeRenewLoop()
-				if !startUnanswered || !s.runIsAbsent(r) {
-					time.Sleep(s.pool.node.stopSettleTime())
-				}
-				s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
-				return
-			case errors.Is(err, ErrFenced):
-				s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
-				return
-			case errors.Is(err, ErrWrongTarget):
-				s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
-				return
-			}
-			time.Sleep(stopRetryDelay)
-			if s.leaseExpired(time.Now()) {
-				return // renewLoop reports the expiry
+		defer s.unknownStops.Delete(r)
+		s.stopUntilConfirmed(r, false)
+	}()
+}
+
+func (s *session) stopUntilConfirmed(r scheduler.Run, startUnanswered bool) {
+	for s.ctx.Err() == nil {
+		err := s.stop(r)
+		switch {
+		case err == nil:
+			s.wakeRenewLoop()
+			if !startUnanswered || !s.runIsAbsent(r) {
+				time.Sleep(s.pool.node.stopSettleTime())
 			}
+			s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
+			return
+		case errors.Is(err, ErrFenced):
+			s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
+			return
+		case errors.Is(err, ErrWrongTarget):
+			s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
+			return
 		}
-	}()
+		time.Sleep(stopRetryDelay)
+		if s.leaseExpired(time.Now()) {
+			return // renewLoop reports the expiry
+		}
+	}
 }
 
 // stopSettleTime returns how long after a confirmed stop the run has surely ended.
@@ -91,5 +105,5 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.pool.answerTimer.Timeout())
 	defer cancel()
 	report, err := s.pool.node.config.Targets.Renew(ctx, s.ref, RenewRequest{Token: s.token})
-	return err == nil && (report.Incarnation == 0 || report.Incarnation == s.incarnation) && !report.lists(r)
+	return err == nil && report.Unreadable == 0 && (report.Incarnation == 0 || report.Incarnation == s.incarnation) && !report.lists(r)
 }
