Wait for the leases of a target that is only said to be gone

A target that deregistered, or at whose address another target answered, was removed and its runs were released at once: their tasks started elsewhere with no stop and no wait, while the runs could go on.

Cause: a deregistration names no incarnation and may have stood in a host's buffers while the target came back under its id and got work. A target that really ends does so a moment after it has sent it. An answer of another target shows that the run is not at that address, which may not be the one that it was started at. A new holder cleared tasks of a target that had deregistered in the same way, and one copy of a start that another target refused released the run though another copy was under way.

Change: RemoveTarget releases no run. The runs are detached, as those of imported jobs on unknown targets are, until the leases that were sent to the target have expired; a target that becomes known again takes them over, and stops and unanswered starts are resumed there. The state of a handed-over pool is imported as it is. A refusal by another target is certain only once no copy is under way. Tests of losses and isolation in the scheduler pass a lease that has expired, which they took for granted before; they check what they did.

Ruled out: a stop before the release, as the target is mostly gone and a refused connection proves nothing; renewing the leases of a target that is said to be gone, as the wait would have no bound that its silence does not set.

--- a/internal/process/fleet/exchange_test.go
+++ b/internal/process/fleet/exchange_test.go
@@ -331,3 +331,16 @@
 	NewWithT(t).Expect(stray).To(BeNumerically(">", 0), "no copy came after another one was carried out")
 	t.Log(starts, "tasks started;", stray, "further copies arrived")
 }
+
+// Another target answered one copy of a start while another copy could still be carried out.
+func TestTheRefusalOfOneCopyIsNoProofWhileAnotherIsUnderWay(t *testing.T) {
+	g := NewWithT(t)
+	var timer repeat.Timer
+	copies, now := repeat.NewCopies(&timer), time.Now()
+	copies.Sent(now)
+	second := copies.Sent(now)
+	copies.Answered(second, now)
+	for _, result := range []scheduler.StartResult{scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy, scheduler.WrongTarget} {
+		g.Expect(decideStart(result, copies).certain).To(BeFalse(), result.String())
+	}
+}
--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -39,6 +39,7 @@
 	down        map[string]bool              // ids of targets that have crashed
 	onCrash     func(target fleet.TargetRef) // called without the lock
 	onStart     func(target string)          // called with the lock at each start; may be nil
+	addresses   map[string]string            // by id, at which a target answers; other targets answer at any other one
 }
 
 type fakeTarget struct {
@@ -79,6 +80,12 @@
 	}
 }
 
+// isElsewhere reports whether another target answers at the address of a request.
+func (f *fakeTargets) isElsewhere(t fleet.TargetRef) bool {
+	address, ok := f.addresses[t.ID]
+	return ok && address != t.Address
+}
+
 func (f *fakeTargets) get(id string) *fakeTarget {
 	if f.byID[id] == nil {
 		f.byID[id] = &fakeTarget{running: map[scheduler.Run]time.Time{}, highest: map[string]int{}, changed: make(chan struct{})}
@@ -138,6 +145,9 @@
 	if f.down[t.ID] {
 		return scheduler.Unhealthy, 0
 	}
+	if f.isElsewhere(t) {
+		return scheduler.WrongTarget, targetClockMS()
+	}
 	if request.Token < target.token {
 		return scheduler.Fenced, targetClockMS()
 	}
@@ -184,6 +194,9 @@
 	if f.down[t.ID] {
 		return errDown
 	}
+	if f.isElsewhere(t) {
+		return fleet.ErrWrongTarget
+	}
 	if token < f.get(t.ID).token {
 		return fleet.ErrFenced
 	}
@@ -200,6 +213,10 @@
 		f.mu.Unlock()
 		return fleet.TargetReport{}, errDown
 	}
+	if f.isElsewhere(t) {
+		f.mu.Unlock()
+		return fleet.TargetReport{}, fleet.ErrWrongTarget
+	}
 	if r.Token < target.token {
 		f.mu.Unlock()
 		return fleet.TargetReport{}, fleet.ErrFenced
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -292,25 +292,13 @@
 	var jobs []scheduler.HandoverJob
 	for _, j := range e.message.GetJobs() {
 		p.node.recordLosses(j.GetRequest().GetLosses())
-		job := runningJobFrom(j, p.node.longestLease(), now)
-		p.node.clearDeregistered(job.Tasks)
-		jobs = append(jobs, job)
+		jobs = append(jobs, runningJobFrom(j, p.node.longestLease(), now))
 	}
 	p.applyEffects(p.core.ImportJobs(jobs, now), now)
 	p.log.Info("Jobs in progress were taken over.", "pool", p.name, "jobs", len(jobs))
 	e.answer <- receivedPool{claim: p.claimMessage()}
 }
 
-// clearDeregistered clears the targets of tasks that have deregistered, on which nothing
-// runs any more.
-func (n *Node) clearDeregistered(tasks []scheduler.HandoverTask) {
-	for i := range tasks {
-		if a, ok := n.announcements.get(tasks[i].Target); ok && a.Deregistered {
-			tasks[i].Target = ""
-		}
-	}
-}
-
 func runningJobMessage(j scheduler.HandoverJob, now time.Time) *fleetpb.RunningJob {
 	m := &fleetpb.RunningJob{Request: jobMessage(j.Job, now), Ran: j.HasStarted}
 	for _, t := range j.Tasks {
--- a/internal/process/fleet/handover_property_test.go
+++ b/internal/process/fleet/handover_property_test.go
@@ -160,16 +160,39 @@
 	return nil
 }
 
-func (w *takeover) announce(i int) {
+func takeoverTarget(i int) fleet.TargetRef {
+	return fleet.TargetRef{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)}
+}
+
+func (w *takeover) announce(i int) { w.announceAt(i, takeoverTarget(i).Address) }
+
+func (w *takeover) announceAt(i int, address string) {
 	w.mu.Lock()
 	life := w.lives[i]
 	w.mu.Unlock()
-	t := newAnnouncement(fleet.TargetRef{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)}, "north", life)
+	t := newAnnouncement(fleet.TargetRef{ID: takeoverTarget(i).ID, Address: address}, "north", life)
 	for _, h := range w.allHosts() {
 		h.Announce(t)
 	}
 }
 
+// loseTarget crashes a target, which comes back.
+func (w *takeover) loseTarget(i int) {
+	ref := takeoverTarget(i)
+	w.targets.mu.Lock()
+	w.targets.crash(ref)
+	w.targets.mu.Unlock()
+	time.AfterFunc(2*time.Second, func() {
+		w.targets.mu.Lock()
+		delete(w.targets.down, ref.ID)
+		w.targets.mu.Unlock()
+		w.mu.Lock()
+		w.lives[i]++
+		w.mu.Unlock()
+		w.announce(i)
+	})
+}
+
 // exchange passes hello messages between all hosts that are up, except to and from one.
 func (w *takeover) exchange(except int) {
 	hosts := w.allHosts()
@@ -241,19 +264,17 @@
 	case "submit":
 		go w.submit(fmt.Sprint("job", w.stepAt), pool.String())
 	case "lose target":
-		ref := fleet.TargetRef{ID: fmt.Sprintf("t%d", step.target)}
-		w.targets.mu.Lock()
-		w.targets.crash(ref)
-		w.targets.mu.Unlock()
-		time.AfterFunc(2*time.Second, func() {
-			w.targets.mu.Lock()
-			delete(w.targets.down, ref.ID)
-			w.targets.mu.Unlock()
-			w.mu.Lock()
-			w.lives[step.target]++
-			w.mu.Unlock()
-			w.announce(step.target)
-		})
+		w.loseTarget(step.target)
+	case "deregister": // by a former incarnation, or the target ends a moment later
+		for _, h := range w.allHosts() {
+			h.DeregisterTarget(takeoverTarget(step.target).ID)
+		}
+		if step.other == 0 {
+			time.AfterFunc(50*time.Millisecond, func() { w.loseTarget(step.target) })
+		}
+	case "other address":
+		time.Sleep(time.Millisecond) // a later sequence number
+		w.announceAt(step.target, "127.0.0.1:99")
 	case "lose host":
 		host.Kill()
 		time.Sleep(100 * time.Millisecond)
@@ -274,7 +295,7 @@
 }
 
 func drawTakeoverSteps(rt *rapid.T) []takeoverStep {
-	kinds := []string{"hand over", "hand over", "hand over", "split", "split", "submit", "submit", "submit", "submit", "lose target", "lose host", "claim"}
+	kinds := []string{"hand over", "hand over", "hand over", "split", "split", "submit", "submit", "submit", "submit", "lose target", "lose host", "claim", "deregister", "deregister", "other address"}
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) takeoverStep {
 		return takeoverStep{
 			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"), host: rapid.IntRange(0, takeoverHosts-1).Draw(rt, "host"),
@@ -286,7 +307,7 @@
 }
 
 // A pool changes hands by hand-overs, splits that one host knows and another does not yet,
-// claims and losses of hosts and targets, while start, stop and hand-over messages are late,
+// claims and losses of hosts and targets, some of which are only said to be gone, while start, stop and hand-over messages are late,
 // lost or doubled. A holder that does not know of a run starts its task a second time.
 func TestNoTaskRunsTwiceAtOnceWhenPoolsChangeHands(t *testing.T) {
 	states := map[string]int{}
@@ -303,7 +324,9 @@
 			for i := range w.hosts {
 				w.startHost(i)
 			}
+			w.targets.addresses = map[string]string{}
 			for i := range takeoverTargets {
+				w.targets.addresses[takeoverTarget(i).ID] = takeoverTarget(i).Address
 				w.lives[i] = 1
 				w.announce(i)
 			}
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -238,3 +238,29 @@
 	handedOverEvent{to: "127.0.0.1:2", outcome: handoverRefused, done: make(chan struct{})}.apply(p, now)
 	g.Expect(p.sessions).To(HaveKey("new"), "the handover was refused")
 }
+
+// A host hands a pool over with tasks on a target that deregistered, whose runs go on. The
+// new holder started them a second time.
+func TestAHandoverStartsNoTaskOfADeregisteredTargetWhileItsLeaseIsInForce(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	former, now := newHeldTestPool(t)
+	left := deskTargetAnnouncement(1, 8000, now)
+	former.node.announcements.record(left)
+	former.handleAnnouncement(left, now)
+	former.core.SetClearing("t", false, now)
+	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(former, now)
+	g.Expect(former.core.RunCount("t")).To(Equal(2))
+	former.node.DeregisterTarget("t")
+	announcementEvent{left}.apply(former, now)
+
+	successor := newTestPool(t, "127.0.0.1:2")
+	kept := deskTargetAnnouncement(1, 8000, now)
+	kept.Target.ID = "kept"
+	successor.node.announcements.record(kept)
+	receivePoolEvent{message: former.stateMessage(now), answer: make(chan receivedPool, 1)}.apply(successor, now)
+	successor.applyEffects(successor.core.SetClearing("kept", false, now), now)
+	g.Expect(successor.core.RunCount("kept")).To(BeZero(), "the tasks may run on the target that deregistered")
+	successor.core.Tick(time.Now().Add(former.node.longestLease() + time.Millisecond))
+	g.Expect(successor.core.RunCount("kept")).To(Equal(2), "the leases have expired")
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -339,12 +339,14 @@
 	p.handleAnnouncement(a, now)
 }
 
+// removeTarget removes a target that is said to be gone.
 func (p *pool) removeTarget(id string, cause scheduler.LossCause, now time.Time) {
 	if s, ok := p.sessions[id]; ok {
 		s.close()
-		delete(p.sessions, id)
 	}
-	p.applyEffects(p.core.RemoveTarget(id, cause, now), now)
+	leaseRemaining := p.leaseRemaining(id, now) // no request with a later lease is sent
+	delete(p.sessions, id)
+	p.applyEffects(p.core.RemoveTarget(id, cause, leaseRemaining, now), now)
 }
 
 // withdrawLostSenders withdraws the jobs that were forwarded by hosts that are no
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -66,8 +66,8 @@
 }
 
 // decideStart decides a start request by the result of one of its copies. A refusal for
-// want of capacity, or because the target is unhealthy, concerns that copy alone: another
-// one may be carried out later. A target that refuses a copy as outdated has ended the run
+// want of capacity, because the target is unhealthy, or by another target concerns that
+// copy alone: another one may be carried out. A target that refuses a copy as outdated has ended the run
 // that another copy started; its next report contains how.
 func decideStart(result scheduler.StartResult, copies *repeat.Copies) startDecision {
 	switch result {
@@ -77,7 +77,7 @@
 		if copies.Count() > 1 {
 			return startDecision{result: scheduler.Started, certain: true}
 		}
-	case scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy:
+	case scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy, scheduler.WrongTarget:
 		return startDecision{result: result, certain: copies.Pending() == 0}
 	}
 	return startDecision{result: result, certain: true}
@@ -95,11 +95,11 @@
 			p.handleFenced(s, now)
 			return
 		}
-		if !d.certain {
+		if d.certain {
+			p.applyEffects(p.core.HandleStartResult(s.ref.ID, run, d.result, now), now)
+		} else {
 			p.applyEffects(p.core.HandleUncertainRefusal(s.ref.ID, run, d.result, now), now)
-			return
 		}
-		p.applyEffects(p.core.HandleStartResult(s.ref.ID, run, d.result, now), now)
 		if d.result == scheduler.WrongTarget {
 			p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now)
 		}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -165,8 +165,8 @@
 		c.rejectStart(t, active, now)
 		c.failTask(r, now)
 	case WrongTarget:
+		t.clearing = true // until the caller removes it
 		c.rejectStart(t, active, now)
-		c.dropTarget(t, TargetReplaced, now)
 	default:
 		c.rejectStart(t, active, now)
 	}
@@ -186,6 +186,8 @@
 		t.recordNoRoom(now)
 	case Unhealthy:
 		t.eject(now)
+	case WrongTarget:
+		t.clearing = true // until the caller removes it
 	}
 	c.stopRun(active, "a copy of its start request was refused, another may be under way")
 	c.placeTasks(now)
--- a/internal/process/scheduler/detached.go
+++ b/internal/process/scheduler/detached.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// A detached run is a run of an imported job on a target that this pool does not have:
-// the target belongs to another shard since the domain was split, or has not announced
-// itself here. This host sends no requests to that target, so the run's task waits until
-// the leases that the former holder sent have expired. If the target becomes known here,
-// it takes its runs over.
+// A detached run is a run on a target that this pool does not have: the target belongs to
+// another shard since the domain was split, has not announced itself here since a
+// hand-over, or is said to be gone. This host sends no requests to that target, so the
+// run's task waits until the leases that were sent to it have expired. If the target
+// becomes known here, it takes its runs over.
 
 // detach records a run on an unknown target, whose lease has expired at leaseEnd.
 func (c *Core) detach(r *run, leaseEnd time.Time) { c.detachedRuns[r] = leaseEnd }
@@ -21,6 +21,7 @@
 		if r.targetID == t.ID {
 			delete(c.detachedRuns, r)
 			c.adopt(t, r, now)
+			c.resume(r)
 		}
 	}
 }
@@ -31,6 +32,7 @@
 func (c *Core) adopt(t *target, r *run, now time.Time) {
 	if r.incarnation == 0 || r.incarnation >= t.Incarnation {
 		t.addRun(r)
+		r.lost = false
 		return
 	}
 	former := newTarget(t.Target)
@@ -49,7 +51,9 @@
 			continue
 		}
 		delete(c.detachedRuns, r)
-		c.emit(RunLost{Target: r.targetID, Run: r.id, Cause: TargetMoved, Age: now.Sub(r.requestedAt)})
+		if !r.lost { // otherwise the loss was reported when the target was removed
+			c.emit(RunLost{Target: r.targetID, Run: r.id, Cause: TargetMoved, Age: now.Sub(r.requestedAt)})
+		}
 		c.releaseRun(r)
 	}
 }
@@ -63,19 +67,24 @@
 	return max(0, ofTarget(r.targetID))
 }
 
-// ResumeRuns prepares the runs for new sessions with their targets, in which the answers
-// to former requests are lost. A run whose start was not answered is expected in the
-// target's reports from now on, and each stop is requested again.
+// ResumeRuns prepares the runs for new sessions with their targets.
 func (c *Core) ResumeRuns() []Effect {
 	for _, id := range c.targetIDs {
 		for _, r := range c.targets[id].sortedRuns() {
-			switch r.state {
-			case starting:
-				r.state = running
-			case stopping:
-				c.emit(Stop{Target: id, Run: r.id, Reason: "the answer to the stop request was lost"})
-			}
+			c.resume(r)
 		}
 	}
 	return c.drainEffects()
 }
+
+// resume prepares a run for a new session with its target, in which the answers to former
+// requests are lost. A run whose start was not answered is expected in the target's reports
+// from now on, and a stop is requested again.
+func (c *Core) resume(r *run) {
+	switch r.state {
+	case starting:
+		r.state = running
+	case stopping:
+		c.emit(Stop{Target: r.targetID, Run: r.id, Reason: "the answer to the stop request was lost"})
+	}
+}
--- a/internal/process/scheduler/isolation_test.go
+++ b/internal/process/scheduler/isolation_test.go
@@ -28,7 +28,7 @@
 func loseFirstTarget(c *Core, now int) (first Start, again []Effect) {
 	s := starts(c.Submit(newPatientJob("j"), 1, at(now)))[0]
 	c.HandleStartResult(s.Target, s.Run, Started, at(now))
-	return s, c.RemoveTarget(s.Target, TargetReplaced, at(now+1))
+	return s, c.RemoveTarget(s.Target, TargetReplaced, 0, at(now+1))
 }
 
 // Tasks that run beside a deadly one are lost with each target that it crashes.
@@ -55,7 +55,7 @@
 	running := starts(c.Submit(wide, 2, at(0)))
 	first := starts(c.Submit(newPatientJob("j"), 1, at(1)))[0] // beside one of them
 	c.HandleStartResult(first.Target, first.Run, Started, at(2))
-	lost := c.RemoveTarget(first.Target, TargetReplaced, at(3))
+	lost := c.RemoveTarget(first.Target, TargetReplaced, 0, at(3))
 	var left []Start
 	for _, s := range running {
 		if s.Target != first.Target {
@@ -140,7 +140,7 @@
 			case "expire":
 				effects = c.ExpireLeases(id, at(now))
 			case "replace":
-				effects = c.RemoveTarget(id, TargetReplaced, at(now))
+				effects = c.RemoveTarget(id, TargetReplaced, 0, at(now))
 			case "come back":
 				life++
 				restarted := newDeskTarget(len(id))
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -67,23 +67,25 @@
 	c.stopRun(r, "the target restarted")
 }
 
-// RemoveTarget removes a target that left the pool. Tasks that ran there wait again.
-func (c *Core) RemoveTarget(id string, cause LossCause, now time.Time) []Effect {
-	if t, ok := c.targets[id]; ok {
-		c.dropTarget(t, cause, now)
-		c.placeTasks(now)
+// RemoveTarget removes a target that is said to be gone. This does not prove that its runs
+// have ended: they are detached until the leases that were sent to it have expired.
+func (c *Core) RemoveTarget(id string, cause LossCause, leaseRemaining time.Duration, now time.Time) []Effect {
+	t, ok := c.targets[id]
+	if !ok {
+		return c.drainEffects()
+	}
+	runs := c.loseRuns(t, cause, now)
+	delete(c.targets, id)
+	c.targetIDs = slices.DeleteFunc(c.targetIDs, func(other string) bool { return other == id })
+	c.emit(LogEntry{Message: "A target was removed.", Target: id, Reason: fmt.Sprintf("%s, %d runs are awaited", cause, len(runs)), Age: max(0, leaseRemaining)})
+	for _, r := range runs {
+		c.detach(r, now.Add(leaseRemaining))
 	}
+	c.expireDetachedRuns(now)
+	c.placeTasks(now)
 	return c.drainEffects()
 }
 
-// dropTarget removes a target; tasks that ran there wait again.
-func (c *Core) dropTarget(t *target, cause LossCause, now time.Time) {
-	c.releaseRuns(c.loseRuns(t, cause, now))
-	delete(c.targets, t.ID)
-	c.targetIDs = slices.DeleteFunc(c.targetIDs, func(id string) bool { return id == t.ID })
-	c.emit(LogEntry{Message: "A target was removed.", Target: t.ID, Reason: cause.String()})
-}
-
 // SetClearing sets whether runs of a former holder may still be on a target. The
 // target gets no work until these runs are gone.
 func (c *Core) SetClearing(id string, clearing bool, now time.Time) []Effect {
--- a/internal/process/scheduler/locality_test.go
+++ b/internal/process/scheduler/locality_test.go
@@ -116,7 +116,7 @@
 // When the local targets are lost or drain during a wait, nothing is left to wait for.
 func TestAWaitEndsWithItsLocalTargets(t *testing.T) {
 	for name, lose := range map[string]func(*Core) []Effect{
-		"lost":             func(c *Core) []Effect { return c.RemoveTarget("t0", LeasesExpired, at(80)) },
+		"lost":             func(c *Core) []Effect { return c.RemoveTarget("t0", LeasesExpired, 0, at(80)) },
 		"does not answer":  func(c *Core) []Effect { return append(c.MarkUnresponsive("t0", at(80)), c.Tick(at(81))...) },
 		"domain evacuated": func(c *Core) []Effect { return append(c.SetEvacuated(true, at(80)), c.Tick(at(81))...) },
 		"drains": func(c *Core) []Effect {
--- a/internal/process/scheduler/loss_test.go
+++ b/internal/process/scheduler/loss_test.go
@@ -81,7 +81,7 @@
 	c.UpdateTarget(draining, false, at(5))
 	second := loseTarget(c, first, at(10))[0]
 	c.HandleStartResult(second.Target, second.Run, Started, at(1100))
-	third := starts(c.RemoveTarget(second.Target, TargetLeft, at(1200)))
+	third := starts(c.RemoveTarget(second.Target, TargetLeft, 0, at(1200)))
 	g.Expect(third).To(HaveLen(1))
 	g.Expect(c.losses.Knows("j")).To(BeFalse())
 }
@@ -99,7 +99,7 @@
 	c := newCore(4)
 	first := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0]
 	restartUnderSameID(c, first, at(5))
-	c.RemoveTarget(first.Target, TargetReplaced, at(6))
+	c.RemoveTarget(first.Target, TargetReplaced, 0, at(6))
 	g.Expect(c.losses.Count(lossTask(first.Run)).Sum()).To(Equal(1), "the run was on one incarnation only")
 }
 
@@ -107,7 +107,7 @@
 	g := NewWithT(t)
 	c := newCore(4)
 	first := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0]
-	c.RemoveTarget(first.Target, TargetReplaced, at(1))
+	c.RemoveTarget(first.Target, TargetReplaced, 0, at(1))
 	g.Expect(c.losses.Knows("j")).To(BeFalse())
 }
 
@@ -117,7 +117,7 @@
 	next := starts(c.Submit(newPatientJob("j"), 7, at(0)))
 	for i := range 2 {
 		c.HandleStartResult(next[0].Target, next[0].Run, Unanswered, at(1000*i+250))
-		next = starts(c.RemoveTarget(next[0].Target, TargetReplaced, at(1000*i+900)))
+		next = starts(c.RemoveTarget(next[0].Target, TargetReplaced, 0, at(1000*i+900)))
 		g.Expect(next).To(HaveLen(1-i), "a task that may have crashed two targets waits")
 	}
 	g.Expect(replies(c.Tick(at(3000)))).To(BeEmpty(), "given up though no target is known to have started it")
@@ -128,7 +128,7 @@
 	c := newCore(1)
 	first := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0]
 	g.Expect(starts(c.HandleStartResult(first.Target, first.Run, WrongTarget, at(5)))).To(BeEmpty(), "sent to the same address again")
-	c.RemoveTarget(first.Target, TargetReplaced, at(6))
+	c.RemoveTarget(first.Target, TargetReplaced, 0, at(6))
 	g.Expect(c.losses.Knows("j")).To(BeFalse())
 }
 
@@ -199,7 +199,7 @@
 		if noticed {
 			m.holder.HandleStartResult(s.Target, s.Run, Started, at(m.now))
 			m.handle(m.holder.ExpireLeases(s.Target, at(m.now+1000)))
-			m.handle(m.holder.RemoveTarget(s.Target, TargetReplaced, at(m.now+1000)))
+			m.handle(m.holder.RemoveTarget(s.Target, TargetReplaced, 0, at(m.now+1000)))
 		}
 	}
 }
