Use a target again that goes on announcing itself after a deregistration

What callers saw: less capacity. A deregistration that came late, from a former incarnation, took the target out of use until its next incarnation, whatever it announced.

Cause: within one incarnation a deregistration was newer than any announcement, although it names no incarnation.

Change: an announcement with a higher sequence number that was received after the deregistration withdraws it. An older one that was delayed does not, nor one that was received before it, in whichever order a host hears of the two.

Failed before: TestATargetThatAnnouncesItselfAfterALateDeregistrationIsUsedAgain, "Timed out after 5.001s", every job refused; TestOnlyALaterAnnouncementWithdrawsADeregistration/sent and received later, "Expected true to equal false".

Ruled out: a margin beyond the arrival. The heartbeat that may overtake a true deregistration reports a target that drains, which gets no work. Ran with -race: fleet.

--- a/internal/process/fleet/announcements.go
+++ b/internal/process/fleet/announcements.go
@@ -75,7 +75,7 @@
 	if known, ok := n.announcements.get(a.Target.ID); !n.announcements.record(a) {
 		n.log.Info("An outdated announcement was ignored.", "target", a.Target.ID, "born", a.Target.Incarnation, "sequence", a.Sequence)
 		return
-	} else if !ok || known.Target.Draining != a.Target.Draining || known.Target.Incarnation != a.Target.Incarnation || a.Deregistered {
+	} else if !ok || known.Target.Draining != a.Target.Draining || known.Target.Incarnation != a.Target.Incarnation || known.Deregistered != a.Deregistered {
 		n.log.Info("A target announced itself.", "target", a.Target.ID, "domain", a.Target.Domain, "born", a.Target.Incarnation,
 			"sequence", a.Sequence, "draining", a.Target.Draining, "gone", a.Deregistered)
 	}
@@ -196,7 +196,8 @@
 }
 
 // DeregisterTarget records that a target deregistered and forwards this to the entry
-// hosts. An unknown target is ignored.
+// hosts. An unknown target is ignored. The request names no incarnation and may come late,
+// so the target may be in use: it is used again if it goes on announcing itself.
 func (n *Node) DeregisterTarget(id string) {
 	a, ok := n.announcements.get(id)
 	if !ok || a.Deregistered {
--- a/internal/process/fleet/announcements_test.go
+++ b/internal/process/fleet/announcements_test.go
@@ -34,3 +34,35 @@
 	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, now)
 	g.Expect(p.core.RunCount("t")).To(Equal(1), "two tasks of 4 cores each on a target that has 4 by now")
 }
+
+// Heartbeats of one incarnation go to any host and may come late. Only one that was sent after
+// the last one known, and received after the deregistration, shows that the target goes on.
+func TestOnlyALaterAnnouncementWithdrawsADeregistration(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	deregistration := deskTargetAnnouncement(5, 16000, now)
+	deregistration.Deregistered = true
+	for name, c := range map[string]struct {
+		sequence   uint64
+		receivedAt time.Duration
+		withdraws  bool
+	}{
+		"sent and received later": {6, time.Second, true},
+		"the last one known":      {5, time.Second, false},
+		"an older one comes late": {4, time.Second, false},
+		"received before it":      {6, -time.Second, false},
+		"received at once":        {6, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			announced := deskTargetAnnouncement(c.sequence, 16000, now.Add(c.receivedAt))
+			for _, order := range [][]Announcement{{deregistration, announced}, {announced, deregistration}} {
+				table := newAnnouncementTable()
+				table.record(order[0])
+				table.record(order[1])
+				newest, _ := table.get("t")
+				g.Expect(newest.Deregistered).To(Equal(!c.withdraws))
+			}
+		})
+	}
+}
--- a/internal/process/fleet/convert.go
+++ b/internal/process/fleet/convert.go
@@ -34,18 +34,27 @@
 	ReceivedAt   time.Time
 }
 
-// isNewerThan reports whether a was sent after o. Within one incarnation, a
-// deregistration is newer than any other announcement.
+// isNewerThan reports whether a was sent after o. A deregistration has the sequence number
+// of the last announcement that was known where it was received.
 func (a Announcement) isNewerThan(o Announcement) bool {
 	if a.Target.Incarnation != o.Target.Incarnation {
 		return a.Target.Incarnation > o.Target.Incarnation
 	}
-	if a.Deregistered != o.Deregistered {
-		return a.Deregistered
+	if a.Deregistered && !o.Deregistered {
+		return !o.follows(a)
+	}
+	if !a.Deregistered && o.Deregistered {
+		return a.follows(o)
 	}
 	return a.Sequence > o.Sequence
 }
 
+// follows reports whether a target has announced itself after its deregistration, which
+// another target or a former incarnation of it has sent.
+func (a Announcement) follows(deregistration Announcement) bool {
+	return a.Sequence > deregistration.Sequence && a.ReceivedAt.After(deregistration.ReceivedAt)
+}
+
 func announcementMessage(a Announcement, now time.Time) *fleetpb.Announcement {
 	t := a.Target
 	return &fleetpb.Announcement{
--- a/internal/process/fleet/removal_test.go
+++ b/internal/process/fleet/removal_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -63,3 +64,21 @@
 		})
 	}
 }
+
+// The target was unused until its next incarnation, though it went on announcing itself.
+func TestATargetThatAnnouncesItselfAfterALateDeregistrationIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 10*time.Millisecond)
+	host := f.start("a", "north")
+	f.activateCatalog("a")
+	ref := fleet.TargetRef{ID: "only", Address: "127.0.0.1:1"}
+	host.Announce(newAnnouncement(ref, "north", 2))
+	f.g.Expect(f.submit(host, job("before", 1)).Outcome).To(Equal(scheduler.Completed))
+	host.DeregisterTarget(ref.ID)
+	again := newAnnouncement(ref, "north", 2)
+	again.Sequence += 10
+	host.Announce(again)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	f.g.Eventually(func() scheduler.Outcome { return host.Submit(ctx, job("after", 1)).Outcome }, 5*time.Second, 20*time.Millisecond).Should(Equal(scheduler.Completed))
+}
