Take no new incarnation for gone because the former one deregistered

What callers saw: less capacity for an announcement interval. A target that deregistered and was back under its id was removed as soon as a report of the new incarnation arrived.

Cause: when a report tells of a restart, the new incarnation is recorded as the former one's announcement with another number, and the deregistration was copied with it.

Failed before: TestADeregistrationIsNotCarriedOverToTheNextIncarnation, "Expected <map[string]*fleet.session | len:0> to have key t".

--- a/internal/process/fleet/announcements_test.go
+++ b/internal/process/fleet/announcements_test.go
@@ -35,6 +35,22 @@
 	g.Expect(p.core.RunCount("t")).To(Equal(1), "two tasks of 4 cores each on a target that has 4 by now")
 }
 
+// A target deregisters and is back under its id. The host hears of its new incarnation in a
+// report before the pool has handled the deregistration, and took the new one for gone.
+func TestADeregistrationIsNotCarriedOverToTheNextIncarnation(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	first := deskTargetAnnouncement(5, 16000, now)
+	p.node.announcements.record(first)
+	announcementEvent{first}.apply(p, now)
+	p.node.DeregisterTarget("t")
+	p.handleRestart(p.sessions["t"], TargetReport{Incarnation: 2, ClockMS: 10}, now)
+	announcementEvent{first}.apply(p, now)
+	g.Expect(p.sessions).To(HaveKey("t"))
+	g.Expect(p.sessions["t"].incarnation).To(Equal(uint64(2)))
+}
+
 // Heartbeats of one incarnation go to any host and may come late. Only one that was sent after
 // the last one known, and received after the deregistration, shows that the target goes on.
 func TestOnlyALaterAnnouncementWithdrawsADeregistration(t *testing.T) {
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -333,7 +333,7 @@
 	}
 	if a.Target.Incarnation < r.Incarnation {
 		a.Target.Incarnation, a.Sequence, a.ClockMS, a.ReceivedAt = r.Incarnation, 0, r.ClockMS, now
-		a.Target.Draining = false
+		a.Target.Draining, a.Deregistered = false, false
 		p.node.announcements.record(a)
 	}
 	p.handleAnnouncement(a, now)
