Resume the requests for a run whose target changes its address

What callers saw: a task that never ends, so that its job is answered only when its caller gives up. A start that was not answered, or a stop that was not confirmed, when a target announced another address within one incarnation was awaited for good: the session to the former address was closed with the answer, and the new one renewed the run's lease.

Cause: a hand-over resumes such requests, a change of address kept the runs as they were.

Failed before: TestTheRequestsOfARunAreResumedWhenItsTargetChangesItsAddress, "a start that was lost: Expected <[]scheduler.Stop | len:0> to have length 1". Ran with -race: scheduler, fleet.

--- a/internal/process/scheduler/detached_test.go
+++ b/internal/process/scheduler/detached_test.go
@@ -51,3 +51,20 @@
 	known.ID = first.Target
 	g.Expect(stops(c.UpdateTarget(known, true, at(200)))).To(HaveLen(1))
 }
+
+// A target announces another address while a start is not answered and a stop not confirmed.
+// The answers were lost with the session, and the run stayed with the target for good.
+func TestTheRequestsOfARunAreResumedWhenItsTargetChangesItsAddress(t *testing.T) {
+	g := NewWithT(t)
+	c := newCore(1)
+	run := starts(c.Submit(newPatientJob("j"), 7, at(0)))[0].Run
+	moved := newDeskTarget(0)
+	moved.Address = "another"
+	c.UpdateTarget(moved, true, at(10))
+	unlisted := c.StopUnlisted(moved.ID, nil, at(1000))
+	g.Expect(stops(unlisted)).To(HaveLen(1), "a start that was lost")
+	moved.Address = "yet another"
+	g.Expect(stops(c.UpdateTarget(moved, true, at(1010)))).To(HaveLen(1), "a stop that was lost")
+	g.Expect(starts(c.HandleRunStopped(moved.ID, run, at(1020)))).To(BeEmpty(), "runs of a former holder may be there")
+	g.Expect(starts(c.SetClearing(moved.ID, false, at(1030)))).To(HaveLen(1))
+}
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -50,9 +50,10 @@
 	restarted := newTarget(t)
 	c.targets[t.ID] = restarted
 	for _, r := range known.sortedRuns() {
-		if r.incarnation == t.Incarnation {
-			known.removeRun(r) // imported from a host that knew of the restart
+		if r.incarnation == t.Incarnation { // at a new address, or imported from a host that knew of the restart
+			known.removeRun(r)
 			restarted.addRun(r)
+			c.resume(r)
 		}
 	}
 	for _, r := range c.loseRuns(known, TargetRestarted, now) {
