Keep the outcome of a hand-over unknown when a later try is refused

What callers could see: two runs of one task, or a job that breaks at both hosts. The state of a pool is sent up to four times. An answer to the first try that was lost, followed by a refusal of the second, counted as refused: the sender continued its jobs with the token that it had, although the other host may have accepted the first try and started what waited.

Cause: the outcome was that of the last try alone. A host that stops refused a state that it had accepted, for it looked whether it stops before it looked whether it knows the state.

Change: a refusal decides only if it answers the first try. A host answers for a state that it has accepted also while it stops. No answer proves yet that no life of the host had accepted an earlier try, so the jobs of such a hand-over are given up, as those of any unknown outcome.

Failed before (the check taken out of the new loop): TestAHandoverThatMayHaveBeenAccepted..., "lost, then refused: Expected <fleet.handoverOutcome> 1 to equal 2", the same for "lost twice, refused". Ran with -race: fleet.

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -81,23 +81,35 @@
 	handoverUnknown                         // the other host may hold the pool
 )
 
-// sendState sends the pool's state until the other host has accepted or refused it, the
-// host is no longer alive, or maxHandoverTries are used. The host recognizes a state
-// that it has received before.
+// sendState sends the pool's state to a host that it can connect to.
 func (p *pool) sendState(to string, m *fleetpb.PoolState) (*fleetpb.Claim, handoverOutcome, error) {
 	link, ok := p.node.link(to)
 	if !ok {
 		return nil, handoverRefused, status.Error(codes.Unavailable, "the host is not known")
 	}
-	for try := 1; ; try++ {
+	if !link.WaitConnected(p.node.runCtx, link.Current()) {
+		return nil, handoverRefused, status.Error(codes.Unavailable, "the host cannot be reached")
+	}
+	return p.sendRepeatedly(to, m, func(ctx context.Context) (*fleetpb.Claim, error) {
 		conn := link.Current()
-		if !link.WaitConnected(p.node.runCtx, conn) && try == 1 {
-			return nil, handoverRefused, status.Error(codes.Unavailable, "the host cannot be reached")
-		}
-		ctx, cancel := context.WithTimeout(p.node.runCtx, handoverTimeout)
-		claim, err := fleetpb.NewFleetClient(conn).HandOver(ctx, m)
-		cancel()
+		link.WaitConnected(p.node.runCtx, conn)
+		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		defer cancel()
+		return fleetpb.NewFleetClient(conn).HandOver(ctx, m)
+	})
+}
+
+// sendRepeatedly sends the pool's state until the other host has accepted or refused it,
+// the host is no longer alive, or maxHandoverTries are used. The host recognizes a state
+// that it has accepted before. A refusal concerns one try alone: the host may have accepted
+// an earlier one, started tasks and restarted, or handed the pool on.
+func (p *pool) sendRepeatedly(to string, m *fleetpb.PoolState, send func(context.Context) (*fleetpb.Claim, error)) (*fleetpb.Claim, handoverOutcome, error) {
+	for try := 1; ; try++ {
+		claim, err := send(p.node.runCtx)
 		outcome := handoverOutcomeOf(err)
+		if outcome == handoverRefused && try > 1 {
+			return nil, handoverUnknown, err
+		}
 		if outcome != handoverUnknown || try == maxHandoverTries || !p.node.isAlive(to) || p.node.runCtx.Err() != nil {
 			return claim, outcome, err
 		}
@@ -266,9 +278,9 @@
 		e.answer <- receivedPool{claim: p.claimMessage()} // the sender did not receive the first answer
 		return
 	}
-	if token < p.holderView.Claim().Token {
-		p.log.Warn("A handover was refused.", "pool", p.name, "token", token, "reason", "a newer claim on the pool is known")
-		e.answer <- receivedPool{err: status.Error(codes.FailedPrecondition, "a newer claim on the pool is known")}
+	if reason := p.refusalReason(e.message); reason != "" {
+		p.log.Warn("A handover was refused.", "pool", p.name, "token", token, "reason", reason)
+		e.answer <- receivedPool{err: status.Error(codes.FailedPrecondition, reason)}
 		return
 	}
 	p.acceptedToken = token
@@ -299,6 +311,20 @@
 	e.answer <- receivedPool{claim: p.claimMessage()}
 }
 
+// refusalReason returns why a state that was not accepted before is refused, empty if it is
+// not.
+func (p *pool) refusalReason(m *fleetpb.PoolState) string {
+	switch {
+	case p.node.leaving.Load():
+		return "this host is stopping"
+	case p.node.awaitsEvacuations():
+		return "this host does not know yet which domains are evacuated"
+	case m.GetFencingToken() < p.holderView.Claim().Token:
+		return "a newer claim on the pool is known"
+	}
+	return ""
+}
+
 func runningJobMessage(j scheduler.HandoverJob, now time.Time) *fleetpb.RunningJob {
 	m := &fleetpb.RunningJob{Request: jobMessage(j.Job, now), Ran: j.HasStarted}
 	for _, t := range j.Tasks {
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -78,6 +78,11 @@
 	message.FencingToken = 3
 	stale := receive()
 	g.Expect(stale.err).To(HaveOccurred(), "a state older than the known claim was accepted")
+
+	p.node.leaving.Store(true)
+	g.Expect(receive().err).To(HaveOccurred(), "a state was accepted by a host that stops")
+	message.FencingToken = 7
+	g.Expect(receive().err).NotTo(HaveOccurred(), "a host that stops refused a state that it had accepted")
 }
 
 // The answer to a handover is lost for good: the other host may have taken the pool
@@ -264,3 +269,34 @@
 	successor.core.Tick(time.Now().Add(former.node.longestLease() + time.Millisecond))
 	g.Expect(successor.core.RunCount("kept")).To(Equal(2), "the leases have expired")
 }
+
+// The answer to a state is lost, and the host refuses it when it comes again: it is stopping
+// by now, or has restarted. Its tasks were continued here and by the host.
+func TestAHandoverThatMayHaveBeenAcceptedIsNotRefusedByALaterTry(t *testing.T) {
+	t.Parallel()
+	lost, refused := status.Error(codes.DeadlineExceeded, "lost"), status.Error(codes.FailedPrecondition, "stopping")
+	for name, c := range map[string]struct {
+		tries []error
+		want  handoverOutcome
+	}{
+		"refused":                {[]error{refused}, handoverRefused},
+		"lost, then refused":     {[]error{lost, refused}, handoverUnknown},
+		"lost, then accepted":    {[]error{lost, nil}, handoverAccepted},
+		"lost twice, refused":    {[]error{lost, lost, refused}, handoverUnknown},
+		"lost as often as tried": {[]error{lost, lost, lost, lost}, handoverUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, now := newHeldTestPool(t)
+			to := discovery.Host{Address: "127.0.0.1:2", Incarnation: 5}
+			p.node.hostTable.Record(to, 0, now)
+			tries := 0
+			_, outcome, _ := p.sendRepeatedly(to.Address, p.stateMessage(now), func(context.Context) (*fleetpb.Claim, error) {
+				tries++
+				return nil, c.tries[tries-1]
+			})
+			g.Expect(tries).To(Equal(len(c.tries)))
+			g.Expect(outcome).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -72,11 +72,8 @@
 
 // HandOver implements fleetpb.FleetServer.
 func (s *service) HandOver(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
-	if !s.node.config.Self.Entry || s.node.leaving.Load() {
-		return nil, status.Error(codes.FailedPrecondition, "this host is stopping or accepts no jobs")
-	}
-	if s.node.awaitsEvacuations() {
-		return nil, status.Error(codes.FailedPrecondition, "this host does not know yet which domains are evacuated")
+	if !s.node.config.Self.Entry {
+		return nil, status.Error(codes.FailedPrecondition, "this host accepts no jobs")
 	}
 	id, err := shards.ParsePool(m.GetPool())
 	if err != nil {
