Take no state that was sent to a former incarnation of the receiver

What callers could see: two runs of one task. A host accepts the state of a pool, starts a task that waited in it and restarts before its answer arrives. The sender sends the state again, and the new incarnation, which knows nothing, took it: the task waits in it, and starts on a target that the host has cleared while the first run goes on at another.

Cause: a host recognized only the states that it had accepted in this life.

A sender that has not heard from the receiver sends the state once.

Failed before: TestAStateThatIsSentAgainIsNotTakenByAHostThatHasRestarted/restarted, "Expected <fleet.handoverOutcome> 0 to equal 2". Ran with -race: fleet, connection.

--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -102,17 +102,20 @@
 // sendRepeatedly sends the pool's state until the other host has accepted or refused it,
 // the host is no longer alive, or maxHandoverTries are used. The host recognizes a state
 // that it has accepted before. A refusal concerns one try alone: the host may have accepted
-// an earlier one, started tasks and restarted, or handed the pool on.
+// an earlier one, started tasks and restarted, or handed the pool on. An incarnation that
+// started since the first try does not know, and must not accept the state.
 func (p *pool) sendRepeatedly(to string, m *fleetpb.PoolState, send func(context.Context) (*fleetpb.Claim, error)) (*fleetpb.Claim, handoverOutcome, error) {
+	receiver := p.node.incarnationOf(to)
 	for try := 1; ; try++ {
 		claim, err := send(p.node.runCtx)
 		outcome := handoverOutcomeOf(err)
 		if outcome == handoverRefused && try > 1 {
 			return nil, handoverUnknown, err
 		}
-		if outcome != handoverUnknown || try == maxHandoverTries || !p.node.isAlive(to) || p.node.runCtx.Err() != nil {
+		if outcome != handoverUnknown || try == maxHandoverTries || receiver == 0 || !p.node.isAlive(to) || p.node.runCtx.Err() != nil {
 			return claim, outcome, err
 		}
+		m.ReceiverIncarnation = receiver
 		p.log.Warn("The outcome of a handover is not known; the state is sent again.", "pool", p.name, "peer", to, "error", err)
 	}
 }
@@ -315,6 +318,8 @@
 // not.
 func (p *pool) refusalReason(m *fleetpb.PoolState) string {
 	switch {
+	case m.GetReceiverIncarnation() != 0 && m.GetReceiverIncarnation() != p.node.config.Self.Incarnation:
+		return "a former incarnation of this host may have accepted it"
 	case p.node.leaving.Load():
 		return "this host is stopping"
 	case p.node.awaitsEvacuations():
--- a/internal/process/fleet/handover_property_test.go
+++ b/internal/process/fleet/handover_property_test.go
@@ -141,9 +141,23 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if former := w.hosts[i]; former != nil {
+		former.Kill() // two events may restart one host
+	}
 	w.hosts[i] = h
 }
 
+// restartHost kills a host and starts it again.
+func (w *takeover) restartHost(i int) *fleet.MemoryHost {
+	w.allHosts()[i].Kill()
+	time.Sleep(100 * time.Millisecond)
+	w.startHost(i)
+	for target := range takeoverTargets {
+		w.announce(target)
+	}
+	return w.allHosts()[i]
+}
+
 func (w *takeover) allHosts() []*fleet.MemoryHost {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -257,7 +271,7 @@
 	switch step.kind {
 	case "hand over":
 		if h := w.holderOf(pool.String()); h != nil {
-			h.HandOverTo(other, pool, step.fate, w.countRuns)
+			h.HandOverTo(other, pool, step.fate, w.countRuns, func() *fleet.MemoryHost { return w.restartHost(step.other) })
 		}
 	case "split":
 		host.Split("north", 2<<(step.target%3))
@@ -276,12 +290,7 @@
 		time.Sleep(time.Millisecond) // a later sequence number
 		w.announceAt(step.target, "127.0.0.1:99")
 	case "lose host":
-		host.Kill()
-		time.Sleep(100 * time.Millisecond)
-		w.startHost(step.host)
-		for i := range takeoverTargets {
-			w.announce(i)
-		}
+		w.restartHost(step.host)
 	case "claim": // hosts that do not hear from each other claim the same pool
 		for range 8 {
 			w.exchange(step.host)
@@ -346,10 +355,12 @@
 				time.Sleep(250 * time.Millisecond)
 			}
 			cancel()
-			for _, h := range w.allHosts() {
-				h.Kill()
+			for range 2 { // a host may be restarting
+				for _, h := range w.allHosts() {
+					h.Kill()
+				}
+				time.Sleep(5 * time.Second)
 			}
-			time.Sleep(5 * time.Second)
 			w.targets.mu.Lock()
 			overlapping = w.targets.overlapping
 			w.targets.mu.Unlock()
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -300,3 +300,37 @@
 		})
 	}
 }
+
+// A host accepts a state, starts a task that waited in it and restarts before its answer
+// arrives. The state is sent again, and the host started the task a second time on a target
+// that it had cleared, while the first run went on at another.
+func TestAStateThatIsSentAgainIsNotTakenByAHostThatHasRestarted(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		lives []int // of the host that receives each try
+		want  handoverOutcome
+	}{
+		"restarted":                {[]int{0, 1}, handoverUnknown},
+		"the same life":            {[]int{0, 0}, handoverAccepted},
+		"restarted before it came": {[]int{1}, handoverAccepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, now := newHeldTestPool(t)
+			lives := []*pool{newTestPool(t, "127.0.0.1:2"), newTestPool(t, "127.0.0.1:2")}
+			lives[1].node.config.Self.Incarnation = lives[0].node.config.Self.Incarnation + 1
+			p.node.hostTable.Record(lives[0].node.config.Self, 0, now)
+			message, tries := p.stateMessage(now), 0
+			_, outcome, _ := p.sendRepeatedly("127.0.0.1:2", message, func(context.Context) (*fleetpb.Claim, error) {
+				answer := make(chan receivedPool, 1)
+				receivePoolEvent{message: message, answer: answer}.apply(lives[c.lives[tries]], now)
+				tries++
+				if r := <-answer; tries == len(c.lives) {
+					return r.claim, r.err
+				}
+				return nil, status.Error(codes.DeadlineExceeded, "lost")
+			})
+			g.Expect(outcome).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/process/fleet/memoryhost_test.go
+++ b/internal/process/fleet/memoryhost_test.go
@@ -7,7 +7,10 @@
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/connection/hostlink"
@@ -81,11 +84,14 @@
 	StateLate // after the sender has given up
 	StateLost
 	StateRefused
-	StateFates // the number of fates
+	StateAnswerLostThenRefused
+	StateAnswerLostThenRestarted // the receiver has restarted before the state is sent again
+	StateFates                   // the number of fates
 )
 
-// HandOverTo hands a pool over if this host holds it. sent is called with the state.
-func (h *MemoryHost) HandOverTo(to *MemoryHost, id shards.Pool, fate StateFate, sent func(*fleetpb.PoolState)) {
+// HandOverTo hands a pool over if this host holds it. sent is called with the state, and
+// restart replaces the receiver.
+func (h *MemoryHost) HandOverTo(to *MemoryHost, id shards.Pool, fate StateFate, sent func(*fleetpb.PoolState), restart func() *MemoryHost) {
 	p := h.openPool(id)
 	p.post(eventFunc(func(p *pool, now time.Time) {
 		if !p.heldHere.Load() || p.handingOver || to == h {
@@ -99,39 +105,67 @@
 			state := p.stateMessage(now)
 			sent(state)
 			go func() {
-				outcome, claim := deliverState(to, id, state, fate)
+				delivery := stateDelivery{to: to, id: id, fate: fate, restart: restart}
+				claim, outcome, _ := p.sendRepeatedly(to.config.Self.Address, state, func(context.Context) (*fleetpb.Claim, error) {
+					return delivery.try(proto.CloneOf(state)) // a late one is read while the next is prepared
+				})
 				p.post(handedOverEvent{to: to.config.Self.Address, claim: claim, outcome: outcome, done: make(chan struct{})})
 			}()
 		}))
 	}))
 }
 
-// deliverState passes a state on, and returns what its sender learns.
-func deliverState(to *MemoryHost, id shards.Pool, state *fleetpb.PoolState, fate StateFate) (handoverOutcome, *fleetpb.Claim) {
+// stateDelivery passes the state of a pool on, as often as it is sent.
+type stateDelivery struct {
+	to      *MemoryHost
+	id      shards.Pool
+	fate    StateFate
+	restart func() *MemoryHost
+	tries   int
+}
+
+var (
+	errStateLost    = status.Error(codes.DeadlineExceeded, "lost")
+	errStateRefused = status.Error(codes.FailedPrecondition, "refused")
+)
+
+// try returns what the sender of the state learns.
+func (d *stateDelivery) try(state *fleetpb.PoolState) (*fleetpb.Claim, error) {
+	d.tries++
 	receive := func() (*fleetpb.Claim, error) {
-		ctx, cancel := context.WithTimeout(to.runCtx, handoverTimeout)
+		ctx, cancel := context.WithTimeout(d.to.runCtx, handoverTimeout)
 		defer cancel()
-		return to.openPool(id).receivePool(ctx, state)
+		return d.to.openPool(d.id).receivePool(ctx, state)
 	}
-	switch fate {
+	switch d.fate {
 	case StateRefused:
-		return handoverRefused, nil
-	case StateLost:
-		time.Sleep(handoverTimeout)
-		return handoverUnknown, nil
+		return nil, errStateRefused
 	case StateLate:
 		time.AfterFunc(handoverTimeout+200*time.Millisecond, func() { _, _ = receive() })
+		fallthrough
+	case StateLost:
 		time.Sleep(handoverTimeout)
-		return handoverUnknown, nil
+		return nil, errStateLost
+	case StateArrivesTwice:
+		_, _ = receive()
+	case StateAnswerLostThenRefused:
+		if d.tries > 1 {
+			return nil, errStateRefused
+		}
+	case StateAnswerLostThenRestarted:
+		if d.tries > 1 {
+			return receive()
+		}
 	}
 	claim, err := receive()
-	if fate == StateArrivesTwice {
-		claim, err = receive()
-	}
-	if fate == StateAnswerLost && err == nil {
-		return handoverUnknown, nil
+	switch d.fate {
+	case StateAnswerLostThenRestarted:
+		d.to = d.restart()
+		return nil, errStateLost
+	case StateAnswerLost, StateAnswerLostThenRefused:
+		return nil, errStateLost
 	}
-	return handoverOutcomeOf(err), claim
+	return claim, err
 }
 
 // eventFunc is an event of a test.
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -254,6 +254,15 @@
 	return ok && n.pauses.listened(age, now) <= n.aliveWindow(h)
 }
 
+// incarnationOf returns the incarnation of another host that was heard from last, 0 if none
+// is known.
+func (n *Node) incarnationOf(address string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, _, _ := n.hostTable.Get(address, time.Now())
+	return h.Incarnation
+}
+
 // Self returns this host as it describes itself to others.
 func (n *Node) Self() discovery.Host {
 	h := n.config.Self
