Return pools although a former holder's claim on them is remembered

What callers saw: one host does the work of several. A host that had taken over all pools of its domain, after the others were silent for a moment, kept them for good.

Cause: claims of other hosts are kept by pool, also those on pools that this host has taken over since. Their hosts seemed to hold a pool, so that none was left to hand one over to. In a domain of uneven hosts the former pools counted in the same way.

Failed before: TestAFormerHolderOfThisHostsPoolsHoldsNone, "Expected false to be true".

--- a/internal/process/fleet/capacity.go
+++ b/internal/process/fleet/capacity.go
@@ -131,7 +131,7 @@
 func (n *Node) hostLoads(domain string, hosts []shards.Candidate, now time.Time) (self shards.HostLoad, others []shards.HostLoad) {
 	held := map[string]int{} // pools by holder
 	for name, c := range n.claims {
-		if p, err := shards.ParsePool(name); err == nil && p.Domain == domain && n.holderAlive(c, now) {
+		if p, err := shards.ParsePool(name); err == nil && p.Domain == domain && !n.isHeldHere(name) && n.holderAlive(c, now) {
 			held[c.claim.Holder]++
 		}
 	}
--- a/internal/process/fleet/capacity_test.go
+++ b/internal/process/fleet/capacity_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
 // A split is never undone, so a host that has just started must not split the domain
@@ -60,3 +62,25 @@
 	}
 	g.Expect(m.record(used, now)).To(Equal(1), "known, and idle")
 }
+
+// A host took all pools of its domain over and kept them for good: the former holders, whose
+// claims it remembered, seemed to hold them.
+func TestAFormerHolderOfThisHostsPoolsHoldsNone(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	former := discovery.Host{Address: "127.0.0.1:2", Domain: "north", Entry: true, Incarnation: 1}
+	p.node.hostTable.Record(former, 0, now)
+	p.node.pools[p.name] = p
+	claim := &fleetpb.Claim{Pool: p.name, Holder: former.Address, FencingToken: 5}
+	p.node.recordClaim(claim)
+	g.Expect(p.node.holdsNoPool(former.Address)).To(BeTrue())
+	_, others := p.node.hostLoads("north", []shards.Candidate{{Address: former.Address}}, time.Now())
+	g.Expect(others[0].Pools).To(BeZero())
+
+	claim.Pool = "north#1"
+	p.node.recordClaim(claim)
+	g.Expect(p.node.holdsNoPool(former.Address)).To(BeFalse())
+	_, others = p.node.hostLoads("north", []shards.Candidate{{Address: former.Address}}, time.Now())
+	g.Expect(others[0].Pools).To(Equal(1))
+}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -347,7 +347,7 @@
 func (n *Node) holderOf(pool string) (string, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if p, ok := n.pools[pool]; ok && p.heldHere.Load() {
+	if n.isHeldHere(pool) {
 		return n.config.Self.Address, true
 	}
 	remote, ok := n.claims[pool]
--- a/internal/process/fleet/shards.go
+++ b/internal/process/fleet/shards.go
@@ -204,9 +204,21 @@
 	return others
 }
 
-// holdsNoPool reports whether a host holds no pool.
+// holdsNoPool reports whether another host holds no pool.
 func (n *Node) holdsNoPool(host string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.holdsAnyPool(host)
+	for pool, c := range n.claims {
+		if c.claim.Holder == host && !n.isHeldHere(pool) {
+			return false
+		}
+	}
+	return true
+}
+
+// isHeldHere reports whether this host holds a pool, so that the claim of another host on it
+// is a former one. The caller holds the lock.
+func (n *Node) isHeldHere(pool string) bool {
+	p, ok := n.pools[pool]
+	return ok && p.heldHere.Load()
 }
