--- a/internal/process/fleet/announcements_test.go
+++ b/internal/process/fleet/announcements_test.go
@@ -34,3 +34,51 @@
 	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, now)
 	g.Expect(p.core.RunCount("t")).To(Equal(1), "two tasks of 4 cores each on a target that has 4 by now")
 }
+
+// A target deregisters and is back under its id. The host hears of its new incarnation in a
+// report before the pool has handled the deregistration, and took the new one for gone.
+func TestADeregistrationIsNotCarriedOverToTheNextIncarnation(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	first := deskTargetAnnouncement(5, 16000, now)
+	p.node.announcements.record(first)
+	announcementEvent{first}.apply(p, now)
+	p.node.DeregisterTarget("t")
+	p.handleRestart(p.sessions["t"], TargetReport{Incarnation: 2, ClockMS: 10}, now)
+	announcementEvent{first}.apply(p, now)
+	g.Expect(p.sessions).To(HaveKey("t"))
+	g.Expect(p.sessions["t"].incarnation).To(Equal(uint64(2)))
+}
+
+// Heartbeats of one incarnation go to any host and may come late. Only one that was sent after
+// the last one known, and received after the deregistration, shows that the target goes on.
+func TestOnlyALaterAnnouncementWithdrawsADeregistration(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	deregistration := deskTargetAnnouncement(5, 16000, now)
+	deregistration.Deregistered = true
+	for name, c := range map[string]struct {
+		sequence   uint64
+		receivedAt time.Duration
+		withdraws  bool
+	}{
+		"sent and received later": {6, time.Second, true},
+		"the last one known":      {5, time.Second, false},
+		"an older one comes late": {4, time.Second, false},
+		"received before it":      {6, -time.Second, false},
+		"received at once":        {6, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			announced := deskTargetAnnouncement(c.sequence, 16000, now.Add(c.receivedAt))
+			for _, order := range [][]Announcement{{deregistration, announced}, {announced, deregistration}} {
+				table := newAnnouncementTable()
+				table.record(order[0])
+				table.record(order[1])
+				newest, _ := table.get("t")
+				g.Expect(newest.Deregistered).To(Equal(!c.withdraws))
+			}
+		})
+	}
+}
--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +44,7 @@
 	down        map[string]bool              // ids of targets that have crashed
 	onCrash     func(target fleet.TargetRef) // called without the lock
 	onStart     func(target string)          // called with the lock at each start; may be nil
+	addresses   map[string][]string          // by id, at which a target has answered; others answer at any other one
 }
 
 // fakeTarget is one incarnation of a target.
@@ -120,6 +122,12 @@
 	return t.address == "" || t.contactToken >= token
 }
 
+// isElsewhere reports whether another target answers at the address of a request.
+func (f *fakeTargets) isElsewhere(t fleet.TargetRef) bool {
+	own, ok := f.addresses[t.ID]
+	return ok && !slices.Contains(own, t.Address)
+}
+
 func (f *fakeTargets) get(id string) *fakeTarget {
 	if f.byID[id] == nil {
 		f.byID[id] = newFakeTarget()
@@ -194,6 +202,9 @@
 	if f.down[t.ID] {
 		return scheduler.Unhealthy, 0
 	}
+	if f.isElsewhere(t) {
+		return scheduler.WrongTarget, target.clockMS()
+	}
 	target.recordContact(t, request.Token)
 	if request.Token < target.token {
 		return scheduler.Fenced, target.clockMS()
@@ -245,6 +256,9 @@
 	if f.down[t.ID] {
 		return errDown
 	}
+	if f.isElsewhere(t) {
+		return fleet.ErrWrongTarget
+	}
 	target := f.get(t.ID)
 	target.recordContact(t, token)
 	if token < target.token {
@@ -264,6 +278,10 @@
 		f.mu.Unlock()
 		return fleet.TargetReport{}, errDown
 	}
+	if f.isElsewhere(t) {
+		f.mu.Unlock()
+		return fleet.TargetReport{}, fleet.ErrWrongTarget
+	}
 	target.recordContact(t, r.Token)
 	if r.Token < target.token {
 		f.mu.Unlock()
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -81,26 +81,41 @@
 	handoverUnknown                         // the other host may hold the pool
 )
 
-// sendState sends the pool's state until the other host has accepted or refused it, the
-// host is no longer alive, or maxHandoverTries are used. The host recognizes a state
-// that it has received before.
+// sendState sends the pool's state to a host that it can connect to.
 func (p *pool) sendState(to string, m *fleetpb.PoolState) (*fleetpb.Claim, handoverOutcome, error) {
 	link, ok := p.node.link(to)
 	if !ok {
 		return nil, handoverRefused, status.Error(codes.Unavailable, "the host is not known")
 	}
-	for try := 1; ; try++ {
+	if !link.WaitConnected(p.node.runCtx, link.Current()) {
+		return nil, handoverRefused, status.Error(codes.Unavailable, "the host cannot be reached")
+	}
+	return p.sendRepeatedly(to, m, func(ctx context.Context) (*fleetpb.Claim, error) {
 		conn := link.Current()
-		if !link.WaitConnected(p.node.runCtx, conn) && try == 1 {
-			return nil, handoverRefused, status.Error(codes.Unavailable, "the host cannot be reached")
-		}
-		ctx, cancel := context.WithTimeout(p.node.runCtx, handoverTimeout)
-		claim, err := fleetpb.NewFleetClient(conn).HandOver(ctx, m)
-		cancel()
+		link.WaitConnected(p.node.runCtx, conn)
+		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		defer cancel()
+		return fleetpb.NewFleetClient(conn).HandOver(ctx, m)
+	})
+}
+
+// sendRepeatedly sends the pool's state until the other host has accepted or refused it,
+// the host is no longer alive, or maxHandoverTries are used. The host recognizes a state
+// that it has accepted before. A refusal concerns one try alone: the host may have accepted
+// an earlier one, started tasks and restarted, or handed the pool on. An incarnation that
+// started since the first try does not know, and must not accept the state.
+func (p *pool) sendRepeatedly(to string, m *fleetpb.PoolState, send func(context.Context) (*fleetpb.Claim, error)) (*fleetpb.Claim, handoverOutcome, error) {
+	receiver := p.node.incarnationOf(to)
+	for try := 1; ; try++ {
+		claim, err := send(p.node.runCtx)
 		outcome := handoverOutcomeOf(err)
-		if outcome != handoverUnknown || try == maxHandoverTries || !p.node.isAlive(to) || p.node.runCtx.Err() != nil {
+		if outcome == handoverRefused && try > 1 {
+			return nil, handoverUnknown, err
+		}
+		if outcome != handoverUnknown || try == maxHandoverTries || receiver == 0 || !p.node.isAlive(to) || p.node.runCtx.Err() != nil {
 			return claim, outcome, err
 		}
+		m.ReceiverIncarnation = receiver
 		p.log.Warn("The outcome of a handover is not known; the state is sent again.", "pool", p.name, "peer", to, "error", err)
 	}
 }
@@ -269,9 +284,9 @@
 		e.answer <- receivedPool{claim: p.claimMessage()} // the sender did not receive the first answer
 		return
 	}
-	if token < p.holderView.Claim().Token {
-		p.log.Warn("A handover was refused.", "pool", p.name, "token", token, "reason", "a newer claim on the pool is known")
-		e.answer <- receivedPool{err: status.Error(codes.FailedPrecondition, "a newer claim on the pool is known")}
+	if reason := p.refusalReason(e.message); reason != "" {
+		p.log.Warn("A handover was refused.", "pool", p.name, "token", token, "reason", reason)
+		e.answer <- receivedPool{err: status.Error(codes.FailedPrecondition, reason)}
 		return
 	}
 	p.acceptedToken = token
@@ -300,7 +315,6 @@
 			p.log.Warn("A job of a handover was dropped.", "pool", p.name, "job", job.Job.ID, "reason", err.Error())
 			continue
 		}
-		p.node.clearDeregistered(job.Tasks)
 		jobs = append(jobs, job)
 	}
 	p.applyEffects(p.core.ImportJobs(jobs, now), now)
@@ -308,14 +322,20 @@
 	e.answer <- receivedPool{claim: p.claimMessage()}
 }
 
-// clearDeregistered clears the targets of tasks that have deregistered, on which nothing
-// runs any more.
-func (n *Node) clearDeregistered(tasks []scheduler.HandoverTask) {
-	for i := range tasks {
-		if a, ok := n.announcements.get(tasks[i].Target); ok && a.Deregistered {
-			tasks[i].Target = ""
-		}
+// refusalReason returns why a state that was not accepted before is refused, empty if it is
+// not.
+func (p *pool) refusalReason(m *fleetpb.PoolState) string {
+	switch {
+	case m.GetReceiverIncarnation() != 0 && m.GetReceiverIncarnation() != p.node.config.Self.Incarnation:
+		return "a former incarnation of this host may have accepted it"
+	case p.node.leaving.Load():
+		return "this host is stopping"
+	case p.node.awaitsEvacuations():
+		return "this host does not know yet which domains are evacuated"
+	case m.GetFencingToken() < p.holderView.Claim().Token:
+		return "a newer claim on the pool is known"
 	}
+	return ""
 }
 
 func runningJobMessage(j scheduler.HandoverJob, now time.Time) *fleetpb.RunningJob {
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -78,6 +78,11 @@
 	message.FencingToken = 3
 	stale := receive()
 	g.Expect(stale.err).To(HaveOccurred(), "a state older than the known claim was accepted")
+
+	p.node.leaving.Store(true)
+	g.Expect(receive().err).To(HaveOccurred(), "a state was accepted by a host that stops")
+	message.FencingToken = 7
+	g.Expect(receive().err).NotTo(HaveOccurred(), "a host that stops refused a state that it had accepted")
 }
 
 // The answer to a handover is lost for good: the other host may have taken the pool
@@ -238,3 +243,94 @@
 	handedOverEvent{to: "127.0.0.1:2", outcome: handoverRefused, done: make(chan struct{})}.apply(p, now)
 	g.Expect(p.sessions).To(HaveKey("new"), "the handover was refused")
 }
+
+// A host hands a pool over with tasks on a target that deregistered, whose runs go on. The
+// new holder started them a second time.
+func TestAHandoverStartsNoTaskOfADeregisteredTargetWhileItsLeaseIsInForce(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	former, now := newHeldTestPool(t)
+	left := deskTargetAnnouncement(1, 8000, now)
+	former.node.announcements.record(left)
+	former.handleAnnouncement(left, now)
+	former.core.SetClearing("t", false, now)
+	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(former, now)
+	g.Expect(former.core.RunCount("t")).To(Equal(2))
+	former.node.DeregisterTarget("t")
+	announcementEvent{left}.apply(former, now)
+
+	successor := newTestPool(t, "127.0.0.1:2")
+	kept := deskTargetAnnouncement(1, 8000, now)
+	kept.Target.ID = "kept"
+	successor.node.announcements.record(kept)
+	receivePoolEvent{message: former.stateMessage(now), answer: make(chan receivedPool, 1)}.apply(successor, now)
+	successor.applyEffects(successor.core.SetClearing("kept", false, now), now)
+	g.Expect(successor.core.RunCount("kept")).To(BeZero(), "the tasks may run on the target that deregistered")
+	successor.core.Tick(time.Now().Add(former.node.longestLease() + time.Millisecond))
+	g.Expect(successor.core.RunCount("kept")).To(Equal(2), "the leases have expired")
+}
+
+// The answer to a state is lost, and the host refuses it when it comes again: it is stopping
+// by now, or has restarted. Its tasks were continued here and by the host.
+func TestAHandoverThatMayHaveBeenAcceptedIsNotRefusedByALaterTry(t *testing.T) {
+	t.Parallel()
+	lost, refused := status.Error(codes.DeadlineExceeded, "lost"), status.Error(codes.FailedPrecondition, "stopping")
+	for name, c := range map[string]struct {
+		tries []error
+		want  handoverOutcome
+	}{
+		"refused":                {[]error{refused}, handoverRefused},
+		"lost, then refused":     {[]error{lost, refused}, handoverUnknown},
+		"lost, then accepted":    {[]error{lost, nil}, handoverAccepted},
+		"lost twice, refused":    {[]error{lost, lost, refused}, handoverUnknown},
+		"lost as often as tried": {[]error{lost, lost, lost, lost}, handoverUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, now := newHeldTestPool(t)
+			to := discovery.Host{Address: "127.0.0.1:2", Incarnation: 5}
+			p.node.hostTable.Record(to, 0, now)
+			tries := 0
+			_, outcome, _ := p.sendRepeatedly(to.Address, p.stateMessage(now), func(context.Context) (*fleetpb.Claim, error) {
+				tries++
+				return nil, c.tries[tries-1]
+			})
+			g.Expect(tries).To(Equal(len(c.tries)))
+			g.Expect(outcome).To(Equal(c.want))
+		})
+	}
+}
+
+// A host accepts a state, starts a task that waited in it and restarts before its answer
+// arrives. The state is sent again, and the host started the task a second time on a target
+// that it had cleared, while the first run went on at another.
+func TestAStateThatIsSentAgainIsNotTakenByAHostThatHasRestarted(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		lives []int // of the host that receives each try
+		want  handoverOutcome
+	}{
+		"restarted":                {[]int{0, 1}, handoverUnknown},
+		"the same life":            {[]int{0, 0}, handoverAccepted},
+		"restarted before it came": {[]int{1}, handoverAccepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, now := newHeldTestPool(t)
+			lives := []*pool{newTestPool(t, "127.0.0.1:2"), newTestPool(t, "127.0.0.1:2")}
+			lives[1].node.config.Self.Incarnation = lives[0].node.config.Self.Incarnation + 1
+			p.node.hostTable.Record(lives[0].node.config.Self, 0, now)
+			message, tries := p.stateMessage(now), 0
+			_, outcome, _ := p.sendRepeatedly("127.0.0.1:2", message, func(context.Context) (*fleetpb.Claim, error) {
+				answer := make(chan receivedPool, 1)
+				receivePoolEvent{message: message, answer: answer}.apply(lives[c.lives[tries]], now)
+				tries++
+				if r := <-answer; tries == len(c.lives) {
+					return r.claim, r.err
+				}
+				return nil, status.Error(codes.DeadlineExceeded, "lost")
+			})
+			g.Expect(outcome).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -349,7 +349,7 @@
 	}
 	if a.Target.Incarnation < r.Incarnation {
 		a.Target.Incarnation, a.Sequence, a.ClockMS, a.ReceivedAt = r.Incarnation, 0, r.ClockMS, now
-		a.Target.Draining = false
+		a.Target.Draining, a.Deregistered = false, false
 		p.node.announcements.record(a)
 	}
 	p.handleAnnouncement(a, now)
@@ -373,9 +373,14 @@
 	}
 }
 
+// removeTarget removes a target that is said to be gone.
 func (p *pool) removeTarget(id string, cause scheduler.LossCause, now time.Time) {
+	if s, ok := p.sessions[id]; ok {
+		s.close()
+	}
+	leaseRemaining := p.leaseRemaining(id, now) // no request with a later lease is sent
 	p.closeSession(id, now)
-	p.applyEffects(p.core.RemoveTarget(id, cause, now), now)
+	p.applyEffects(p.core.RemoveTarget(id, cause, leaseRemaining, now), now)
 }
 
 // withdrawLostSenders withdraws the jobs that were forwarded by hosts that are no
--- a/internal/process/scheduler/release.go
+++ b/internal/process/scheduler/release.go
@@ -12,22 +12,13 @@
 	EvidenceStopped                  // the target confirmed its stop
 	EvidenceRefused                  // the target refused its start, or the request was not sent
 	EvidenceLease                    // all leases that were sent for it have expired
-	EvidenceGone                     // the target left, or another one has its address
 )
 
-var evidenceNames = [...]string{"none", "reported", "stopped", "refused", "lease", "gone"}
+var evidenceNames = [...]string{"none", "reported", "stopped", "refused", "lease"}
 
 // String returns the evidence's name.
 func (e Evidence) String() string { return evidenceNames[e] }
 
-// evidenceOf returns the evidence that the loss of a target gives.
-func evidenceOf(cause LossCause) Evidence {
-	if cause == LeasesExpired || cause == TargetMoved {
-		return EvidenceLease
-	}
-	return EvidenceGone
-}
-
 // Release is the end of a task's run, as the scheduler learned it.
 type Release struct {
 	Target   string
