End a job at its holder when its sender gives it up over a silent connection

What callers saw: 502 or a broken connection, and two runs of one task at once after the job was sent again.

Cause: a host that forwards a job gives it up after 0.5 to 1 s of unanswered probes, or when its caller leaves. The cancellation goes over the connection that carried the job. If that is silent for good while new ones work, the holder learns nothing for 10 s (keepalive), as hello messages over the new connection keep the sender alive, and runs the job on. The next attempt joins it only if it reaches the same pool.

Change: each submission carries a number that is unique within its sender's incarnation. A sender that gives one up without an answer tells the holder with Withdraw over the link's current connection, in batches, for up to 3 s; an attempt without an answer for 250 ms replaces the connection. The holder ends the call's context, so that everything that follows a cancellation follows. A withdrawal that comes first is remembered for 30 s, at most 16384 of them, and its submission is refused when it arrives. A host of a former release answers Unimplemented, and one numbers no submission: both as before. "A job was withdrawn." replaces "The caller of a job left." and says how the holder learned of it.

Failed before, TestAJobThatItsSenderGaveUpRunsOnAtTheHolder, without an answer and with a caller that leaves: "two runs of a task were in progress at once Expected <[]string | len:1, cap:1>: ["moved.0.0"] to be empty", 2 of 2 runs.

Ruled out: a server keepalive of a second (grpc-go's least) closes a silent connection after 2 s, too late, and sends pings on each of a host's idle connections.

--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -36,7 +36,10 @@
 }
 
 // withdrawEvent removes a waiter whose caller has left or whose sender is not alive.
-type withdrawEvent struct{ id uint64 }
+type withdrawEvent struct {
+	id     uint64
+	reason string // how this host learned of it
+}
 
 func (e withdrawEvent) apply(p *pool, now time.Time) {
 	w, ok := p.waiters[e.id]
@@ -45,7 +48,7 @@
 		return
 	}
 	delete(p.waiters, e.id)
-	p.log.Info("The caller of a job left.", "job", w.jobID, "waited", now.Sub(w.waitingSince), "peer", w.sender)
+	p.log.Info("A job was withdrawn.", "job", w.jobID, "reason", e.reason, "peer", w.sender, "waited", now.Sub(w.waitingSince))
 	p.applyEffects(p.core.Withdraw(w.jobID, e.id, now), now)
 }
 
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -49,6 +49,9 @@
 	losses         *losses.Table
 	partsMetrics   partsMetrics
 	lossReports    chan lossReport // to other hosts
+	submissions    *submissions    // from other hosts
+	withdrawals    withdrawals     // of submissions to other hosts
+	lastSubmission atomic.Uint64   // number of the last one to another host
 	racks          rackIndex
 	startedAt      time.Time
 	leaving        atomic.Bool
@@ -103,6 +106,8 @@
 		losses:       losses.NewTable(),
 		partsMetrics: newPartsMetrics(config.Metrics),
 		lossReports:  make(chan lossReport, lossRing),
+		submissions:  newSubmissions(),
+		withdrawals:  withdrawals{pending: map[string][]withdrawal{}},
 	}
 	timing := controller.DefaultTiming()
 	timing.ConfirmInterval = catalogConfirmInterval
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -159,7 +159,7 @@
 	case <-p.stopped:
 		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.OutcomeUnknown, Reason: "the host stopped"}
 	case <-ctx.Done():
-		p.post(withdrawEvent{id: id})
+		p.post(withdrawEvent{id: id, reason: withdrawReason(ctx)})
 		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.CancelledRunning, Reason: "the caller left"}
 	}
 }
@@ -352,8 +352,7 @@
 func (p *pool) withdrawLostSenders(now time.Time) {
 	for id, w := range p.waiters {
 		if w.sender != "" && !p.node.isAlive(w.sender) && now.Sub(w.waitingSince) > aliveTimeout {
-			p.log.Warn("A job was withdrawn.", "job", w.jobID, "reason", "the host that sent it is not alive", "peer", w.sender)
-			withdrawEvent{id: id}.apply(p, now)
+			withdrawEvent{id: id, reason: "the host that sent it is not alive"}.apply(p, now)
 		}
 	}
 }
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -64,6 +64,12 @@
 // Submit implements fleetpb.FleetServer.
 func (s *service) Submit(ctx context.Context, m *fleetpb.JobRequest) (*fleetpb.JobReply, error) {
 	s.node.recordLosses(m.GetLosses())
+	ctx, end, ok := s.node.submissions.begin(ctx, submissionID{m.GetSender(), m.GetSenderIncarnation(), m.GetSubmission()})
+	if !ok {
+		s.node.log.Info("A job arrived after its withdrawal.", "job", m.GetId(), "peer", m.GetSender(), "submission", m.GetSubmission())
+		return nil, status.Error(codes.Canceled, "the submission was withdrawn")
+	}
+	defer end()
 	reply := replyMessage(s.node.submitLocally(ctx, m.GetPool(), jobFrom(m, time.Now()), m.GetSender()))
 	reply.Losses = s.node.lossMessages(m.GetId(), time.Now())
 	s.node.setLoad(reply, m.GetPool())
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -176,6 +176,7 @@
 	message := jobMessage(j, time.Now())
 	message.Pool = pool
 	message.Sender = n.config.Self.Address
+	message.Submission, message.SenderIncarnation = n.lastSubmission.Add(1), n.config.Self.Incarnation
 	message.Losses = n.lossMessages(j.ID, time.Now())
 	n.recordSentTasks(pool, address, j.TaskCount())
 	var reply *fleetpb.JobReply
@@ -184,12 +185,15 @@
 		reply, err = fleetpb.NewFleetClient(conn).Submit(ctx, message)
 		return err
 	})
+	if err != nil {
+		n.withdrawSubmission(address, link, withdrawal{number: message.GetSubmission(), job: j.ID, givenUpAt: time.Now()})
+	}
 	if err != nil && ctx.Err() != nil {
-		n.log.Info("A job was withdrawn from a pool.", "job", j.ID, "first_task", j.FirstTask, "peer", address, "pool", pool, "age", time.Since(j.ArrivedAt))
+		n.log.Info("A job was withdrawn from a pool.", "job", j.ID, "first_task", j.FirstTask, "peer", address, "pool", pool, "submission", message.GetSubmission(), "age", time.Since(j.ArrivedAt))
 		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.CancelledRunning, Reason: "the job was withdrawn"}
 	}
 	if err != nil {
-		n.log.Warn("The answer to a job was lost.", "job", j.ID, "peer", address, "pool", pool, "error", err, "age", time.Since(j.ArrivedAt))
+		n.log.Warn("The answer to a job was lost.", "job", j.ID, "peer", address, "pool", pool, "submission", message.GetSubmission(), "error", err, "age", time.Since(j.ArrivedAt))
 		return scheduler.Answer{Outcome: scheduler.Broken, Kind: failure.AnswerLost, Reason: "the pool's holder did not answer"}
 	}
 	n.recordAnsweredLoad(pool, address, reply)
