Start no task of a job that comes again beside its former run

What callers saw: a job that was given up and sent again ran twice at once, run 1 of a task on one target while the stop of its run 1 on another was not confirmed.

Cause: a pool forgets a job that it drops, with the runs that it is still stopping. The same job then counted as new: its tasks began with run 1 on any other target at once, although a former run goes on until its target confirms the stop or its lease expires. Both runs had the same number.

Change: the pool keeps the runs of dropped jobs by task until they are released. A job that comes again takes them over: its tasks wait until the stop is confirmed, the lease expires or the target is lost, and the next run has the next number. A run that was completed before its stop counts. Tasks without a former run start at once. Admission does not refuse or spill a job that has former runs here, as they are about to make room, and another pool would start its tasks beside them. Parts share the indexes of the whole job, so any range finds its tasks' former runs.

Not exported: a run that is being stopped of a job that has not come again. The new holder finds and stops it when the target answers, and gives that target no work until then. That is enough on that target; on the others the task could start beside it if the stop has gone unanswered for all of the 1.3 s after which the caller sends the job again, while the target goes on to take the renewals.

--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -56,7 +56,7 @@
 	if a, ok := c.checkRunnable(s); !ok {
 		return c.spillOrRefuse(s, a)
 	}
-	startable := c.startableNow(s, now)
+	startable := c.startableNow(s, now) || c.hasFormerRuns(s) // which are about to end, and make room
 	if s.OnlyAtOnce && !startable {
 		return c.newRefusal(failure.Overloaded, "the pool has no free capacity for the whole job", now), false
 	}
--- /dev/null
+++ b/internal/process/scheduler/again_test.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// withdrawn returns a pool in which a job was withdrawn whose runs have started.
+func withdrawn(t *testing.T, targets int, j Job) (*Core, []Start) {
+	t.Helper()
+	g := NewWithT(t)
+	c := newCore(targets)
+	started := starts(c.Submit(j, 1, at(0)))
+	g.Expect(started).To(HaveLen(j.TaskCount()))
+	for _, s := range started {
+		c.HandleStartResult(s.Target, s.Run, Started, at(2))
+	}
+	g.Expect(stops(c.Withdraw(j.ID, 1, at(10)))).To(HaveLen(j.TaskCount()))
+	return c, started
+}
+
+func TestATaskThatComesAgainStartsBesideItsFormerRun(t *testing.T) {
+	for name, release := range map[string]func(*Core, Start) []Effect{
+		"stopped":       func(c *Core, s Start) []Effect { return c.HandleRunStopped(s.Target, s.Run, at(40)) },
+		"lease expired": func(c *Core, s Start) []Effect { return c.ExpireLeases(s.Target, at(40)) },
+		"target lost":   func(c *Core, s Start) []Effect { return c.RemoveTarget(s.Target, TargetReplaced, at(40)) },
+		"ended":         func(c *Core, s Start) []Effect { return c.HandleRunEnded(s.Target, s.Run, EndStopped, at(40)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, former := withdrawn(t, 3, newDeskJob("j", 1))
+			g.Expect(starts(c.Submit(newDeskJob("j", 1), 2, at(20)))).To(BeEmpty(), "the former run is being stopped")
+			g.Expect(starts(c.Tick(at(30)))).To(BeEmpty())
+			again := starts(release(c, former[0]))
+			g.Expect(again).To(HaveLen(1))
+			g.Expect(again[0].Run.Number).To(Equal(2))
+		})
+	}
+}
+
+// The runs have the same numbers, and the indexes of tasks are those in the whole job.
+func TestAPartStartsBesideFormerRunsOfTheWholeJob(t *testing.T) {
+	g := NewWithT(t)
+	c, former := withdrawn(t, 4, newDeskJob("j", 2))
+	again := starts(c.Submit(newPart(1, 3), 2, at(20)))
+	g.Expect(again).To(HaveLen(2), "tasks 2 and 3 have no former run")
+	again = starts(c.HandleRunStopped(former[1].Target, former[1].Run, at(40)))
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].Run).To(Equal(Run{Job: "j", Index: 1, Number: 2}))
+	g.Expect(starts(c.HandleRunStopped(former[0].Target, former[0].Run, at(50)))).To(BeEmpty(), "task 0 is none of the part's")
+}
+
+// Its own former runs fill the pool: another pool would start the tasks beside them.
+func TestAJobThatWaitsForItsFormerRunsIsRefusedOrSpilled(t *testing.T) {
+	for _, onlyAtOnce := range []bool{false, true} {
+		g := NewWithT(t)
+		j := newDeskJob("j", 4)
+		c, former := withdrawn(t, 2, j)
+		c.SetPoolCapacities([]PoolCapacity{{Pool: "north#1", FreeTasks: 100, SameDomain: true}})
+		j.OnlyAtOnce = onlyAtOnce
+		g.Expect(replies(c.Submit(j, 2, at(20)))).To(BeEmpty())
+		again := 0
+		for _, s := range former {
+			again += len(starts(c.HandleRunStopped(s.Target, s.Run, at(40))))
+		}
+		g.Expect(again).To(Equal(4))
+	}
+}
+
+func TestAFormerRunIsForgottenWithAJobThatIsWithdrawnAgain(t *testing.T) {
+	g := NewWithT(t)
+	c, former := withdrawn(t, 2, newDeskJob("j", 1))
+	c.Submit(newDeskJob("j", 1), 2, at(20))
+	g.Expect(stops(c.Withdraw("j", 2, at(25)))).To(BeEmpty(), "its stop is requested already")
+	g.Expect(starts(c.Submit(newDeskJob("j", 1), 3, at(30)))).To(BeEmpty())
+	g.Expect(starts(c.HandleRunStopped(former[0].Target, former[0].Run, at(40)))).To(HaveLen(1))
+	g.Expect(c.formerRuns).To(BeEmpty())
+}
+
+// The former run has completed before its stop arrived.
+func TestACompletedFormerRunIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	c, former := withdrawn(t, 2, newDeskJob("j", 1))
+	c.Submit(newDeskJob("j", 1), 2, at(20))
+	effects := c.HandleRunEnded(former[0].Target, former[0].Run, EndDone, at(40))
+	g.Expect(starts(effects)).To(BeEmpty())
+	g.Expect(replies(effects)).To(Equal([]Reply{{Waiter: 2, Job: "j", Answer: Answer{Outcome: Completed}}}))
+}
+
+// The new holder must know of the former run, too: it starts the task on another target.
+func TestAHandoverForgetsTheFormerRunThatAJobWaitsFor(t *testing.T) {
+	g := NewWithT(t)
+	c, former := withdrawn(t, 2, newDeskJob("j", 1))
+	c.Submit(newDeskJob("j", 1), 2, at(20))
+	moved := newCore(2)
+	effects := moved.ImportJobs(c.ExportJobs(func(string) time.Duration { return time.Second }, at(30)), at(30))
+	g.Expect(starts(effects)).To(BeEmpty())
+	g.Expect(stops(effects)).To(HaveLen(1))
+	g.Expect(starts(moved.HandleRunStopped(former[0].Target, former[0].Run, at(40)))).To(HaveLen(1))
+}
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -51,6 +51,7 @@
 	shares          fairShares
 	losses          *losses.Table      // of targets, under tasks of any pool
 	detachedRuns    map[*run]time.Time // end of the lease by run
+	formerRuns      map[Run]*run       // being stopped, of jobs that were dropped; by the run without its number
 	reservations    map[*task]reservation
 	localWaits      localWaits
 	evacuated       bool      // no new job is admitted
@@ -65,7 +66,7 @@
 	return &Core{
 		config: config, losses: config.Losses, runTimes: newRunTimeEstimator(), shares: newFairShares(),
 		jobs: map[string]*jobState{}, laterParts: map[string][]*jobState{}, retainedAnswers: map[string]retainedAnswer{},
-		targets: map[string]*target{}, detachedRuns: map[*run]time.Time{}, reservations: map[*task]reservation{},
+		targets: map[string]*target{}, detachedRuns: map[*run]time.Time{}, formerRuns: map[Run]*run{}, reservations: map[*task]reservation{},
 		typicalNeed: taskNeed{cpuMilli: initialTypicalCPUMilli},
 	}
 }
@@ -115,7 +116,10 @@
 		c.typicalNeed.observe(st.Need, st.Count)
 	}
 	c.addJob(s)
-	c.enqueue(s)
+	c.awaitFormerRuns(s)
+	if s.pendingTasks > 0 {
+		c.enqueue(s)
+	}
 	c.placeTasks(now)
 	return c.drainEffects()
 }
@@ -333,6 +337,9 @@
 	if t, ok := c.targets[r.targetID]; ok {
 		t.removeRun(r)
 	}
+	if c.formerRuns[r.id.ofTask()] == r {
+		delete(c.formerRuns, r.id.ofTask())
+	}
 	s := c.jobOf(r.id)
 	if s == nil {
 		return
@@ -405,6 +412,7 @@
 	for _, t := range s.tasks {
 		if t.run != nil {
 			c.stopRun(t.run, reason)
+			c.formerRuns[t.run.id.ofTask()] = t.run
 		}
 	}
 }
