--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -49,6 +49,9 @@
 	losses         *losses.Table
 	partsMetrics   partsMetrics
 	lossReports    chan lossReport // to other hosts
+	submissions    *submissions    // from other hosts
+	withdrawals    withdrawals     // of submissions to other hosts
+	lastSubmission atomic.Uint64   // number of the last one to another host
 	racks          rackIndex
 	startedAt      time.Time
 	leaving        atomic.Bool
@@ -103,6 +106,8 @@
 		losses:       losses.NewTable(),
 		partsMetrics: newPartsMetrics(config.Metrics),
 		lossReports:  make(chan lossReport, lossRing),
+		submissions:  newSubmissions(),
+		withdrawals:  withdrawals{pending: map[string][]withdrawal{}},
 	}
 	timing := controller.DefaultTiming()
 	timing.ConfirmInterval = catalogConfirmInterval
@@ -140,6 +145,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n.runCtx, n.group = ctx, group
 	server := grpc.NewServer(
+		grpc.StatsHandler(connListener{}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: linkKeepalive, Timeout: time.Second}),
 		grpc.MaxRecvMsgSize(controller.MaxContentBytes+1<<20),
 	)
@@ -246,10 +252,11 @@
 }
 
 // isAlive reports whether a host was heard from within its alive window.
-func (n *Node) isAlive(address string) bool {
+func (n *Node) isAlive(address string) bool { return n.isAliveAt(address, time.Now()) }
+
+func (n *Node) isAliveAt(address string, now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
 	h, age, ok := n.hostTable.Get(address, now)
 	return ok && n.pauses.listened(age, now) <= n.aliveWindow(h)
 }
