Truncate a torn record again once a full disk has room

A host whose disk was full for a moment would write no audit entry any more until it was restarted, though all its processes ran and the disk had room ("Writing the audit trail failed; retrying", each 2 s).

Cause: an append that fails truncates its partial record. A full disk may refuse that too. The log remembered the refusal for good and refused every later append.

The next append now truncates first, and fails only if that fails again.

The stores' in-memory file system can refuse each operation that changes it (create, write, truncate, sync, close, rename, remove, sync of the folder). TestDiskThatWasFullTakesWritesAgain refuses each of the 256 sets of them, with 0, 7 and many free bytes, to one write of a state file and one of a log; then both must take writes, and a loss of power keeps what was acknowledged. Before: "an earlier append failed and could not be undone; reopen the log", first for a refused truncation. No other set of refusals failed.

Ruled out: the state file of the register. It is written anew each time, so a file left behind, a rename or a sync that failed leaves nothing that the next write depends on.

--- a/internal/version/store/log.go
+++ b/internal/version/store/log.go
@@ -7,16 +7,12 @@
 	"io/fs"
 )
 
-// ErrLogFailed is the cause of an Append error after an earlier append failed and
-// its partial record could not be truncated.
-var ErrLogFailed = errors.New("an earlier append failed and could not be undone; reopen the log")
-
 // Log is an append-only file of records. It is not safe for concurrent use.
 type Log struct {
-	path   string
-	file   File
-	size   int64 // bytes of all complete records
-	failed bool  // an append failed and its partial record could not be truncated
+	path string
+	file File
+	size int64 // bytes of all complete records
+	torn bool  // a partial record may follow them
 }
 
 // Truncation describes a last record that was torn by a crash and has been
@@ -107,25 +103,33 @@
 // if the process ends before the next successful Append, because the removal of the
 // record may have failed and is not synced before then.
 func (l *Log) Append(record []byte) error {
-	if l.failed {
-		return &Error{Op: "append", File: l.path, Cause: ErrLogFailed}
-	}
 	if len(record) > MaxPayloadBytes {
 		return &Error{Op: "append", File: l.path, Cause: fmt.Errorf("a record of %d bytes exceeds the maximum of %d bytes", len(record), MaxPayloadBytes)}
 	}
 	frame := appendFrame(nil, record)
-	_, err := l.file.Write(frame)
-	if err == nil {
-		err = l.file.Sync()
-	}
-	if err != nil {
-		l.failed = l.file.Truncate(l.size) != nil
+	if err := l.writeAndSync(frame); err != nil {
+		l.torn = l.file.Truncate(l.size) != nil
 		return &Error{Op: "append", File: l.path, Cause: err}
 	}
 	l.size += int64(len(frame))
 	return nil
 }
 
+// writeAndSync appends a frame. It first truncates a partial record that could not be
+// truncated when its append failed, as a full disk may refuse that as well.
+func (l *Log) writeAndSync(frame []byte) error {
+	if l.torn {
+		if err := l.file.Truncate(l.size); err != nil {
+			return err
+		}
+		l.torn = false
+	}
+	if _, err := l.file.Write(frame); err != nil {
+		return err
+	}
+	return l.file.Sync()
+}
+
 // Size returns the size of the log in bytes.
 func (l *Log) Size() int64 { return l.size }
 
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -162,6 +162,51 @@
 	g.Expect(truncation.Bytes).To(BeZero())
 }
 
+// readAfterCrash returns the state and the records that survive a loss of power.
+func readAfterCrash(t *testing.T, memory *storetest.FS) (state string, records []string) {
+	t.Helper()
+	folder := openFolder(t, memory.Crash(0))
+	payload, err := folder.Read("state")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	records, _, _, err = readLog(folder)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return string(payload), records
+}
+
+// A refused operation may leave a torn record, a partly written new file or a rename that is not durable.
+func TestDiskThatWasFullTakesWritesAgain(t *testing.T) {
+	for refused := storetest.Operations(0); refused <= storetest.AllOperations; refused++ {
+		for _, freeBytes := range []int{0, 7, 1 << 20} {
+			g := NewWithT(t)
+			memory := storetest.NewFS()
+			folder := openFolder(t, memory)
+			_, log, _, err := readLog(folder)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(log.Append([]byte("one"))).To(Succeed())
+			g.Expect(folder.Write("state", []byte("one"))).To(Succeed())
+
+			memory.SetFull(true, freeBytes)
+			memory.Refuse(refused)
+			stateErr, logErr := folder.Write("state", []byte("two")), log.Append([]byte("two"))
+			memory.SetFull(false, 0)
+			memory.Refuse(0)
+			state, records := readAfterCrash(t, memory)
+			g.Expect(state == "two" || stateErr != nil).To(BeTrue(), "refused %b", refused)
+			kept := []string{"one"}
+			if logErr == nil {
+				kept = append(kept, "two")
+			}
+			g.Expect(records).To(Equal(kept), "refused %b", refused)
+
+			g.Expect(log.Append([]byte("three"))).To(Succeed(), "refused %b, %d free bytes", refused, freeBytes)
+			g.Expect(folder.Write("state", []byte("three"))).To(Succeed(), "refused %b, %d free bytes", refused, freeBytes)
+			state, records = readAfterCrash(t, memory)
+			g.Expect(state).To(Equal("three"))
+			g.Expect(records).To(Equal(append(kept, "three")), "refused %b", refused)
+		}
+	}
+}
+
 // BenchmarkWrite replaces a file of 64 KiB on the disk of the temporary folder.
 func BenchmarkWrite(b *testing.B) {
 	folder, err := store.OpenFolder(store.OSFS{}, b.TempDir())
--- a/internal/version/store/storetest/fs.go
+++ b/internal/version/store/storetest/fs.go
@@ -5,7 +5,9 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
+	"syscall"
 )
 
 // ErrLocked is the error of Lock for a path whose lock is held.
@@ -24,11 +26,30 @@
 	files       map[string]*inode // by path, as the process sees them
 	syncedFiles map[string]*inode // by path, as they are after a crash
 	locks       map[string]bool
+	lockFiles   map[string]bool // by path, those that were created
 	counts      Counts
 	full        bool
-	freeBytes   int // bytes that can still be written while full is set
+	freeBytes   int        // bytes that can still be written while full is set
+	refused     Operations // fail with ENOSPC
 }
 
+// Operations is a set of operations that change the file system.
+type Operations uint
+
+// The operations of store.FS and store.File that a full disk may refuse.
+const (
+	Create Operations = 1 << iota // a new name, also by Append and Lock
+	Write                         // refused by SetFull, which also limits it to some bytes
+	Truncate
+	Sync
+	Close // of a written file; the file is closed all the same
+	Rename
+	Remove
+	SyncDir
+
+	AllOperations Operations = 1<<iota - 1
+)
+
 type inode struct {
 	data       []byte
 	syncedData []byte
@@ -36,7 +57,7 @@
 
 // NewFS returns an empty FS.
 func NewFS() *FS {
-	return &FS{files: map[string]*inode{}, syncedFiles: map[string]*inode{}, locks: map[string]bool{}}
+	return &FS{files: map[string]*inode{}, syncedFiles: map[string]*inode{}, locks: map[string]bool{}, lockFiles: map[string]bool{}}
 }
 
 // Crash returns the file system as it is after a loss of power. It holds the synced
@@ -46,6 +67,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	after := NewFS()
+	after.lockFiles = maps.Clone(f.lockFiles)
 	for name, n := range f.syncedFiles {
 		data := append([]byte(nil), n.syncedData...)
 		if len(n.data) > len(n.syncedData) {
@@ -67,6 +89,21 @@
 	f.full, f.freeBytes = full, freeBytes
 }
 
+// Refuse makes the given operations, and no others, fail with ENOSPC.
+func (f *FS) Refuse(operations Operations) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused = operations
+}
+
+// refuses returns ENOSPC if an operation is refused. The caller holds mu.
+func (f *FS) refuses(o Operations) error {
+	if f.refused&o != 0 {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
 // Corrupt flips the lowest bit of the byte at an offset of a file.
 func (f *FS) Corrupt(path string, offset int) {
 	f.mu.Lock()
--- a/internal/version/store/storetest/operations.go
+++ b/internal/version/store/storetest/operations.go
@@ -26,6 +26,12 @@
 	if f.locks[path] {
 		return nil, ErrLocked
 	}
+	if !f.lockFiles[path] {
+		if err := f.refuses(Create); err != nil {
+			return nil, err
+		}
+	}
+	f.lockFiles[path] = true
 	f.locks[path] = true
 	return lock{f, path}, nil
 }
@@ -54,6 +60,9 @@
 func (f *FS) Create(path string) (store.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.refuses(Create); err != nil {
+		return nil, err
+	}
 	n := &inode{}
 	f.files[path] = n
 	return &file{f, n}, nil
@@ -65,6 +74,9 @@
 	defer f.mu.Unlock()
 	n, ok := f.files[path]
 	if !ok {
+		if err := f.refuses(Create); err != nil {
+			return nil, err
+		}
 		n = &inode{}
 		f.files[path] = n
 	}
@@ -75,6 +87,9 @@
 func (f *FS) Rename(from, to string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.refuses(Rename); err != nil {
+		return err
+	}
 	n, ok := f.files[from]
 	if !ok {
 		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
@@ -88,6 +103,9 @@
 func (f *FS) Remove(path string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.refuses(Remove); err != nil {
+		return err
+	}
 	delete(f.files, path)
 	return nil
 }
@@ -96,6 +114,9 @@
 func (f *FS) SyncDir(string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.refuses(SyncDir); err != nil {
+		return err
+	}
 	f.syncedFiles = maps.Clone(f.files)
 	return nil
 }
@@ -109,6 +130,9 @@
 func (f *file) Write(p []byte) (int, error) {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if err := f.fs.refuses(Write); err != nil {
+		return 0, err
+	}
 	n := len(p)
 	if f.fs.full {
 		n = min(n, f.fs.freeBytes)
@@ -125,6 +149,9 @@
 func (f *file) Sync() error {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if err := f.fs.refuses(Sync); err != nil {
+		return err
+	}
 	f.fs.counts.Syncs++
 	f.inode.syncedData = append([]byte(nil), f.inode.data...)
 	return nil
@@ -134,9 +161,16 @@
 func (f *file) Truncate(size int64) error {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if err := f.fs.refuses(Truncate); err != nil {
+		return err
+	}
 	f.inode.data = append([]byte(nil), f.inode.data[:size]...)
 	return nil
 }
 
 // Close implements store.File.
-func (f *file) Close() error { return nil }
+func (f *file) Close() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	return f.fs.refuses(Close)
+}
