Name a standby in place of a leaving voter, never fewer voters

A planned stop while the standby's disk was full left two voters of three. The next full disk then refused all changes although only one disk was full and four hosts ran; when that disk was lost, changes and confirmed reads were refused for good, with all processes running.

Cause: a stopping voter first took itself out of the voters, and a standby, or the host once it was back, joined with a second change. That one needs both remaining voters. Full disks one after another keep it from happening: the standby's own, then that of either voter.

A stopping voter now names a standby in its place, in one change. As for every added voter, the standby must accept first, so that a standby whose disk is full or whose host is silent gets no vote; the next attempt asks the next standby. The identities of the standbys' disks come from the reports that each confirming read gets anyway: no new message.

TestLeavingVoterDoesNotShrinkTheQuorumWhileTheStandbysDiskIsFull before: "no_quorum" while the disk was full, and still after 60 s once it was lost.

--- a/internal/process/controller/bus_test.go
+++ b/internal/process/controller/bus_test.go
@@ -36,6 +36,14 @@
 	frozen        map[string]bool // hosts that accept calls and never answer
 	repliesToLose map[string]int  // replies that are still to be lost, by method
 	calls         map[string]int  // by method
+	transit       func() transit  // of the next call; nil for calls without delay
+}
+
+// transit is what the network does to one call.
+type transit struct {
+	delay     time.Duration
+	late      time.Duration // if not 0, the caller gives up and the request arrives after this time
+	replyLost bool
 }
 
 // hostService holds the register service of one host. It implements
@@ -60,6 +68,27 @@
 }
 
 func (l link) Invoke(ctx context.Context, method string, in, out any, _ ...grpc.CallOption) error {
+	if l.bus.transit == nil {
+		return l.deliver(ctx, method, in, out)
+	}
+	t := l.bus.transit()
+	if t.late > 0 {
+		time.AfterFunc(t.late, func() { _ = l.deliver(context.Background(), method, in, proto.Clone(out.(proto.Message))) })
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(t.delay):
+	}
+	if ctx.Err() != nil || t.late > 0 {
+		return status.Error(codes.Unavailable, "late")
+	}
+	if err := l.deliver(ctx, method, in, out); err != nil || !t.replyLost {
+		return err
+	}
+	return status.Error(codes.Unavailable, "the reply was lost")
+}
+
+func (l link) deliver(ctx context.Context, method string, in, out any) error {
 	target, err := l.bus.route(l, path.Base(method))
 	if err != nil {
 		return err
@@ -177,6 +206,20 @@
 	if p, ok := t.(*testing.T); ok {
 		p.Parallel()
 	}
+	s := newStoppedSite(t, timing, disks, hosts, adjust)
+	for _, name := range s.hosts {
+		s.start(name)
+	}
+	t.Cleanup(func() {
+		for _, name := range s.hosts {
+			s.shutdown(name)
+		}
+	})
+	return s
+}
+
+// newStoppedSite returns a site whose hosts are not started.
+func newStoppedSite(t testing.TB, timing controller.Timing, disks, hosts int, adjust func(*controller.Config)) *site {
 	s := &site{
 		t: t, g: NewWithT(t), timing: timing,
 		bus:   &bus{services: map[string]*hostService{}, disconnected: map[string]bool{}, frozen: map[string]bool{}, calls: map[string]int{}, repliesToLose: map[string]int{}},
@@ -189,14 +232,6 @@
 			s.disks[name] = storetest.NewFS()
 		}
 	}
-	for _, name := range s.hosts {
-		s.start(name)
-	}
-	t.Cleanup(func() {
-		for _, name := range s.hosts {
-			s.shutdown(name)
-		}
-	})
 	return s
 }
 
@@ -218,6 +253,13 @@
 
 func (s *site) start(name string) {
 	s.t.Helper()
+	n, err := s.newNode(name)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.nodes[name] = n
+}
+
+// newNode starts a host. Like its process, it fails if its disk can't be used.
+func (s *site) newNode(name string) (*node, error) {
 	config := s.config(name)
 	if s.adjust != nil {
 		s.adjust(&config)
@@ -225,12 +267,18 @@
 	n := &node{}
 	if disk := s.disks[name]; disk != nil {
 		var err error
-		n.folder, err = store.OpenFolder(disk, dataFolder)
-		s.g.Expect(err).NotTo(HaveOccurred())
+		if n.folder, err = store.OpenFolder(disk, dataFolder); err != nil {
+			return nil, err
+		}
 		config.Folder = n.folder
 	}
 	c, err := controller.NewController(config)
-	s.g.Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		if n.folder != nil {
+			_ = n.folder.Close()
+		}
+		return nil, err
+	}
 	n.Controller = c
 	service := &hostService{methods: map[string]grpc.MethodDesc{}}
 	c.Register(service)
@@ -241,25 +289,23 @@
 	done := make(chan error, 1)
 	go func() { done <- c.Run(ctx) }()
 	n.stop = func() {
+		s.bus.mu.Lock()
+		delete(s.bus.services, name)
+		s.bus.mu.Unlock()
 		cancel()
 		<-done
+		if n.folder != nil {
+			_ = n.folder.Close()
+		}
 	}
-	s.nodes[name] = n
+	return n, nil
 }
 
 func (s *site) shutdown(name string) {
-	n := s.nodes[name]
-	if n == nil {
-		return
-	}
-	s.bus.mu.Lock()
-	delete(s.bus.services, name)
-	s.bus.mu.Unlock()
-	n.stop()
-	if n.folder != nil {
-		_ = n.folder.Close()
+	if n := s.nodes[name]; n != nil {
+		n.stop()
+		delete(s.nodes, name)
 	}
-	delete(s.nodes, name)
 }
 
 // crash stops a host and discards its unsynced writes.
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -49,7 +49,9 @@
 	gotFirstCopy   bool       // the local copy has just received its first value
 	attemptTimer   *time.Timer
 	survey         survey
-	joinPending    bool // a change that adds this disk to the voters was started and is not known to be chosen
+	diskByHost     map[string]register.Member // disks that may vote, as last reported
+	standbysAsked  int                        // how often a standby was chosen to take this host's vote
+	joinPending    bool                       // a change that adds this disk to the voters was started and is not known to be chosen
 }
 
 // event is a message for the run loop: either a request of a peer, with the
@@ -81,6 +83,7 @@
 		log:          config.Log,
 		self:         state.Member(),
 		local:        newLocalCopy(),
+		diskByHost:   map[string]register.Member{},
 		linkByHost:   make(map[string]*peerLink, len(config.Peers)),
 		events:       make(chan event, eventRingSize),
 		addedPeers:   make(chan Peer, peerRingSize),
--- a/internal/process/controller/join.go
+++ b/internal/process/controller/join.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 	"slices"
+	"time"
 
+	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/version/register"
 )
 
+// leaveRetryDelay is the time between two attempts of a stopping host to give its vote to
+// a standby, in which the standbys report their disks.
+const leaveRetryDelay = 50 * time.Millisecond
+
 // survey collects the hosts' reports of what they hold. A host runs surveys while
 // its disk is fresh.
 type survey struct {
@@ -75,9 +81,7 @@
 }
 
 // earlierDiskVotes reports whether an earlier disk of this host is a voter.
-func (c *Controller) earlierDiskVotes(v register.Value) bool {
-	return slices.ContainsFunc(v.Members, func(m register.Member) bool { return m.Host == c.self.Host })
-}
+func (c *Controller) earlierDiskVotes(v register.Value) bool { return v.HasHost(c.self.Host) }
 
 // lostVoter returns the host of the first lost voter, or "" if there is none.
 func (c *Controller) lostVoter(v register.Value) string {
@@ -107,18 +111,64 @@
 	return v.WithoutHost(lost)
 }
 
-// Leave removes this host from the voters before it stops, so that a standby can
-// replace it, unless it is the only voter. The host does not become a voter again
-// until it restarts. Errors are those of Change.
+// Leave gives this host's vote to a standby before the host stops. It returns nil once
+// the host has no vote. The number of voters does not shrink: with fewer, one full disk
+// refuses all changes, and one lost disk blocks the register. Without a standby that takes
+// the vote, the host keeps it until ctx ends; a standby replaces the host later if it
+// stays away. The host does not become a voter again until it restarts. Errors are those
+// of Change.
 func (c *Controller) Leave(ctx context.Context) error {
 	c.leaving.Store(true)
-	_, err := c.runOperation(ctx, func(v register.Value) (register.Value, error) {
-		if !v.HasMember(c.self) || len(v.Members) < 2 {
-			return v, nil
+	for {
+		entry, err := c.runOperation(ctx, c.withoutVote)
+		if err != nil || !entry.Value.HasMember(c.self) {
+			return err
 		}
+		select {
+		case <-ctx.Done():
+			return failure.Wrap(failure.NoQuorum, "controller", errNoStandby)
+		case <-time.After(leaveRetryDelay):
+		}
+	}
+}
+
+// withoutVote returns v with a standby in place of this host. It returns v unchanged if
+// this host is no voter or no standby is known.
+func (c *Controller) withoutVote(v register.Value) (register.Value, error) {
+	if !v.HasMember(c.self) {
+		return v, nil
+	}
+	if c.config.VoterCount > 0 && len(v.Members) > c.config.VoterCount {
 		return v.WithoutHost(c.self.Host), nil
-	})
-	return err
+	}
+	if standby, ok := c.nextStandby(v); ok {
+		return v.WithoutHost(c.self.Host).WithMember(standby), nil
+	}
+	return v, nil
+}
+
+// nextStandby returns the standby after the one that it returned before, as the vote of
+// one whose disk is full is waited for in vain.
+func (c *Controller) nextStandby(v register.Value) (register.Member, bool) {
+	var standbys []register.Member
+	for _, l := range c.links {
+		m, ok := c.diskByHost[l.Host]
+		if ok && !v.HasHost(l.Host) && (c.config.Lost == nil || !c.config.Lost(l.Host)) {
+			standbys = append(standbys, m)
+		}
+	}
+	if len(standbys) == 0 {
+		return register.Member{}, false
+	}
+	c.standbysAsked++
+	return standbys[c.standbysAsked%len(standbys)], true
+}
+
+// recordDisk remembers the identity of a disk that may vote.
+func (c *Controller) recordDisk(r register.Report) {
+	if r.MayVote {
+		c.diskByHost[r.From.Host] = r.From
+	}
 }
 
 // initialVoters returns the hosts whose disks bootstrap the register.
--- a/internal/process/controller/loop.go
+++ b/internal/process/controller/loop.go
@@ -170,6 +170,7 @@
 
 func (c *Controller) handleReply(r register.Reply) {
 	if report, ok := r.(register.Report); ok {
+		c.recordDisk(report)
 		c.handleSurveyReport(report)
 	}
 	if c.current == nil {
--- a/internal/process/controller/operation.go
+++ b/internal/process/controller/operation.go
@@ -14,6 +14,7 @@
 
 var (
 	errChangeNoQuorum = errors.New("too few disk hosts answered; nothing was changed")
+	errNoStandby      = errors.New("no standby took this host's vote")
 	errReadNoQuorum   = errors.New("too few disk hosts answered")
 	errStopping       = failure.New(failure.Draining, "the host is stopping")
 	errQueueFull      = failure.New(failure.Overloaded, "too many changes of the control state are waiting")
--- a/internal/process/controller/standby_test.go
+++ b/internal/process/controller/standby_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"wasabifield.example/wasabifield/internal/process/controller"
+	"wasabifield.example/wasabifield/internal/version/store/storetest"
 )
 
 // standbySite has three voters and a fourth disk as a standby.
@@ -97,3 +98,34 @@
 	s.g.Eventually(func() time.Duration { return s.nodes["h1"].Status().Age }, 20*time.Second, 5*time.Millisecond).
 		Should(BeNumerically(">=", 0))
 }
+
+// The voters must not be fewer while the standby's disk is full: then one more full disk
+// refuses all changes, and one lost disk blocks the register for good.
+func TestLeavingVoterDoesNotShrinkTheQuorumWhileTheStandbysDiskIsFull(t *testing.T) {
+	s := newStandbySite(t)
+	s.awaitVoters("h0", "h1", "h2")
+	s.g.Expect(s.change("h4", "before")).To(Succeed())
+	s.disks["h3"].SetFull(true, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = s.nodes["h0"].Leave(ctx)
+	s.shutdown("h0")
+	s.disks["h3"].SetFull(false, 0)
+	s.disks["h1"].SetFull(true, 0)
+	s.start("h0")
+	changeCtx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := s.nodes["h4"].Change(changeCtx, appendWord("while h1 is full"))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.shutdown("h1")
+	s.disks["h1"] = storetest.NewFS()
+	for _, name := range []string{"h0", "h2", "h3", "h4"} {
+		s.crash(name)
+	}
+	for _, name := range s.hosts {
+		s.start(name)
+	}
+	_, err = s.nodes["h4"].Change(changeCtx, appendWord("after h1 lost its disk"))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(string(s.nodes["h4"].Status().Content)).To(Equal("before;while h1 is full;after h1 lost its disk;"))
+}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -308,8 +308,8 @@
 }
 
 // Leave announces that this host is stopping and hands each of its pools over to
-// another host, of the same domain if there is one. A host with a disk then gives up
-// its vote if there is a standby.
+// another host, of the same domain if there is one. A host with a disk then gives its vote
+// to a standby if there is one.
 func (n *Node) Leave(ctx context.Context) {
 	n.leaving.Store(true)
 	for _, p := range n.listPools() {
--- a/internal/version/register/value.go
+++ b/internal/version/register/value.go
@@ -56,6 +56,11 @@
 // HasMember reports whether m is one of the members.
 func (v Value) HasMember(m Member) bool { return slices.Contains(v.Members, m) }
 
+// HasHost reports whether a disk of the host is one of the members.
+func (v Value) HasHost(host string) bool {
+	return slices.ContainsFunc(v.Members, func(m Member) bool { return m.Host == host })
+}
+
 // WithMember returns v with m in place of any member on the same host.
 func (v Value) WithMember(m Member) Value {
 	v = v.WithoutHost(m.Host)
