--- a/internal/process/controller/fulldisk_test.go
+++ b/internal/process/controller/fulldisk_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"wasabifield.example/wasabifield/internal/process/controller"
+	"wasabifield.example/wasabifield/internal/version/register"
 	"wasabifield.example/wasabifield/internal/version/store/storetest"
 )
 
@@ -37,6 +38,7 @@
 	awayFrom map[string]time.Time // when a host was stopped or disconnected
 	faulty   map[string]bool      // hosts that are or will be stopped or disconnected
 	fresh    map[string]bool      // hosts whose disk was lost
+	lostDisk string               // host of the last lost disk before the end
 	changes  int
 	acked    []string
 	faults   []string
@@ -51,6 +53,7 @@
 	gap       time.Duration // after the disk has room again
 	kind      string
 	host      int
+	hasDisk   bool // the host has a disk
 	after     time.Duration
 	away      time.Duration
 }
@@ -74,9 +77,10 @@
 		s := fullDayStep{
 			disk:     rapid.IntRange(0, disks-1).Draw(rt, "disk"),
 			duration: ms(500, 4000, "full"), gap: ms(0, 500, "gap"),
-			kind: rapid.SampledFrom([]string{"none", "none", "kill", "kill", "leave", "disconnect"}).Draw(rt, "kind"),
+			kind: rapid.SampledFrom([]string{"none", "none", "kill", "kill", "leave", "disconnect", "lose disk"}).Draw(rt, "kind"),
 			host: rapid.IntRange(0, disks+1).Draw(rt, "host"), after: ms(0, 2000, "after"), away: ms(100, 5000, "away"),
 		}
+		s.hasDisk = s.host < disks
 		if rapid.Bool().Draw(rt, "short writes") {
 			s.freeBytes = rapid.IntRange(1, 4000).Draw(rt, "free bytes")
 		}
@@ -243,6 +247,13 @@
 		d.kill(name)
 		time.Sleep(s.away)
 		d.start(name)
+	case "lose disk":
+		if s.hasDisk && !d.isRepairing() {
+			d.kill(name)
+			d.replaceDisk(name)
+			time.Sleep(s.away)
+			d.start(name)
+		}
 	case "disconnect":
 		d.bus.setDisconnected(name, true)
 		d.mu.Lock()
@@ -256,6 +267,31 @@
 	}
 }
 
+// isRepairing reports whether the register still counts on a disk that was lost: its
+// host has not become a voter again, and no other has taken its place.
+func (d *fullDay) isRepairing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lostDisk == "" {
+		return false
+	}
+	var newest controller.Status
+	for _, n := range d.nodes {
+		if s := n.Status(); s.Version >= newest.Version {
+			newest = s
+		}
+	}
+	isMember := slices.ContainsFunc(newest.Members, func(m register.Member) bool { return m.Host == d.lostDisk })
+	n := d.nodes[d.lostDisk]
+	return isMember && (n == nil || !n.Status().IsVoter)
+}
+
+func (d *fullDay) replaceDisk(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disks[name], d.fresh[name], d.lostDisk = storetest.NewFS(), true, name
+}
+
 // change sends a change to a host and records its acknowledgement.
 func (d *fullDay) change(n *node, word string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), fullDayChange)
@@ -348,8 +384,11 @@
 // again.
 func (d *fullDay) lose(end fullDayEnd) {
 	var wait sync.WaitGroup
-	d.mu.Lock()
 	var stopped []string
+	if d.isRepairing() {
+		end.disks = end.disks[1:]
+	}
+	d.mu.Lock()
 	for i, name := range d.hosts {
 		disk := d.disks[name]
 		switch {
@@ -419,7 +458,9 @@
 			select {
 			case <-acked:
 			case <-time.After(fullDayServe):
-				d.fail("no change was acknowledged while only %s was full", name)
+				if !d.isRepairing() {
+					d.fail("no change was acknowledged while only %s was full", name)
+				}
 			}
 			cancel()
 			d.lose(end)
