Sync the folder of a restarted voter before its first reply

A voter may report an entry and lose it when its host loses power. A read that counted on the report has then returned a change that is gone, or an operator has an acknowledgement for it.

Cause: the state file is replaced by a rename, made durable by a sync of the folder. If that sync is refused by a full disk, or the process is killed before it, the voter gives no reply; but a restarted process reads the new file and replies from it, and a repeated acceptance or an inspection needs no write. The name was never synced, so a loss of power takes the file back.

A voter that was restarted now syncs its folder before the first reply that needs no write; until it can, it replies to nobody, as with a write that fails. It still starts, so that the host serves everything else.

TestReportedEntrySurvivesALossOfPower before: the report names the accepted entry, and after the loss of power version 0.

Ruled out: the content of the file, which is synced before the rename.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -40,6 +40,7 @@
 	links          []*peerLink
 	startLink      func(*peerLink)
 	state          register.State
+	stateSynced    bool // the state that was read at the start is durable
 	proposer       *register.Proposer
 	current        *operation // in progress; nil if none
 	startedAt      time.Time  // when current was started
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -16,6 +16,8 @@
 
 	"wasabifield.example/wasabifield/internal/process/controller"
 	"wasabifield.example/wasabifield/internal/request/failure"
+	"wasabifield.example/wasabifield/internal/version/register"
+	"wasabifield.example/wasabifield/internal/version/registerpb"
 	"wasabifield.example/wasabifield/internal/version/store"
 	"wasabifield.example/wasabifield/internal/version/store/storetest"
 )
@@ -295,6 +297,38 @@
 	s.g.Expect(s.change("h3", "with two")).To(Succeed())
 }
 
+// A process that is killed after a rename whose folder could not be synced reads a state that a loss of power takes back.
+func TestReportedEntrySurvivesALossOfPower(t *testing.T) {
+	s := newSite(t, fastTiming, 3, 3)
+	s.awaitConvergence()
+	s.restartAll(quietTiming)
+	status := s.nodes["h1"].Status()
+	s.shutdown("h0")
+	s.shutdown("h2")
+	voter := registerpb.NewRegisterClient(link{s.bus, "h1", "h1"})
+	ballot := registerpb.NewBallot(register.Ballot{Round: 1000, Proposer: 1})
+	identity := status.Members[1].Identity
+	_, err := voter.Prepare(t.Context(), &registerpb.PrepareRequest{To: identity, Ballot: ballot})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.disks["h1"].Refuse(storetest.SyncDir)
+	value := register.Value{Version: status.Version + 1, Members: status.Members, Content: []byte("accepted")}
+	_, err = voter.Accept(t.Context(), &registerpb.AcceptRequest{To: identity, Entry: registerpb.NewEntry(register.Entry{Ballot: ballot.ToRegister(), Value: value})})
+	s.g.Expect(err).To(HaveOccurred())
+
+	s.shutdown("h1")
+	s.start("h1")
+	_, err = voter.Inspect(t.Context(), &registerpb.InspectRequest{})
+	s.g.Expect(err).To(HaveOccurred(), "the state is not durable while the folder can't be synced")
+	s.disks["h1"].Refuse(0)
+	report, err := voter.Inspect(t.Context(), &registerpb.InspectRequest{})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.crash("h1")
+	s.start("h1")
+	after, err := voter.Inspect(t.Context(), &registerpb.InspectRequest{})
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(after.ToRegister()).To(Equal(report.ToRegister()))
+}
+
 // BenchmarkChange measures changes proposed by a host with a disk, with three disks
 // and an in-memory network.
 func BenchmarkChange(b *testing.B) {
--- a/internal/process/controller/loop.go
+++ b/internal/process/controller/loop.go
@@ -133,8 +133,8 @@
 	if isLearn {
 		defer c.applyChosen(chosen.Entry)
 	}
-	if effect.Persist && c.config.Folder != nil {
-		if err := writeState(c.config.Folder, effect.State); err != nil {
+	if c.config.Folder != nil {
+		if err := c.makeDurable(effect); err != nil {
 			c.log.Error("Writing the register state failed; changes are refused.", "error", err)
 			return nil, status.Error(codes.Unavailable, "the register state could not be written to disk")
 		}
@@ -143,6 +143,20 @@
 	return effect.Reply, nil
 }
 
+// makeDurable writes the state of an effect, or syncs the one that was read at the start,
+// which a reply may report.
+func (c *Controller) makeDurable(effect register.Effect) error {
+	var err error
+	switch {
+	case effect.Persist:
+		err = writeState(c.config.Folder, effect.State)
+	case !c.stateSynced:
+		err = c.config.Folder.Sync()
+	}
+	c.stateSynced = c.stateSynced || err == nil
+	return err
+}
+
 // confirmFirstCopy starts or retries a read as soon as the first value has been
 // learned, because the voters can now leave that value out of their replies.
 func (c *Controller) confirmFirstCopy(confirmTimer *time.Timer) {
--- a/internal/version/store/error.go
+++ b/internal/version/store/error.go
@@ -12,7 +12,7 @@
 
 // Error is a failed operation on a file.
 type Error struct {
-	Op     string // make, lock, read, write or append
+	Op     string // make, lock, read, write, sync or append
 	File   string
 	Offset int64 // of the corrupt data, in bytes from the start of the file
 	Cause  error
--- a/internal/version/store/folder.go
+++ b/internal/version/store/folder.go
@@ -55,6 +55,15 @@
 	return payload, nil
 }
 
+// Sync makes what Read returns durable. A process that ended during a Write, or after one
+// that failed, may have left a new file whose name a loss of power takes back.
+func (f *Folder) Sync() error {
+	if err := f.fs.SyncDir(f.path); err != nil {
+		return &Error{Op: "sync", File: f.path, Cause: err}
+	}
+	return nil
+}
+
 // Write atomically replaces the payload of a file. If it returns nil, the new payload
 // is durable; after an error the file holds either the old or the new payload.
 // The payload may have at most MaxPayloadBytes.
