--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -127,9 +127,9 @@
 }
 
 // AddUnreadable counts a row that names no run.
-func (r *TargetReport) AddUnreadable(err error) {
+func (r *TargetReport) AddUnreadable(reason string) {
 	if r.Unreadable == 0 {
-		r.FirstError = err
+		r.FirstError = errors.New(reason)
 	}
 	r.Unreadable++
 }
