Drop the rows of host lists that describe no host

Cause: hosts pass the hosts that they know on to each other, and a row was checked for nothing. A start far ahead under the address of a true host made its own hello messages look like those of a former process for up to 60 s, so it counted as silent and its pools were claimed by others. A row with another text as its address had a link of its own, which is never closed.

--- a/internal/process/fleet/check.go
+++ b/internal/process/fleet/check.go
@@ -45,6 +45,28 @@
 	})
 }
 
+// checkHost returns why no host is as a message describes it, or nil.
+func checkHost(m *fleetpb.Host, now time.Time) error {
+	if err := checkName("address", m.GetAddress()); err != nil {
+		return err
+	}
+	if latestStart := now.Add(maxClockLead).UnixMilli(); m.GetIncarnation() > uint64(max(0, latestStart)) {
+		return failure.Invalid("incarnation", fmt.Sprintf("is %d, which is more than %v ahead", m.GetIncarnation(), maxClockLead))
+	}
+	return nil
+}
+
+// dropOddHosts returns the hosts of a list that can be so.
+func (n *Node) dropOddHosts(hosts []*fleetpb.Host, now time.Time) []*fleetpb.Host {
+	return slices.DeleteFunc(hosts, func(m *fleetpb.Host) bool {
+		err := checkHost(m, now)
+		if err != nil {
+			n.log.Warn("A host in another host's list was dropped.", "peer", logging.Clip(m.GetAddress()), "reason", err.Error())
+		}
+		return err != nil
+	})
+}
+
 // Check returns an InvalidRequest failure that names the field that no target can have
 // announced, or nil.
 func (a Announcement) Check() error {
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -180,7 +180,7 @@
 // receiveHello processes a hello message.
 func (n *Node) receiveHello(hello *fleetpb.Greeting) {
 	now := time.Now()
-	hello.Claims = n.dropOddClaims(hello.GetClaims())
+	hello.Hosts, hello.Claims = n.dropOddHosts(hello.GetHosts(), now), n.dropOddClaims(hello.GetClaims())
 	var newHosts []discovery.Host
 	record := func(m *fleetpb.Host) {
 		h, age := hostFrom(m)
--- a/internal/process/fleet/oddclaims_test.go
+++ b/internal/process/fleet/oddclaims_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"google.golang.org/grpc/codes"
@@ -34,3 +36,33 @@
 		g.Expect(p.holderView.Claim().Token).To(BeNumerically(">", held.Token))
 	}
 }
+
+// A row of a list with a start far ahead hid the host itself until the row was forgotten.
+func TestAnOddRowOfAListOfHostsHidesNoHost(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(h *fleetpb.Host){
+		"last incarnation": func(h *fleetpb.Host) { h.Incarnation = math.MaxUint64 },
+		"born in a year":   func(h *fleetpb.Host) { h.Incarnation = uint64(time.Now().AddDate(1, 0, 0).UnixMilli()) },
+		"no address":       func(h *fleetpb.Host) { h.Address = "" },
+		"address of lines": func(h *fleetpb.Host) { h.Address = "127.0.0.1:1\n" },
+		"huge address":     func(h *fleetpb.Host) { h.Address = strings.Repeat("1", 100<<10) },
+		"silent for long":  func(h *fleetpb.Host) { h.AgeMs = math.MaxUint32 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, _ := newHeldTestPool(t)
+			p.node.pools[p.name] = p
+			row := func() *fleetpb.Host {
+				return &fleetpb.Host{Address: "127.0.0.1:9", Domain: "south", Incarnation: uint64(time.Now().UnixMilli()), Entry: true}
+			}
+			p.node.links["127.0.0.1:9"] = nil // no link is opened
+			odd := row()
+			change(odd)
+			p.node.receiveHello(&fleetpb.Greeting{Hosts: []*fleetpb.Host{odd}})
+			p.node.receiveHello(&fleetpb.Greeting{Hosts: []*fleetpb.Host{row()}})
+			g.Expect(p.node.Hosts()).To(HaveLen(1))
+			g.Expect(p.node.Hosts()[0].Incarnation).To(BeNumerically("<=", uint64(time.Now().UnixMilli())))
+			g.Expect(p.node.links).To(HaveLen(1), "a link to the odd host was opened")
+		})
+	}
+}
