Refuse a submission that was under way for more than a second

What callers saw: two hosts were cut off from each other for a few seconds, a job was answered 502, sent again, and ran twice at once for a moment when the cut ended.

Cause: a job that was forwarded when the cut began waits in the connection's buffers and arrives when it ends. Its cancellation is right behind it, and a withdrawal on another connection arrives at about the same time: the job starts before either is processed, while its next attempt runs elsewhere.

Change: hello messages carry the sender's clock, the time since its process started. A submission carries the time on its holder's clock until which it may start: the reading, the time since it arrived, and a second, after which its sender gives an unanswered one up at the earliest. The holder refuses a later one as not run. A reading arrives late or in time but never early, so the estimate is the least that the clock reads; one that is behind the estimate was delayed and does not count for 10 s, after which drift does. Hosts of former releases tell no time and check none.

Ruled out: a look at the call's context before the start (the cancellation is read after the submission); asking the sender first (a round trip for each job that comes over a connection that was idle).

--- /dev/null
+++ b/internal/process/fleet/clocks.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"time"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+)
+
+// A submission may wait in the buffers of a connection until a cut between two hosts ends.
+// Its sender has given it up by then, and no message that is sent after it is sure to arrive
+// before it. It therefore carries the time on its holder's clock until which it may start.
+
+// submissionValidity is how long a submission may be under way. Its sender first probes the
+// connection after dialTimeout, and waits as long for the answer.
+const submissionValidity = 2 * dialTimeout
+
+// clockReadingAge is how long a reading of another host's clock is kept although a later one
+// is behind it, because its message was under way for longer. Clocks drift apart meanwhile.
+const clockReadingAge = 10 * time.Second
+
+// hostClock is a reading of another host's clock: at the time at, or before, it was millis.
+type hostClock struct {
+	incarnation uint64
+	millis      uint64
+	at          time.Time
+}
+
+// estimate returns the least that the clock reads now.
+func (c hostClock) estimate(now time.Time) uint64 {
+	return c.millis + uint64(now.Sub(c.at).Milliseconds())
+}
+
+// ownClock returns this host's clock, which other hosts receive with hello messages.
+func ownClock(now time.Time) uint64 { return uint64(monotonicMillis(now)) + 1 }
+
+// recordClock records the clock of the sender of a hello message. The caller holds the lock.
+func (n *Node) recordClock(hello *fleetpb.Greeting, now time.Time) {
+	address, read := hello.GetFrom().GetAddress(), hostClock{hello.GetFrom().GetIncarnation(), hello.GetClockMs(), now}
+	if read.millis == 0 {
+		delete(n.clocks, address) // of a former release
+		return
+	}
+	known, ok := n.clocks[address]
+	wasDelayed := ok && known.incarnation == read.incarnation && now.Sub(known.at) < clockReadingAge && known.estimate(now) > read.millis
+	if !wasDelayed {
+		n.clocks[address] = read
+	}
+}
+
+// startUntil returns the time on another host's clock until which a submission that is sent
+// to it now may start; 0 if its clock is not known.
+func (n *Node) startUntil(address string, now time.Time) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c, ok := n.clocks[address]
+	if !ok {
+		return 0
+	}
+	return c.estimate(now.Add(submissionValidity))
+}
+
+// isLate reports whether a submission arrives after the time until which it may start.
+func isLate(m *fleetpb.JobRequest, now time.Time) bool {
+	return m.GetStartUntilMs() != 0 && ownClock(now) > m.GetStartUntilMs()
+}
--- /dev/null
+++ b/internal/process/fleet/clocks_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
+)
+
+// A hello message that was under way for long carries an old reading, a host that has
+// restarted begins anew, and one of a former release tells none.
+func TestAReadingOfAnotherHostsClockMakesSubmissionsLate(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	n := newTestPool(t, "127.0.0.1:1").node
+	now := time.Now()
+	validity := uint64(submissionValidity.Milliseconds())
+	hello := func(incarnation, clock uint64, at time.Time) {
+		n.recordClock(&fleetpb.Greeting{From: &fleetpb.Host{Address: "b", Incarnation: incarnation}, ClockMs: clock}, at)
+	}
+	g.Expect(n.startUntil("b", now)).To(BeZero(), "nothing is known")
+	hello(1, 60_000, now)
+	later := now.Add(5 * time.Second)
+	g.Expect(n.startUntil("b", later)).To(Equal(65_000 + validity))
+	hello(1, 61_000, later)
+	g.Expect(n.startUntil("b", later)).To(Equal(65_000+validity), "a reading that was under way for 4 s")
+	hello(1, 65_020, later)
+	g.Expect(n.startUntil("b", later)).To(Equal(65_020 + validity))
+	drifted := later.Add(2 * clockReadingAge)
+	hello(1, 85_000, drifted)
+	g.Expect(n.startUntil("b", drifted)).To(Equal(85_000+validity), "its clock is slower than this host's")
+	hello(2, 100, drifted)
+	g.Expect(n.startUntil("b", drifted)).To(Equal(100+validity), "it has restarted")
+	hello(2, 0, drifted)
+	g.Expect(n.startUntil("b", drifted)).To(BeZero(), "it runs a former release now")
+}
+
+func TestALateSubmissionIsTakenForATimelyOne(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s, now := &service{node: newTestPool(t, "127.0.0.1:1").node}, time.Now()
+	submit := func(until uint64) string {
+		reply, err := s.Submit(t.Context(), &fleetpb.JobRequest{Id: "j", Pool: "north", Sender: "127.0.0.1:2", StartUntilMs: until})
+		g.Expect(err).NotTo(HaveOccurred())
+		return reply.GetReason()
+	}
+	time.Sleep(2 * time.Millisecond)
+	g.Expect(submit(ownClock(now))).To(ContainSubstring("under way for too long"))
+	g.Expect(submit(ownClock(now.Add(time.Minute)))).NotTo(ContainSubstring("under way for too long"))
+	g.Expect(submit(0)).NotTo(ContainSubstring("under way for too long"), "of a host of a former release")
+}
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -148,6 +148,7 @@
 		From:            hostMessage(self, 0),
 		RegisterVersion: n.controller.Version(),
 		AcceptsParts:    true,
+		ClockMs:         ownClock(time.Now()),
 	}
 	hello.Claims = n.claimsToTell()
 	n.mu.Lock()
@@ -199,6 +200,7 @@
 	}
 	n.heardDirectly[sender.Address] = true
 	n.recordAcceptsParts(hello)
+	n.recordClock(hello, now)
 	for _, h := range hello.GetHosts() {
 		record(h)
 	}
--- a/internal/process/fleet/node.go
+++ b/internal/process/fleet/node.go
@@ -66,6 +66,7 @@
 	claims           map[string]remoteClaim // by pool
 	remoteHolders    map[string]bool        // hosts with a claim in claims
 	pools            map[string]*pool       // by name: those that this host holds or may hold; none on a host that accepts no jobs
+	clocks           map[string]hostClock   // by address
 	partsAccepted    map[string]bool        // by address: whether the host reads the first task of a job
 	shardCounts      map[string]int         // by domain; one shard where it is missing
 	heardDirectly    map[string]bool        // addresses of the hosts from which a hello message has come since the start
@@ -100,6 +101,7 @@
 		shardCounts:   map[string]int{},
 		heardDirectly: map[string]bool{},
 		partsAccepted: map[string]bool{},
+		clocks:        map[string]hostClock{},
 		announcements: newAnnouncementTable(),
 
 		toForward:    make(chan Announcement, forwardRing),
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -64,6 +64,11 @@
 // Submit implements fleetpb.FleetServer.
 func (s *service) Submit(ctx context.Context, m *fleetpb.JobRequest) (*fleetpb.JobReply, error) {
 	s.node.recordLosses(m.GetLosses())
+	if isLate(m, time.Now()) {
+		s.node.log.Warn("A job arrived late and is refused.", "job", m.GetId(), "peer", m.GetSender(), "submission", m.GetSubmission(),
+			"late_ms", ownClock(time.Now())-m.GetStartUntilMs())
+		return replyMessage(refusalAnswer(failure.New(failure.NotReady, "the job was under way for too long"))), nil
+	}
 	ctx, end, ok := s.node.submissions.begin(ctx, submissionID{m.GetSender(), m.GetSenderIncarnation(), m.GetSubmission()})
 	if !ok {
 		s.node.log.Info("A job arrived after its withdrawal.", "job", m.GetId(), "peer", m.GetSender(), "submission", m.GetSubmission())
--- a/internal/process/fleet/submissions_test.go
+++ b/internal/process/fleet/submissions_test.go
@@ -16,9 +16,8 @@
 	longRun     = 4 * time.Second         // longer than it takes to give up and to send again
 )
 
-// forwardAbroad starts the hosts of two domains, of which only the far one has targets, and
-// submits a job at home. It returns once the job's task runs in the far domain.
-func (f *fixture) forwardAbroad(ctx context.Context, j scheduler.Job) (home *runningNode, toFar *relay.Relay, answer chan scheduler.Answer) {
+// startAbroad starts the hosts of two domains, of which only the far one has targets.
+func (f *fixture) startAbroad() (home *runningNode, toFar *relay.Relay) {
 	f.t.Helper()
 	f.relayed = true
 	f.start("disk", "east")
@@ -26,10 +25,17 @@
 	f.activateCatalog("home", "far")
 	f.announce(far, "south", 1)
 	f.g.Eventually(func() bool { return home.Holds("north") && far.Holds("south") && home.FreeTasksOf("south") > 0 }, testTimeout, 5*time.Millisecond).Should(BeTrue())
+	return home, f.relays[2]
+}
+
+// forwardAbroad submits a job at home and returns once its task runs in the far domain.
+func (f *fixture) forwardAbroad(ctx context.Context, j scheduler.Job) (home *runningNode, toFar *relay.Relay, answer chan scheduler.Answer) {
+	f.t.Helper()
+	home, toFar = f.startAbroad()
 	answer = make(chan scheduler.Answer, 1)
 	go func() { answer <- home.Submit(ctx, j) }()
 	f.g.Eventually(func() int { return f.runsOn("south-0") }, testTimeout, time.Millisecond).Should(Equal(1))
-	return home, f.relays[2], answer
+	return home, toFar, answer
 }
 
 // runsOn returns the number of runs in progress on a target.
@@ -106,3 +112,17 @@
 		})
 	}
 }
+
+// The hosts are cut off from each other for a while. What was sent last arrives after that.
+func TestASubmissionThatArrivesAfterACutStarts(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, longRun)
+	home, toFar := f.startAbroad()
+	toFar.Cut(relay.Both)
+	a := home.Submit(t.Context(), job("moved", 1))
+	f.g.Expect(a.Outcome).To(Equal(scheduler.Broken), a.Reason)
+	f.resend(job("moved", 1), time.Now(), "north", home)
+	toFar.Heal()
+	time.Sleep(500 * time.Millisecond)
+	f.noneOverlapped()
+}
--- a/internal/process/fleet/submit.go
+++ b/internal/process/fleet/submit.go
@@ -177,6 +177,7 @@
 	message.Pool = pool
 	message.Sender = n.config.Self.Address
 	message.Submission, message.SenderIncarnation = n.lastSubmission.Add(1), n.config.Self.Incarnation
+	message.StartUntilMs = n.startUntil(address, time.Now())
 	message.Losses = n.lossMessages(j.ID, time.Now())
 	n.recordSentTasks(pool, address, j.TaskCount())
 	var reply *fleetpb.JobReply
