Replace a connection only after two unanswered withdrawals

Cause: one withdrawal without an answer for 250 ms replaced the connection to its holder. Calls that the link does not count, such as a hand-over in progress, end with a replaced connection, and a busy host may take that long.

Change: withdrawals count as exchanges, like hello messages: two in a row without an answer replace the connection. A caller that leaves while the connection is silent is withdrawn after about 0.5 s, where its holder has 1.3 s.

--- a/internal/process/fleet/withdrawals.go
+++ b/internal/process/fleet/withdrawals.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	withdrawTimeout    = 250 * time.Millisecond // of one attempt; the connection is replaced after it
+	withdrawTimeout    = 250 * time.Millisecond // of one attempt; the connection is replaced after two
 	withdrawRetryDelay = 50 * time.Millisecond  // after an attempt that failed at once
 	// withdrawFor is how long a submission's holder is told of its withdrawal. A holder that
 	// hears nothing from this host for that long has withdrawn the submission itself.
@@ -61,14 +61,14 @@
 		ctx, cancel := context.WithTimeout(n.runCtx, withdrawTimeout)
 		_, err := fleetpb.NewFleetClient(conn).Withdraw(ctx, m)
 		cancel()
+		link.RecordExchange(conn, err)
 		switch status.Code(err) {
 		case codes.OK:
 			n.removeWithdrawals(address, batch)
 		case codes.Unimplemented: // a host of a former release
 			n.removeWithdrawals(address, batch)
 			n.log.Info("A host reads no withdrawals.", "peer", address, "submissions", len(batch))
-		case codes.DeadlineExceeded:
-			link.Replace(conn)
+		case codes.DeadlineExceeded: // has taken long enough
 		default:
 			select {
 			case <-n.runCtx.Done():
