Hand pools over while a target that deregistered announces nothing

The property test of hand-overs announced every target again before its next step, so no pool changed hands with a run on a target that had deregistered. It stays quiet for up to a second now. Ran with -race: platform with its soak, fleet.

--- a/internal/process/fleet/handover_property_test.go
+++ b/internal/process/fleet/handover_property_test.go
@@ -112,6 +112,7 @@
 	mu     sync.Mutex
 	hosts  []*fleet.MemoryHost
 	lives  []uint64       // incarnation of each target
+	quiet  []time.Time    // until when each target announces nothing after a deregistration
 	states map[string]int // runs in the states that were sent, by what the sender knew of them
 }
 
@@ -182,8 +183,11 @@
 
 func (w *takeover) announceAt(i int, address string) {
 	w.mu.Lock()
-	life := w.lives[i]
+	life, quiet := w.lives[i], w.quiet[i]
 	w.mu.Unlock()
+	if time.Now().Before(quiet) {
+		return
+	}
 	t := newAnnouncement(fleet.TargetRef{ID: takeoverTarget(i).ID, Address: address}, "north", life)
 	for _, h := range w.allHosts() {
 		h.Announce(t)
@@ -283,6 +287,9 @@
 		for _, h := range w.allHosts() {
 			h.DeregisterTarget(takeoverTarget(step.target).ID)
 		}
+		w.mu.Lock()
+		w.quiet[step.target] = time.Now().Add(time.Duration(step.other) * time.Second / 2)
+		w.mu.Unlock()
 		if step.other == 0 {
 			time.AfterFunc(50*time.Millisecond, func() { w.loseTarget(step.target) })
 		}
@@ -328,7 +335,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			w := &takeover{
 				ctx: ctx, seed: seed, metrics: m, targets: newFakeTargets(600 * time.Millisecond), hosts: make([]*fleet.MemoryHost, takeoverHosts),
-				lives: make([]uint64, takeoverTargets), states: states,
+				lives: make([]uint64, takeoverTargets), quiet: make([]time.Time, takeoverTargets), states: states,
 			}
 			for i := range w.hosts {
 				w.startHost(i)
