Bound the sessions with targets that have never answered

Cause: each entry under a new id in a pool's own domain opened a session, and each session that is not answered tells the pool so again and again. The pool goes through all sessions with each event.

Change: a pool has at most 512 sessions with targets that have never answered, above the targets of any pool that a host takes over. A further target waits for its next announcement.

Remains: targets that start during such a flood may wait for up to 30 s. Those that have answered go on getting work.

--- a/internal/process/fleet/flood_test.go
+++ b/internal/process/fleet/flood_test.go
@@ -57,3 +57,32 @@
 	g.Expect(p.core.RunCount("busy")).To(Equal(2))
 	g.Expect(p.sessions).To(And(HaveLen(3), Not(HaveKey("odd"))), "the others have answered, run tasks or announced themselves lately")
 }
+
+func TestAFloodOfEntriesOpensFewSessionsAndKeepsThoseOfTrueTargets(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	announce := func(id string, sequence uint64, now time.Time) {
+		a := deskTargetAnnouncement(sequence, 16000, now)
+		a.Target.ID = id
+		p.node.announcements.record(a)
+		p.handleAnnouncement(a, now)
+	}
+	announce("t", 1, now)
+	p.sessions["t"].clearing.Store(false)
+	p.core.SetClearing("t", false, now)
+	for i := range 2 * maxUnansweredSessions {
+		announce(fmt.Sprint("odd-", i), 1, now)
+	}
+	g.Expect(p.sessions).To(HaveLen(maxUnansweredSessions + 1))
+	submitTestJob(p, "j", now)
+	g.Expect(p.core.RunCount("t")).To(Equal(2))
+
+	later := now.Add(forgetTargetAfter + time.Second)
+	announce("t", 2, later)
+	announce("new", 1, later)
+	g.Expect(p.sessions).NotTo(HaveKey("new"))
+	p.dropForgottenTargets(later)
+	announce("new", 2, later)
+	g.Expect(p.sessions).To(And(HaveLen(2), HaveKey("new"), HaveKey("t")))
+}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -325,6 +325,9 @@
 		s.close()
 		ok = false
 	}
+	if _, known := p.sessions[id]; !known && p.unansweredSessions() >= maxUnansweredSessions {
+		return // the next announcement tries again
+	}
 	if !ok {
 		s = newSession(p, a)
 		p.sessions[id] = s
@@ -348,6 +351,21 @@
 	p.handleAnnouncement(a, now)
 }
 
+// maxUnansweredSessions bounds the sessions with targets that have never answered, each of
+// which posts events again and again: a flood of entries of another writer would fill the ring.
+// It is above the targets of any pool that a host takes over.
+const maxUnansweredSessions = 512
+
+func (p *pool) unansweredSessions() int {
+	count := 0
+	for _, s := range p.sessions {
+		if s.clearing.Load() {
+			count++
+		}
+	}
+	return count
+}
+
 // dropForgottenTargets removes the targets that have announced nothing for forgetTargetAfter
 // and have never answered: an entry of another writer names no target, and its session would
 // look for runs for ever.
