Play cuts and slow clocks beside restarts and late orders

TestNoTaskRunsTwiceAtOnceWhenTargetsRestartUnderTheirIDs had no target that falls silent and comes back in the same incarnation, and all clocks ran at one rate. Now targets are cut off for 1.5 to 3.5 s there, and every second clock is 2% slow, in TestNoTaskRunsTwiceAtOnceWhenPoolsChangeHands as well. This plays the argument that a raised token is not needed where leases have expired: the same incarnation refuses old orders by their lease.

The copies that come after 0.3 to 1 s are therefore withheld there like those of 2 to 12 s.

TestAPartMovesWithItsPool failed once in the package's tests on this code, beside other work (load 24): "the job was answered completed before its tasks ran". It needs 73 starts within the second that a run lasts.

--- a/internal/process/fleet/fixture_test.go
+++ b/internal/process/fleet/fixture_test.go
@@ -107,8 +107,9 @@
 // restart replaces a target that has crashed with a new incarnation.
 func (f *fakeTargets) restart(t fleet.TargetRef, incarnation uint64) {
 	delete(f.down, t.ID)
-	f.byID[t.ID] = newFakeTarget()
-	f.byID[t.ID].incarnation, f.byID[t.ID].address, f.byID[t.ID].bornAt = incarnation, t.Address, time.Now()
+	restarted := newFakeTarget()
+	restarted.incarnation, restarted.address, restarted.bornAt, restarted.clockRate = incarnation, t.Address, time.Now(), f.get(t.ID).clockRate
+	f.byID[t.ID] = restarted
 }
 
 // obeys reports whether a new incarnation has been contacted in a session of its own with a
@@ -127,6 +128,13 @@
 	return f.byID[id]
 }
 
+// setClockRate sets the rate of a target's clock, which begins now.
+func (f *fakeTargets) setClockRate(id string, rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.get(id).clockRate, f.get(id).bornAt = rate, time.Now()
+}
+
 func (f *fakeTargets) incarnationOf(id string) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/process/fleet/handover_property_test.go
+++ b/internal/process/fleet/handover_property_test.go
@@ -30,6 +30,16 @@
 	host    int
 	pending *sync.Map     // runs whose start is under way
 	late    *atomic.Int64 // copies that reached an incarnation which was not there when they were sent
+	cut     *sync.Map     // ids of targets that exchange no messages with hosts, except late ones
+}
+
+// awaitLink waits until ctx ends if the target is cut off, and reports whether it is not.
+func (l lossyTargets) awaitLink(ctx context.Context, target string) bool {
+	if _, cut := l.cut.Load(target); cut {
+		<-ctx.Done()
+		return false
+	}
+	return true
 }
 
 // leaveUnderWay delivers a copy of a message seconds later, by draw.
@@ -39,11 +49,19 @@
 		return
 	}
 	life := l.incarnationOf(t.ID)
-	time.AfterFunc(2*time.Second+time.Duration(fate)*500*time.Millisecond, func() {
+	l.deliverAfter(2*time.Second+time.Duration(fate)*500*time.Millisecond, t, token, func() {
+		if l.incarnationOf(t.ID) != life {
+			l.late.Add(1)
+		}
+		deliver()
+	})
+}
+
+// deliverAfter delivers a copy of a message later, unless an incarnation is there by then
+// that nothing has told yet to refuse it.
+func (l lossyTargets) deliverAfter(delay time.Duration, t fleet.TargetRef, token uint64, deliver func()) {
+	time.AfterFunc(delay, func() {
 		if l.obeys(t.ID, token) {
-			if l.incarnationOf(t.ID) != life {
-				l.late.Add(1)
-			}
 			deliver()
 		}
 	})
@@ -60,21 +78,28 @@
 func (l lossyTargets) Start(ctx context.Context, t fleet.TargetRef, request fleet.StartRequest) (scheduler.StartResult, int64) {
 	l.pending.Store(request.Run, true)
 	defer l.pending.Delete(request.Run)
-	l.leaveUnderWay("start", t, request.Run, request.Token, func() { l.fakeTargets.Start(context.Background(), t, request) })
+	again := func() { l.fakeTargets.Start(context.Background(), t, request) }
+	l.leaveUnderWay("start", t, request.Run, request.Token, again)
+	if !l.awaitLink(ctx, t.ID) {
+		return scheduler.Unanswered, 0
+	}
 	fate := l.fate("start", t.ID, request.Run)
 	switch {
 	case fate < 8:
 		<-ctx.Done()
 		return scheduler.Unanswered, 0
 	case fate < 14:
-		time.AfterFunc(time.Duration(fate*70)*time.Millisecond, func() { l.fakeTargets.Start(context.Background(), t, request) })
+		l.deliverAfter(time.Duration(fate*70)*time.Millisecond, t, request.Token, again)
 		<-ctx.Done()
 		return scheduler.Unanswered, 0
 	case fate < 18:
-		time.AfterFunc(300*time.Millisecond, func() { l.fakeTargets.Start(context.Background(), t, request) })
+		l.deliverAfter(300*time.Millisecond, t, request.Token, again)
 	}
 	time.Sleep(time.Duration(fate/4) * time.Millisecond)
 	result, clock := l.fakeTargets.Start(ctx, t, request)
+	if !l.awaitLink(ctx, t.ID) {
+		return scheduler.Unanswered, 0
+	}
 	if fate >= 80 {
 		<-ctx.Done()
 		return scheduler.Unanswered, 0
@@ -83,6 +108,9 @@
 }
 
 func (l lossyTargets) Stop(ctx context.Context, t fleet.TargetRef, r scheduler.Run, token uint64) error {
+	if !l.awaitLink(ctx, t.ID) {
+		return ctx.Err()
+	}
 	fate := l.fate("stop", t.ID, r)
 	switch {
 	case fate < 50:
@@ -106,6 +134,9 @@
 		late.MaxWait = 0
 		_, _ = l.fakeTargets.Renew(context.Background(), t, late)
 	})
+	if !l.awaitLink(ctx, t.ID) {
+		return fleet.TargetReport{}, ctx.Err()
+	}
 	fate := l.fate("renew", t.ID, scheduler.Run{})
 	if fate < 5 {
 		<-ctx.Done()
@@ -113,6 +144,9 @@
 	}
 	time.Sleep(time.Duration(fate/25) * time.Millisecond)
 	report, err := l.fakeTargets.Renew(ctx, t, r)
+	if !l.awaitLink(ctx, t.ID) {
+		return fleet.TargetReport{}, ctx.Err()
+	}
 	if fate >= 95 {
 		<-ctx.Done()
 		return fleet.TargetReport{}, ctx.Err()
@@ -123,6 +157,7 @@
 const (
 	takeoverHosts   = 3
 	takeoverTargets = 8
+	maxClockLag     = 50 // a slow clock loses one millisecond in so many
 )
 
 // takeover is a domain whose pools change hands.
@@ -133,6 +168,7 @@
 	targets *fakeTargets
 	pending sync.Map
 	late    *atomic.Int64
+	cut     sync.Map
 	stepAt  int
 
 	mu     sync.Mutex
@@ -160,7 +196,7 @@
 	h, err := fleet.StartMemoryHost(w.ctx, fleet.Config{
 		Self:     discovery.Host{Address: hostAddress(i), Domain: "north", Entry: true, Incarnation: uint64(time.Now().UnixMilli())},
 		MaxLease: time.Second, VoterCount: 1, Log: slog.New(slog.DiscardHandler), Metrics: w.metrics,
-		Targets: lossyTargets{w.targets, w.seed, i, &w.pending, w.late}, Parse: parseDocument,
+		Targets: lossyTargets{w.targets, w.seed, i, &w.pending, w.late, &w.cut}, Parse: parseDocument,
 	}, others)
 	if err != nil {
 		panic(err)
@@ -288,6 +324,10 @@
 			w.targets.mu.Unlock()
 			w.announce(step.target)
 		})
+	case "cut target":
+		id := lifeOf(step.target, 1).ID
+		w.cut.Store(id, true)
+		time.AfterFunc(1500*time.Millisecond+time.Duration(step.pauseMS)*5*time.Millisecond, func() { w.cut.Delete(id) })
 	case "lose host":
 		host.Kill()
 		time.Sleep(100 * time.Millisecond)
@@ -327,6 +367,7 @@
 	}
 	for i := range takeoverTargets {
 		w.lives[i] = 1
+		w.targets.setClockRate(lifeOf(i, 1).ID, 1-float64(i%2)/maxClockLag)
 		w.announce(i)
 	}
 	for range 16 { // beyond the start phase, in which a new shard has no former pool
@@ -383,7 +424,7 @@
 func TestNoTaskRunsTwiceAtOnceWhenTargetsRestartUnderTheirIDs(t *testing.T) {
 	states, late := map[string]int{}, new(atomic.Int64)
 	m := metrics.NewMetrics(nil)
-	kinds := []string{"lose target", "lose target", "lose target", "submit", "submit", "submit", "submit", "hand over", "split", "lose host"}
+	kinds := []string{"lose target", "lose target", "lose target", "cut target", "cut target", "submit", "submit", "submit", "submit", "hand over", "split", "lose host"}
 	rapid.Check(t, func(rt *rapid.T) {
 		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawTakeoverSteps(rt, kinds)
 		var overlapping []string
--- a/internal/process/fleet/late_orders_test.go
+++ b/internal/process/fleet/late_orders_test.go
@@ -105,13 +105,6 @@
 
 const announceInterval = 1500 * time.Millisecond
 
-// setClockRate sets the rate of a target's clock, which begins now.
-func (l *lateOrders) setClockRate(id string, rate float64) {
-	l.fakeTargets.mu.Lock()
-	defer l.fakeTargets.mu.Unlock()
-	l.get(id).clockRate, l.get(id).bornAt = rate, time.Now()
-}
-
 // loneHolder is a host that holds the pool of targets whose orders may be late.
 type loneHolder struct {
 	*fleet.MemoryHost
