Stop a run of a removed target once at the target's next incarnation

What callers saw: nothing; a second stop request for each run, since. A run that is taken over by a later incarnation of its target is stopped there, and was then resumed, which requested the stop again.

Failed before: TestARunOfARemovedTargetIsStoppedOnceAtItsNextIncarnation, "Expected <[]scheduler.Stop | len:2> to have length 1".

--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -67,8 +67,8 @@
 
 // decideStart decides a start request by the result of one of its copies. A refusal for
 // want of capacity, because the target is unhealthy, or by another target concerns that
-// copy alone: another one may be carried out. A target that refuses a copy as outdated has ended the run
-// that another copy started; its next report contains how.
+// copy alone: another one may be carried out. A target that refuses a copy as outdated has
+// ended the run that another copy started; its next report contains how.
 func decideStart(result scheduler.StartResult, copies *repeat.Copies) startDecision {
 	switch result {
 	case scheduler.NotSent:
--- a/internal/process/scheduler/detached.go
+++ b/internal/process/scheduler/detached.go
@@ -21,7 +21,6 @@
 		if r.targetID == t.ID {
 			delete(c.detachedRuns, r)
 			c.adopt(t, r, now)
-			c.resume(r)
 		}
 	}
 }
@@ -33,6 +32,7 @@
 	if r.incarnation == 0 || r.incarnation >= t.Incarnation {
 		t.addRun(r)
 		r.lost = false
+		c.resume(r)
 		return
 	}
 	former := newTarget(t.Target)
--- a/internal/process/scheduler/detached_test.go
+++ b/internal/process/scheduler/detached_test.go
@@ -52,6 +52,17 @@
 	g.Expect(stops(c.UpdateTarget(known, true, at(200)))).To(HaveLen(1))
 }
 
+func TestARunOfARemovedTargetIsStoppedOnceAtItsNextIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	c, first, _ := newCoreWithoutTarget(TargetLeft)
+	known := newDeskTarget(0)
+	known.ID, known.Incarnation = first.Target, 2
+	effects := c.UpdateTarget(known, true, at(200))
+	g.Expect(stops(effects)).To(HaveLen(1))
+	g.Expect(starts(effects)).To(BeEmpty())
+	g.Expect(starts(c.HandleRunStopped(first.Target, first.Run, at(250)))).To(HaveLen(1))
+}
+
 // A target announces another address while a start is not answered and a stop not confirmed.
 // The answers were lost with the session, and the run stayed with the target for good.
 func TestTheRequestsOfARunAreResumedWhenItsTargetChangesItsAddress(t *testing.T) {
