Keep the jobs of a sender that probes their connection

What callers saw: 502, "the host that sent it is not alive", of a job that ran, on a busy machine (in TestANewlyStartedHostTakesAShardWithItsRunningTasks, beside a load of 25).

Cause: a holder withdrew a job once hello messages of its sender had been missing for 0.9 s, though the connection that the job came over carried its probes.

Change: hello messages alone are no sign while probes come. A sender counts as gone if it is not alive and its connection has carried nothing for 0.5 s, the time between two probes, or carries nothing for 1.1 s. One that has lost power is missed by both, after 0.9 s as before.

Failed before: TestAJobIsWithdrawnThoughItsSenderProbesTheConnection, "Expected <string>: the host that sent it is not alive to be empty".

--- a/internal/process/fleet/heard_test.go
+++ b/internal/process/fleet/heard_test.go
@@ -42,6 +42,23 @@
 	g.Expect(p.lostSender(w, late)).To(ContainSubstring("silent"))
 }
 
+// On a busy machine, hello messages of a sender came late, while its probes were answered.
+func TestAJobIsWithdrawnThoughItsSenderProbesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	p, w, now := newLostSenderTest(t)
+	for at := now; at.Before(now.Add(2 * aliveTimeout)); at = at.Add(tickInterval) {
+		p.node.pauses.beat(at)
+		if at.Sub(now)%dialTimeout == 0 {
+			w.heard.record(at)
+		}
+		g.Expect(p.lostSender(w, at)).To(BeEmpty())
+	}
+	at := now.Add(2 * aliveTimeout)
+	p.node.pauses.beat(at)
+	w.heard.record(at.Add(-dialTimeout - tickInterval))
+	g.Expect(p.lostSender(w, at)).To(ContainSubstring("not alive"), "a probe is missing")
+}
+
 // A sender lost power and was back before it was missed. It knows its submissions no more.
 func TestAJobIsKeptForALaterIncarnationOfItsSender(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -362,7 +362,7 @@
 // lostSender returns why the sender of a job is taken for lost; empty if it isn't.
 func (p *pool) lostSender(w waiter, now time.Time) string {
 	switch {
-	case w.sender != "" && !p.node.isAliveAt(w.sender, now) && now.Sub(w.waitingSince) > aliveTimeout:
+	case w.heard.silence(now) > dialTimeout && !p.node.isAliveAt(w.sender, now) && now.Sub(w.waitingSince) > aliveTimeout:
 		return "the host that sent it is not alive"
 	case w.heard.silence(now) > submissionSilence && !p.node.pauses.resumedWithin(resumeReadTime, now):
 		return "the connection that it came over is silent"
