Let an announced clock count for no more than the target's answers allow

What callers would see: a task starts again while a start of its former run, which was left under way, is carried out.

Cause: of two readings of a target's clock the later one counted, whoever sent it. An entry of another writer under a true id, with a clock that is ahead, put the lease end of each order ahead by as much. The order of messages, within one submission and without a restart: such an announcement; a start that gets no answer; its lease is over 1.1 s later, and the task starts elsewhere; the first start is carried out, as it seems to be in time.

Change: a target's clock is not fast. After an answer it shows at most what the answer says and the time since the request was sent. An announced reading is cut to that. A bound that a later answer exceeds is dropped: this host was suspended, and its monotonic clock stood still.

Result: TestALateStartIsRefusedAlthoughAnAnnouncementWasAheadOfTheTargetsClock had j.0.0 twice at once before.

--- a/internal/process/fleet/clock_test.go
+++ b/internal/process/fleet/clock_test.go
@@ -24,7 +24,7 @@
 				if rapid.Bool().Draw(rt, "announced") {
 					c.recordAnnounced(clock, now)
 				} else {
-					c.record(clock, now)
+					c.recordAnswer(clock, now.Add(-delay), now)
 				}
 				heardAt = now
 			}
@@ -68,3 +68,18 @@
 	c.recordAnnounced(9500, start.Add(-time.Second))
 	g.Expect(c.at(start)).To(BeEquivalentTo(9000))
 }
+
+// A reading of another writer made the leases of late orders valid.
+func TestAnAnnouncedClockCountsForNoMoreThanTheAnswersAllow(t *testing.T) {
+	g := NewWithT(t)
+	var c targetClock
+	start := processStart.Add(time.Hour)
+	c.recordAnswer(1000, start, start.Add(10*time.Millisecond))
+	later := start.Add(2 * time.Second)
+	c.recordAnnounced(1000+60_000, later)
+	g.Expect(c.at(later)).To(BeEquivalentTo(1000 + 2000 + 1))
+	suspendedFor := int64(5000) // this host; its monotonic clock stood still
+	c.recordAnswer(3000+suspendedFor, later, later.Add(10*time.Millisecond))
+	c.recordAnnounced(5000+suspendedFor, later.Add(2*time.Second))
+	g.Expect(c.at(later.Add(2 * time.Second))).To(BeEquivalentTo(5000 + suspendedFor))
+}
--- a/internal/process/fleet/incarnation_test.go
+++ b/internal/process/fleet/incarnation_test.go
@@ -75,10 +75,10 @@
 					p.node.announcements.record(second)
 					p.handleAnnouncement(second, now)
 				case "report of 1":
-					s.handleReport(TargetReport{ClockMS: 500_020, Incarnation: 1, Running: []RunningRun{{Run: run}}})
+					s.handleReport(TargetReport{ClockMS: 500_020, Incarnation: 1, Running: []RunningRun{{Run: run}}}, time.Now())
 					(<-p.events).apply(p, now)
 				case "report of 2":
-					s.handleReport(TargetReport{ClockMS: 50, Incarnation: 2, Running: []RunningRun{{Run: run}}})
+					s.handleReport(TargetReport{ClockMS: 50, Incarnation: 2, Running: []RunningRun{{Run: run}}}, time.Now())
 					drainEvents(p, now)
 				}
 			}
--- a/internal/process/fleet/late_orders_test.go
+++ b/internal/process/fleet/late_orders_test.go
@@ -299,3 +299,30 @@
 		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "the lease was in force for longer on the target's clock")
 	})
 }
+
+// A start that was left under way was carried out seconds later, under a lease that seemed to be in force.
+func TestALateStartIsRefusedAlthoughAnAnnouncementWasAheadOfTheTargetsClock(t *testing.T) {
+	m := metrics.NewMetrics(nil)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		targets := newLateOrders(6 * time.Second)
+		h := holdAlone(t.Context(), m, targets)
+		defer h.Kill()
+		h.announce("t", 1)
+		time.Sleep(time.Second)
+		ahead := newAnnouncement(fleet.TargetRef{ID: "t", Address: "t"}, "north", 1)
+		ahead.ClockMS = targets.clockMS("t") + 10_000
+		h.Announce(ahead)
+		time.Sleep(20 * time.Millisecond)
+		targets.set(targets.holdStarts, "t", true)
+		targets.set(targets.silent, "t", true)
+		go h.SubmitTo(t.Context(), "north", job("j", 1))
+		time.Sleep(20 * time.Millisecond)
+		h.announce("other", 1)
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(targets.runsOf("other")).To(Equal(1), "the task runs elsewhere once its lease has expired")
+		targets.deliver()
+		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "the lease end was too late by what the announcement was ahead")
+		g.Expect(targets.refusedLate()).To(BeNumerically(">", 0))
+	})
+}
--- a/internal/process/fleet/oddclock_test.go
+++ b/internal/process/fleet/oddclock_test.go
@@ -22,7 +22,7 @@
 		g.Expect(a.Check()).To(Succeed())
 		s := newSession(p, a)
 		s.ctx, s.cancel = context.WithCancel(t.Context())
-		s.handleReport(TargetReport{ClockMS: 500_000, Incarnation: 1})
+		s.handleReport(TargetReport{ClockMS: 500_000, Incarnation: 1}, time.Now())
 		result, _ := s.sendStart(t.Context(), StartRequest{})
 		g.Expect(result).To(Equal(scheduler.Started))
 		g.Expect(s.extendLease().untilMS).To(BeNumerically("~", 501_000, 1000))
@@ -39,7 +39,7 @@
 	s := newSession(p, a)
 	s.ctx, s.cancel = context.WithCancel(t.Context())
 	for _, incarnation := range []uint64{0, 2} {
-		s.handleReport(TargetReport{ClockMS: 40, Incarnation: incarnation})
+		s.handleReport(TargetReport{ClockMS: 40, Incarnation: incarnation}, time.Now())
 		g.Expect(s.latestClock()).To(Equal(int64(500_000)))
 	}
 }
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -208,7 +208,7 @@
 		if s.isOvertaken(r.report) {
 			return true
 		}
-		s.handleReport(r.report)
+		s.handleReport(r.report, r.sentAt)
 	case errors.Is(r.err, ErrFenced):
 		s.settle(r, true)
 		s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
@@ -263,9 +263,9 @@
 	return false
 }
 
-func (s *session) handleReport(r TargetReport) {
+func (s *session) handleReport(r TargetReport, sentAt time.Time) {
 	if r.Incarnation == 0 || r.Incarnation == s.incarnation {
-		s.syncClock(r.ClockMS)
+		s.syncClock(r.ClockMS, sentAt)
 	}
 	if r.Incarnation == s.incarnation && r.Incarnation != 0 {
 		s.confirmClock(r.ClockMS)
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -117,15 +117,15 @@
 	return l
 }
 
-// syncClock records the time on the target's clock that an answer carries; 0 if it
-// carries none.
-func (s *session) syncClock(clock int64) {
+// syncClock records the time on the target's clock that the answer to a request carries; 0
+// if it carries none.
+func (s *session) syncClock(clock int64, sentAt time.Time) {
 	if clock == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.clock.record(clock, time.Now())
+	s.clock.recordAnswer(clock, sentAt, time.Now())
 	s.clockSeen = max(s.clockSeen, clock)
 }
 
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -39,7 +39,7 @@
 
 // sendStart sends one copy of a start request and returns its result.
 func (s *session) sendStart(ctx context.Context, request StartRequest) (scheduler.StartResult, copyFate) {
-	earliest := s.latestClock()
+	earliest, sentAt := s.latestClock(), time.Now()
 	result, clock := s.pool.node.config.Targets.Start(ctx, s.ref, request)
 	switch result {
 	case scheduler.Unanswered:
@@ -53,7 +53,7 @@
 		}
 		return result, copyAnswered
 	}
-	s.syncClock(clock)
+	s.syncClock(clock, sentAt)
 	return result, copyAnswered
 }
 
