Take a stopped run for over once its target lists it no more

What callers would see: on a target that stands still after it has confirmed a stop, a task starts again while its former run goes on.

Cause: 80 ms after the confirmation (stop_ms and a margin) a run counted as over, also if the target then listed it as running. That is belief by a time that the target alone can keep.

Change: after that time the target is asked for its runs, again and again until it does not list the run as running, the session is closed or all leases have expired. This is one request more for a stop.

Result: TestATaskWaitsWhileItsTargetListsTheStoppedRun had j.0.0 twice at once before. The target of TestATaskStartsAgainOnlyOnceItsStoppedRunHasEnded, which never answered a renewal, answers now that nothing runs; its bounds are the same.

--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -137,10 +137,15 @@
 
 // lists reports whether the target lists a run as running or ended.
 func (r TargetReport) lists(run scheduler.Run) bool {
-	return slices.ContainsFunc(r.Running, func(l RunningRun) bool { return l.Run == run }) ||
+	return r.isRunning(run) ||
 		slices.ContainsFunc(r.Ended, func(e EndedRun) bool { return e.Run == run })
 }
 
+// isRunning reports whether the target lists a run as running.
+func (r TargetReport) isRunning(run scheduler.Run) bool {
+	return slices.ContainsFunc(r.Running, func(l RunningRun) bool { return l.Run == run })
+}
+
 // Errors of a TargetClient. After any other error it is unknown whether the target
 // carried out the request or still will.
 var (
--- a/internal/process/fleet/late_orders_test.go
+++ b/internal/process/fleet/late_orders_test.go
@@ -19,13 +19,15 @@
 
 // lateOrders are targets to which a test passes requests on later: all start requests to
 // the targets in holdStarts, and copies of the renewals of those in copyRenewals. Targets
-// in silent get nothing, and the answers of those in loseAnswers are lost.
+// in silent get nothing, and the answers of those in loseAnswers are lost. A run ends lateEnds
+// after its stop was confirmed.
 type lateOrders struct {
 	*fakeTargets
 	mu                               sync.Mutex
 	holdStarts, copyRenewals, silent map[string]bool // by id
 	loseAnswers                      map[string]bool
 	underWay                         []func()
+	lateEnds                         time.Duration
 }
 
 func newLateOrders(runDuration time.Duration) *lateOrders {
@@ -85,6 +87,13 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if l.lateEnds > 0 {
+		l.fakeTargets.mu.Lock()
+		l.get(t.ID).refuseUpTo(r)
+		l.fakeTargets.mu.Unlock()
+		time.AfterFunc(l.lateEnds, func() { _ = l.fakeTargets.Stop(context.Background(), t, r, token) })
+		return nil
+	}
 	return l.fakeTargets.Stop(ctx, t, r, token)
 }
 
@@ -326,3 +335,23 @@
 		g.Expect(targets.refusedLate()).To(BeNumerically(">", 0))
 	})
 }
+
+// A target that stood still after it had confirmed a stop listed the run as running.
+func TestATaskWaitsWhileItsTargetListsTheStoppedRun(t *testing.T) {
+	m := metrics.NewMetrics(nil)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		targets := newLateOrders(time.Minute) // each run makes so little progress that it is stopped
+		targets.lateEnds = 500 * time.Millisecond
+		h := holdAlone(t.Context(), m, targets)
+		defer h.Kill()
+		h.announce("t", 1)
+		go h.SubmitTo(t.Context(), "north", job("j", 1))
+		time.Sleep(50 * time.Millisecond)
+		h.announce("other", 1)
+		time.Sleep(2 * time.Second)
+		g.Expect(targets.runsStarted("j.0.0")).To(BeNumerically(">", 1))
+		g.Expect(targets.tasksThatOverlapped()).To(BeEmpty(), "the task started elsewhere before its run had ended")
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -74,9 +74,13 @@
 	g.Expect(s.leaseExpired(time.Now().Add(10_200 * time.Millisecond))).To(BeFalse())
 }
 
-// promptTargets confirm a stop at once. The run ends later.
+// promptTargets confirm a stop at once. The run ends later, and is listed no more.
 type promptTargets struct{ silentTargets }
 
+func (promptTargets) Renew(context.Context, TargetRef, RenewRequest) (TargetReport, error) {
+	return TargetReport{}, nil
+}
+
 func (promptTargets) Stop(context.Context, TargetRef, scheduler.Run, uint64) error { return nil }
 
 func TestATaskStartsAgainOnlyOnceItsStoppedRunHasEnded(t *testing.T) {
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -14,7 +14,14 @@
 // leases have expired. If the start request was not answered, the target is asked whether
 // the run is there: if not, its task need not wait for the run to end.
 func (s *session) requestStop(r scheduler.Run, startUnanswered bool) {
-	go s.stopUntilConfirmed(r, startUnanswered)
+	go func() {
+		if !s.stopUntilConfirmed(r) {
+			return
+		}
+		if startUnanswered && s.runIsAbsent(r) || s.awaitEnd(r) {
+			s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
+		}
+	}()
 }
 
 // stopUnknown stops a run that the target lists and the scheduler does not know, unless that
@@ -25,32 +32,49 @@
 	}
 	go func() {
 		defer s.unknownStops.Delete(r)
-		s.stopUntilConfirmed(r, false)
+		if s.stopUntilConfirmed(r) {
+			s.pause(s.pool.node.stopSettleTime())
+		}
 	}()
 }
 
-func (s *session) stopUntilConfirmed(r scheduler.Run, startUnanswered bool) {
+// stopUntilConfirmed sends stop requests until the target confirms one. It reports false if
+// the session is closed, the target refuses or all leases have expired before.
+func (s *session) stopUntilConfirmed(r scheduler.Run) bool {
 	for s.ctx.Err() == nil {
 		err := s.stop(r)
 		switch {
 		case err == nil:
 			s.wakeRenewLoop()
-			if !startUnanswered || !s.runIsAbsent(r) {
-				time.Sleep(s.pool.node.stopSettleTime())
-			}
-			s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.HandleRunStopped(s.ref.ID, r, now), now) })
-			return
+			return true
 		case errors.Is(err, ErrFenced):
 			s.post(func(p *pool, now time.Time) { p.handleFenced(s, now) })
-			return
+			return false
 		case errors.Is(err, ErrWrongTarget):
 			s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
-			return
+			return false
 		}
 		time.Sleep(stopRetryDelay)
 		if s.leaseExpired(time.Now()) {
-			return // renewLoop reports the expiry
+			return false // renewLoop reports the expiry
+		}
+	}
+	return false
+}
+
+// awaitEnd waits until a run whose stop was confirmed has ended: a target that stands still may
+// take longer than it should. It reports false if the session is closed or all leases have
+// expired before.
+func (s *session) awaitEnd(r scheduler.Run) bool {
+	s.pause(s.pool.node.stopSettleTime())
+	for {
+		if report, ok := s.look(); ok && !report.isRunning(r) {
+			return true
+		}
+		if s.ctx.Err() != nil || s.leaseExpired(time.Now()) {
+			return false
 		}
+		s.pause(stopRetryDelay)
 	}
 }
 
@@ -102,8 +126,14 @@
 
 // runIsAbsent reports whether the target lists no run r, running or ended.
 func (s *session) runIsAbsent(r scheduler.Run) bool {
+	report, ok := s.look()
+	return ok && report.Unreadable == 0 && !report.lists(r)
+}
+
+// look asks the target for its runs. It reports false if this incarnation does not answer.
+func (s *session) look() (TargetReport, bool) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.pool.answerTimer.Timeout())
 	defer cancel()
 	report, err := s.pool.node.config.Targets.Renew(ctx, s.ref, RenewRequest{Token: s.token})
-	return err == nil && report.Unreadable == 0 && (report.Incarnation == 0 || report.Incarnation == s.incarnation) && !report.lists(r)
+	return report, err == nil && (report.Incarnation == 0 || report.Incarnation == s.incarnation)
 }
