Stop a run of whose start one copy was not accepted and another is under way

Cause: a target that answers one copy of a start with 400 was taken for proof that the run is absent, although another copy of the same request was not answered. All other refusals are proof only if no copy is pending.

Change: this one too.

Result: the case in TestTheRefusalOfOneCopyIsNoProofWhileAnotherIsUnderWay failed before. Targets that answer the same request differently were not seen.

--- a/internal/process/fleet/exchange_test.go
+++ b/internal/process/fleet/exchange_test.go
@@ -340,7 +340,7 @@
 	copies.Sent(now)
 	second := copies.Sent(now)
 	copies.Answered(second, now)
-	for _, result := range []scheduler.StartResult{scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy, scheduler.WrongTarget} {
+	for _, result := range []scheduler.StartResult{scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy, scheduler.WrongTarget, scheduler.NotAccepted} {
 		g.Expect(decideStart(result, copies).certain).To(BeFalse(), result.String())
 	}
 }
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -65,10 +65,9 @@
 	copies  int  // sent until the decision
 }
 
-// decideStart decides a start request by the result of one of its copies. A refusal for
-// want of capacity, because the target is unhealthy, or by another target concerns that
-// copy alone: another one may be carried out. A target that refuses a copy as outdated has ended the run
-// that another copy started; its next report contains how.
+// decideStart decides a start request by the result of one of its copies. A refusal concerns
+// that copy alone: another one may be carried out. A target that refuses a copy as outdated has
+// ended the run that another copy started; its next report contains how.
 func decideStart(result scheduler.StartResult, copies *repeat.Copies) startDecision {
 	switch result {
 	case scheduler.NotSent:
@@ -77,7 +76,7 @@
 		if copies.Count() > 1 {
 			return startDecision{result: scheduler.Started, certain: true}
 		}
-	case scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy, scheduler.WrongTarget:
+	case scheduler.NoRoom, scheduler.TooLate, scheduler.Unhealthy, scheduler.WrongTarget, scheduler.NotAccepted:
 		return startDecision{result: result, certain: copies.Pending() == 0}
 	}
 	return startDecision{result: result, certain: true}
