Release the runs of expired leases although a later lease was sent

What callers would see: a job that is answered only at its deadline, after its host stood still or its target was silent for a second.

Cause: the scheduler is told once that all leases of a target have expired. It ignored that if a request had carried a new lease by the time the pool handled it, as a run that was started since must not be released. The runs before stayed: their stop requests end with the lease, so nobody stopped them any more, and the target need not list them. Where the new lease was that of a renewal that was not sent (connection refused), the expiry was never told again.

Change: the expiry names the time up to which leases had been sent. The runs that were requested until then are released: nothing that was sent later can bring them back, as a start of theirs carries a lease that is over.

--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -210,17 +210,14 @@
 // that they do.
 func (s *session) reportLeaseExpiry() {
 	s.mu.Lock()
-	due := s.leaseRemainingLocked(time.Now()) <= 0 && !s.expiredLease.Equal(s.leaseSentAt)
+	sentAt := s.leaseSentAt
+	due := s.leaseRemainingLocked(time.Now()) <= 0 && !s.expiredLease.Equal(sentAt)
 	if due {
-		s.expiredLease = s.leaseSentAt
+		s.expiredLease = sentAt
 	}
 	s.mu.Unlock()
 	if due {
-		s.post(func(p *pool, now time.Time) {
-			if s.leaseExpired(now) { // otherwise a start request has carried a new lease since
-				p.applyEffects(p.core.ExpireLeases(s.ref.ID, now), now)
-			}
-		})
+		s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.ExpireLeasesSentBy(s.ref.ID, sentAt, now), now) })
 	}
 }
 
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -193,3 +193,27 @@
 	}
 	g.Expect(p.core.RunCount("t")).To(Equal(2), "the leases of the start requests are in force")
 }
+
+// A host that had stood still sent a lease before its pool had handled the expiry of the former
+// ones, which was ignored then. The stop of the lost run had ended with its lease, so the task
+// waited for ever.
+func TestALaterLeaseDoesNotHideTheExpiryOfFormerOnes(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	p.handleAnnouncement(deskTargetAnnouncement(1, 8000, now), now)
+	p.applyEffects(p.core.SetClearing("t", false, now), now)
+	requestedAt := now.Add(-2 * p.node.longestLease())
+	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, requestedAt)
+	g.Expect(p.core.RunCount("t")).To(Equal(2))
+	s := p.sessions["t"]
+	s.mu.Lock()
+	s.leaseSentAt = requestedAt.Add(time.Millisecond)
+	s.mu.Unlock()
+	s.reportLeaseExpiry()
+	s.extendLease()
+	for len(p.events) > 0 {
+		(<-p.events).apply(p, time.Now())
+	}
+	g.Expect(exportJobs(p)[0].Tasks[0].LastRunNumber).To(Equal(2), "the task waits for a run that has ended")
+}
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -122,11 +122,22 @@
 // ExpireLeases records that all leases of a target's runs have expired, so nothing
 // runs there any more. The tasks wait again.
 func (c *Core) ExpireLeases(id string, now time.Time) []Effect {
+	return c.ExpireLeasesSentBy(id, now, now)
+}
+
+// ExpireLeasesSentBy records that all leases that had been sent to a target by a time have
+// expired before a later one was sent, so the runs requested by then have ended.
+func (c *Core) ExpireLeasesSentBy(id string, sentAt, now time.Time) []Effect {
 	t, ok := c.targets[id]
-	if !ok || len(t.runs) == 0 {
+	if !ok {
+		return nil
+	}
+	runs := slices.DeleteFunc(t.sortedRuns(), func(r *run) bool { return r.requestedAt.After(sentAt) })
+	if len(runs) == 0 {
 		return nil
 	}
-	c.releaseRuns(c.loseRuns(t, LeasesExpired, now), EvidenceLease, now)
+	c.recordLostRuns(t, runs, LeasesExpired, now)
+	c.releaseRuns(runs, EvidenceLease, now)
 	c.emit(LogEntry{Message: "The leases of a target expired.", Target: id})
 	c.placeTasks(now)
 	return c.drainEffects()
--- a/internal/process/scheduler/loss.go
+++ b/internal/process/scheduler/loss.go
@@ -66,6 +66,11 @@
 // loseRuns records and reports the runs of a target that was lost, and returns them.
 func (c *Core) loseRuns(t *target, cause LossCause, now time.Time) []*run {
 	runs := t.sortedRuns()
+	c.recordLostRuns(t, runs, cause, now)
+	return runs
+}
+
+func (c *Core) recordLostRuns(t *target, runs []*run, cause LossCause, now time.Time) {
 	for _, r := range runs {
 		c.emit(RunLost{
 			Target: t.ID, Incarnation: t.Incarnation, Run: r.id, Cause: cause, OtherRuns: len(runs) - 1, Age: now.Sub(r.requestedAt),
@@ -75,7 +80,6 @@
 		}
 		r.lost = true
 	}
-	return runs
 }
 
 // recordLoss records the loss of a target under a run's task, which becomes a suspect.
