--- a/internal/process/fleet/parts.go
+++ b/internal/process/fleet/parts.go
@@ -14,9 +14,8 @@
 
 // submitInParts runs a job in parts over several pools of this host's domain and returns
 // its answer. It reports false if the job is to go to one pool, because parts are switched
-// off, it cannot be split,
-// a pool has capacity for all of it, the pools together have too little or the domain is
-// evacuated. loads are those of the domain's pools.
+// off, it cannot be split, a pool has capacity for all of it, the pools together have too
+// little or the domain is evacuated. loads are those of the domain's pools.
 func (n *Node) submitInParts(ctx context.Context, j scheduler.Job, loads []shards.Load) (scheduler.Answer, bool) {
 	if !n.config.JobParts || !j.Splittable() || len(loads) < 2 || n.isEvacuated(n.config.Self.Domain) {
 		return scheduler.Answer{}, false
