--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -117,15 +117,15 @@
 	return l
 }
 
-// syncClock records the time on the target's clock that an answer carries; 0 if it
-// carries none.
-func (s *session) syncClock(clock int64) {
+// syncClock records the time on the target's clock that the answer to a request carries; 0
+// if it carries none.
+func (s *session) syncClock(clock int64, sentAt time.Time) {
 	if clock == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.clock.record(clock, time.Now())
+	s.clock.recordAnswer(clock, sentAt, time.Now())
 	s.clockSeen = max(s.clockSeen, clock)
 }
 
@@ -210,17 +210,14 @@
 // that they do.
 func (s *session) reportLeaseExpiry() {
 	s.mu.Lock()
-	due := s.leaseRemainingLocked(time.Now()) <= 0 && !s.expiredLease.Equal(s.leaseSentAt)
+	sentAt := s.leaseSentAt
+	due := s.leaseRemainingLocked(time.Now()) <= 0 && !s.expiredLease.Equal(sentAt)
 	if due {
-		s.expiredLease = s.leaseSentAt
+		s.expiredLease = sentAt
 	}
 	s.mu.Unlock()
 	if due {
-		s.post(func(p *pool, now time.Time) {
-			if s.leaseExpired(now) { // otherwise a start request has carried a new lease since
-				p.applyEffects(p.core.ExpireLeases(s.ref.ID, now), now)
-			}
-		})
+		s.post(func(p *pool, now time.Time) { p.applyEffects(p.core.ExpireLeasesSentBy(s.ref.ID, sentAt, now), now) })
 	}
 }
 
