Date a run from when its start request was sent

What callers would see: two runs of one task at once after a host stood still for more than a lease, in the moment between the decision to start a run and its request.

Cause: an expiry of leases releases the runs that were requested up to the last lease that had been sent. A run had the time of the decision, and its start may be sent after the expiry was noticed, under a lease of its own.

Change: the run has the time of the request's lease, which the session records under the same lock as the expiry.

--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -206,6 +206,9 @@
 	requestedAt := now.Add(-2 * p.node.longestLease())
 	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, requestedAt)
 	g.Expect(p.core.RunCount("t")).To(Equal(2))
+	for i := range 2 {
+		p.core.RecordStartSent("t", scheduler.Run{Job: "j", Index: i, Number: 1}, requestedAt)
+	}
 	s := p.sessions["t"]
 	s.mu.Lock()
 	s.leaseSentAt = requestedAt.Add(time.Millisecond)
@@ -217,3 +220,23 @@
 	}
 	g.Expect(exportJobs(p)[0].Tasks[0].LastRunNumber).To(Equal(2), "the task waits for a run that has ended")
 }
+
+// The host stood still between the decision and the request.
+func TestALeaseExpiryDoesNotReleaseARunWhoseStartWasDecidedBeforeItAndSentAfterIt(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	p.handleAnnouncement(deskTargetAnnouncement(1, 8000, now), now)
+	p.applyEffects(p.core.SetClearing("t", false, now), now)
+	decidedAt := now.Add(-2 * p.node.longestLease())
+	s := p.sessions["t"]
+	s.mu.Lock()
+	s.leaseSentAt = decidedAt.Add(time.Millisecond)
+	s.mu.Unlock()
+	s.reportLeaseExpiry()
+	submitEvent{id: 1, job: handoverTestJob("j", now), waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, decidedAt)
+	for len(p.events) > 0 {
+		(<-p.events).apply(p, time.Now())
+	}
+	g.Expect(exportJobs(p)[0].Tasks[0].LastRunNumber).To(Equal(1), "the leases of the start requests are in force")
+}
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -9,9 +9,10 @@
 )
 
 // requestStart sends a start request, concurrently with other requests, and passes its
-// result to the scheduler.
-func (s *session) requestStart(e scheduler.Start) {
-	request := StartRequest{Run: e.Run, Spec: e.Spec, LeaseUntilMS: s.extendLease().untilMS, Token: s.token}
+// result to the scheduler. It returns when the lease of the request was sent.
+func (s *session) requestStart(e scheduler.Start) time.Time {
+	l := s.extendLease()
+	request := StartRequest{Run: e.Run, Spec: e.Spec, LeaseUntilMS: l.untilMS, Token: s.token}
 	givenUp, answered := false, false
 	x := &exchange[scheduler.StartResult]{session: s, name: "start"}
 	x.send = func(ctx context.Context) (scheduler.StartResult, copyFate) { return s.sendStart(ctx, request) }
@@ -35,6 +36,7 @@
 			s.pool.metrics.recordGivenUpStart(answered)
 		}
 	}()
+	return l.sentAt
 }
 
 // sendStart sends one copy of a start request and returns its result.
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -138,6 +138,14 @@
 	return c.drainEffects()
 }
 
+// RecordStartSent records when the start request of a run was sent, which may be some time
+// after the decision on a host that stands still.
+func (c *Core) RecordStartSent(id string, r Run, at time.Time) {
+	if _, active := c.findRun(id, r); active != nil {
+		active.requestedAt = at
+	}
+}
+
 // HandleStartResult processes a target's answer to a start request. A refused task
 // waits again at once; an unanswered one only after the target confirmed the stop of
 // the run or its leases expired, as the run may still start.
