--- a/internal/process/fleet/announcements_test.go
+++ b/internal/process/fleet/announcements_test.go
@@ -51,7 +51,7 @@
 	g.Expect(p.sessions["t"].incarnation).To(Equal(uint64(2)))
 }
 
-// Heartbeats of one incarnation go to any host and may come late. Only one that was sent after
+// Announcements of one incarnation go to any host and may come late. Only one that was sent after
 // the last one known, and received after the deregistration, shows that the target goes on.
 func TestOnlyALaterAnnouncementWithdrawsADeregistration(t *testing.T) {
 	t.Parallel()
--- a/internal/process/fleet/check.go
+++ b/internal/process/fleet/check.go
@@ -71,7 +71,7 @@
 // announced, or nil.
 func (a Announcement) Check() error {
 	t := a.Target
-	for _, named := range []struct{ field, name string }{{"id", t.ID}, {"service", t.Service}, {"zone", t.Domain}, {"address", t.Address}} {
+	for _, named := range []struct{ field, name string }{{"id", t.ID}, {"service", t.Service}, {"domain", t.Domain}, {"address", t.Address}} {
 		if err := checkName(named.field, named.name); err != nil {
 			return err
 		}
@@ -88,11 +88,11 @@
 	case a.Sequence > maxSequence:
 		return failure.Invalid("sequence", fmt.Sprintf("is %d, must be at most %d", a.Sequence, uint64(maxSequence)))
 	case t.Incarnation > uint64(max(0, latestStart)):
-		return failure.Invalid("born", fmt.Sprintf("is %d, which is more than %v ahead", t.Incarnation, maxClockLead))
+		return failure.Invalid("incarnation", fmt.Sprintf("is %d, which is more than %v ahead", t.Incarnation, maxClockLead))
 	case a.ClockMS < 0 || a.ClockMS > maxTargetClock.Milliseconds():
-		return failure.Invalid("clock_ms", fmt.Sprintf("is %d, must be from 0 to %d", a.ClockMS, maxTargetClock.Milliseconds()))
+		return failure.Invalid("clock", fmt.Sprintf("is %d, must be from 0 to %d", a.ClockMS, maxTargetClock.Milliseconds()))
 	case t.ColdUntil.After(a.ReceivedAt.Add(maxColdTime)):
-		return failure.Invalid("cold_remaining_ms", fmt.Sprintf("is more than %v", maxColdTime))
+		return failure.Invalid("cold time", fmt.Sprintf("is more than %v", maxColdTime))
 	}
 	return nil
 }
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -336,36 +336,6 @@
 	return t, t.runs[r]
 }
 
-func (c *Core) releaseRuns(runs []*run, by Evidence, now time.Time) {
-	for _, r := range runs {
-		c.releaseRun(r, by, now)
-	}
-}
-
-// releaseRun frees the resources of a run; its task waits again.
-func (c *Core) releaseRun(r *run, by Evidence, now time.Time) {
-	if t, ok := c.targets[r.targetID]; ok {
-		t.removeRun(r)
-	}
-	if c.formerRuns[r.id.ofTask()] == r {
-		delete(c.formerRuns, r.id.ofTask())
-	}
-	s := c.jobOf(r.id)
-	if s == nil {
-		return
-	}
-	t := s.taskOf(r.id)
-	if t.run != r {
-		return
-	}
-	t.run = nil
-	t.released = Release{Target: r.targetID, Evidence: by, At: now}
-	s.pendingTasks++
-	if s.pendingTasks == 1 {
-		c.enqueue(s)
-	}
-}
-
 // completeTask marks a task as done and answers its job if it was the last one.
 func (c *Core) completeTask(r Run) {
 	s := c.jobOf(r)
--- a/internal/process/scheduler/release.go
+++ b/internal/process/scheduler/release.go
@@ -25,3 +25,33 @@
 	Evidence Evidence
 	At       time.Time
 }
+
+func (c *Core) releaseRuns(runs []*run, by Evidence, now time.Time) {
+	for _, r := range runs {
+		c.releaseRun(r, by, now)
+	}
+}
+
+// releaseRun frees the resources of a run; its task waits again.
+func (c *Core) releaseRun(r *run, by Evidence, now time.Time) {
+	if t, ok := c.targets[r.targetID]; ok {
+		t.removeRun(r)
+	}
+	if c.formerRuns[r.id.ofTask()] == r {
+		delete(c.formerRuns, r.id.ofTask())
+	}
+	s := c.jobOf(r.id)
+	if s == nil {
+		return
+	}
+	t := s.taskOf(r.id)
+	if t.run != r {
+		return
+	}
+	t.run = nil
+	t.released = Release{Target: r.targetID, Evidence: by, At: now}
+	s.pendingTasks++
+	if s.pendingTasks == 1 {
+		c.enqueue(s)
+	}
+}
