--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -13,7 +13,7 @@
 const (
 	clearingPollInterval = 30 * time.Millisecond // between renewals at a target where the runs of a former holder are being stopped
 	defaultRunStopTime   = 50 * time.Millisecond // that a target takes to end a run whose stop it has confirmed
-	stopMargin           = 30 * time.Millisecond // beyond that time, until the run has surely ended
+	stopMargin           = 30 * time.Millisecond // beyond that time, until the target is asked whether the run has ended
 	stopRetryDelay       = 60 * time.Millisecond // after a stop request that failed with all its copies
 	maxAckDelay          = time.Second           // ended runs are acknowledged at the latest after this
 	leaseMargin          = 80 * time.Millisecond // beyond the lease, until the runs have surely ended
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// stopSettleTime returns how long after a confirmed stop the run has surely ended.
+// stopSettleTime returns how long after a confirmed stop the run should have ended.
 func (n *Node) stopSettleTime() time.Duration {
 	return cmp.Or(n.config.RunStopTime, defaultRunStopTime) + stopMargin
 }
