--- a/internal/process/fleet/handover_property_test.go
+++ b/internal/process/fleet/handover_property_test.go
@@ -452,28 +452,36 @@
 	return w.targets.overlapping
 }
 
-// A pool changes hands by hand-overs, splits that one host knows and another does not yet,
-// claims and losses of hosts and targets, some of which are only said to be gone, while start,
-// stop and hand-over messages are late, lost, doubled or carried out by the next incarnation
-// of a target. A holder that does not know of a run starts its task a second time.
-func TestNoTaskRunsTwiceAtOnceWhenPoolsChangeHands(t *testing.T) {
-	states, late := map[string]int{}, new(atomic.Int64)
+// checkNoTaskRunsTwice plays drawn steps of the given kinds. It returns how many runs the
+// states that were sent had in each state, and how many messages reached a target that had
+// restarted since.
+func checkNoTaskRunsTwice(t *testing.T, runDuration time.Duration, kinds []string) (states map[string]int, late *atomic.Int64) {
+	states, late = map[string]int{}, new(atomic.Int64)
 	m := metrics.NewMetrics(nil)
-	kinds := []string{
-		"hand over", "hand over", "hand over", "split", "split", "submit", "submit", "submit", "submit", "lose target", "lose host", "claim",
-		"deregister", "deregister", "other address",
-	}
 	rapid.Check(t, func(rt *rapid.T) {
 		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawTakeoverSteps(rt, kinds)
 		var overlapping []string
 		synctest.Test(t, func(t *testing.T) {
-			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(600 * time.Millisecond), states: states, late: late}
+			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(runDuration), states: states, late: late}
 			overlapping = w.play(t, steps)
 		})
 		if len(overlapping) > 0 {
 			rt.Fatalf("tasks ran twice at once: %v", overlapping)
 		}
 	})
+	return states, late
+}
+
+// A pool changes hands by hand-overs, splits that one host knows and another does not yet,
+// claims and losses of hosts and targets, some of which are only said to be gone, while start,
+// stop and hand-over messages are late, lost, doubled or carried out by the next incarnation
+// of a target. A holder that does not know of a run starts its task a second time.
+func TestNoTaskRunsTwiceAtOnceWhenPoolsChangeHands(t *testing.T) {
+	kinds := []string{
+		"hand over", "hand over", "hand over", "split", "split", "submit", "submit", "submit", "submit", "lose target", "lose host", "claim",
+		"deregister", "deregister", "other address",
+	}
+	states, late := checkNoTaskRunsTwice(t, 600*time.Millisecond, kinds)
 	g := NewWithT(t)
 	for _, state := range []string{"starting", "running", "stopping", "on a target that moves"} {
 		g.Expect(states[state]).To(BeNumerically(">", 0), "no pool changed hands with a run that was "+state)
@@ -482,23 +490,11 @@
 }
 
 func TestNoTaskRunsTwiceAtOnceWhenTargetsRestartUnderTheirIDs(t *testing.T) {
-	states, late := map[string]int{}, new(atomic.Int64)
-	m := metrics.NewMetrics(nil)
 	kinds := []string{
 		"lose target", "lose target", "lose target", "cut target", "cut target", "submit", "submit", "submit", "submit", "hand over", "split", "lose host",
 		"deregister",
 	}
-	rapid.Check(t, func(rt *rapid.T) {
-		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawTakeoverSteps(rt, kinds)
-		var overlapping []string
-		synctest.Test(t, func(t *testing.T) {
-			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(3 * time.Second), states: states, late: late}
-			overlapping = w.play(t, steps)
-		})
-		if len(overlapping) > 0 {
-			rt.Fatalf("tasks ran twice at once: %v", overlapping)
-		}
-	})
+	states, late := checkNoTaskRunsTwice(t, 3*time.Second, kinds)
 	NewWithT(t).Expect(late.Load()).To(BeNumerically(">", 0), "no message of before reached a target that had restarted")
 	t.Log(states, late.Load())
 }
