--- a/internal/process/fleet/check.go
+++ b/internal/process/fleet/check.go
@@ -50,8 +50,13 @@
 	if err := checkName("address", m.GetAddress()); err != nil {
 		return err
 	}
-	if latestStart := now.Add(maxClockLead).UnixMilli(); m.GetIncarnation() > uint64(max(0, latestStart)) {
-		return failure.Invalid("incarnation", fmt.Sprintf("is %d, which is more than %v ahead", m.GetIncarnation(), maxClockLead))
+	return checkIncarnation(m.GetIncarnation(), now)
+}
+
+// checkIncarnation checks the Unix milliseconds of a start.
+func checkIncarnation(incarnation uint64, now time.Time) error {
+	if latest := now.Add(maxClockLead).UnixMilli(); incarnation > uint64(max(0, latest)) {
+		return failure.Invalid("incarnation", fmt.Sprintf("is %d, which is more than %v ahead", incarnation, maxClockLead))
 	}
 	return nil
 }
@@ -81,20 +86,17 @@
 		return failure.Invalid("labels", fmt.Sprintf("must be at most %d, of at most %d bytes of text", maxLabels, maxLabelBytes))
 	}
 	c := t.Capacity
-	latestStart := a.ReceivedAt.Add(maxClockLead).UnixMilli()
 	switch {
 	case min(c.CPUMilli, c.MemoryMB, c.GPUs) < 0 || max(c.CPUMilli, c.MemoryMB, c.GPUs) > maxCapacity:
 		return failure.Invalid("capacity", fmt.Sprintf("is %v, must be from 0 to %d of each", c, maxCapacity))
 	case a.Sequence > maxSequence:
 		return failure.Invalid("sequence", fmt.Sprintf("is %d, must be at most %d", a.Sequence, uint64(maxSequence)))
-	case t.Incarnation > uint64(max(0, latestStart)):
-		return failure.Invalid("incarnation", fmt.Sprintf("is %d, which is more than %v ahead", t.Incarnation, maxClockLead))
 	case a.ClockMS < 0 || a.ClockMS > maxTargetClock.Milliseconds():
 		return failure.Invalid("clock", fmt.Sprintf("is %d, must be from 0 to %d", a.ClockMS, maxTargetClock.Milliseconds()))
 	case t.ColdUntil.After(a.ReceivedAt.Add(maxColdTime)):
 		return failure.Invalid("cold time", fmt.Sprintf("is more than %v", maxColdTime))
 	}
-	return nil
+	return checkIncarnation(t.Incarnation, a.ReceivedAt)
 }
 
 // checkName checks a name that goes into messages between hosts, which must be valid UTF-8
--- a/internal/process/fleet/targets.go
+++ b/internal/process/fleet/targets.go
@@ -31,12 +31,12 @@
 		p.closeSession(id, now)
 		ok = false
 	}
-	if _, known := p.sessions[id]; !known && p.unansweredSessions() >= maxUnansweredSessions {
-		return // the next announcement tries again
-	}
 	if ok {
 		s.syncAnnouncedClock(a)
 	} else {
+		if p.unansweredSessions() >= maxUnansweredSessions {
+			return // the next announcement tries again
+		}
 		p.raiseTokenFor(a.Target, now)
 		s = newSession(p, a)
 		p.sessions[id] = s
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -38,6 +38,11 @@
 	}
 }
 
+// ExpireLeases records that all leases of a target's runs have expired.
+func (c *Core) ExpireLeases(id string, now time.Time) []Effect {
+	return c.ExpireLeasesSentBy(id, now, now)
+}
+
 func starts(effects []Effect) []Start {
 	var out []Start
 	for _, e := range effects {
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -119,14 +119,9 @@
 	return c.drainEffects()
 }
 
-// ExpireLeases records that all leases of a target's runs have expired, so nothing
-// runs there any more. The tasks wait again.
-func (c *Core) ExpireLeases(id string, now time.Time) []Effect {
-	return c.ExpireLeasesSentBy(id, now, now)
-}
-
 // ExpireLeasesSentBy records that all leases that had been sent to a target by a time have
-// expired before a later one was sent, so the runs requested by then have ended.
+// expired before a later one was sent, so the runs requested by then have ended. Their tasks
+// wait again.
 func (c *Core) ExpireLeasesSentBy(id string, sentAt, now time.Time) []Effect {
 	t, ok := c.targets[id]
 	if !ok {
