Review case 2: connections cut at the end of a planned stop

Half a second before the platform would kill a stopping edge, it ends and races its own handlers: jobs that wait for their next step get a 504 or no answer at all (LOST).

--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -39,6 +39,7 @@
 type taskLog struct {
 	running map[*run]*minion
 	done    bool
+	lastEnd time.Time
 }
 
 func parseTask(task string) (id string, stepNo, index int, ok bool) {
@@ -150,6 +151,7 @@
 	t := l.task(r.task)
 	delete(t.running, r)
 	t.done = t.done || how == "done"
+	t.lastEnd = time.Now()
 }
 
 func contains(list []string, s string) bool {
@@ -168,16 +170,29 @@
 	l.mu.Lock()
 	l.jobs[j.id] = j
 	l.mu.Unlock()
-	go l.handIn(j, zone, prefix, patience)
+	go l.handIn(j, nil, zone, prefix, patience)
 	return j.id
 }
 
-func (l *lab) handIn(j *job, zone, prefix string, patience time.Duration) {
+// submitTo is submit with the host of the first attempt.
+func (l *lab) submitTo(h *host, prefix string, steps []step, patience time.Duration) {
+	j := &job{id: newID(), spec: "s" + newID(), steps: steps}
+	l.mu.Lock()
+	l.jobs[j.id] = j
+	l.mu.Unlock()
+	go l.handIn(j, h, h.zone, prefix, patience)
+}
+
+func (l *lab) handIn(j *job, first *host, zone, prefix string, patience time.Duration) {
 	steps := j.steps
 	body, _ := json.Marshal(map[string]any{"spec": j.spec, "steps": steps, "best_effort": true})
 	until := time.Now().Add(patience)
 	for try := 0; try < 6 && l.ctx.Err() == nil && time.Until(until) > 100*time.Millisecond; try++ {
-		h := l.pick(zone, rand.IntN(100))
+		h := first
+		if h == nil || try > 0 {
+			h = l.pick(zone, rand.IntN(100))
+		}
+		sentAt := time.Now()
 		ctx, cancel := context.WithDeadline(l.ctx, until)
 		l.note("send", "%s to %s, attempt %d", j.id, h.name, try+1)
 		status, answer, err := l.callContext(ctx, l.client, http.MethodPost, "http://"+net.JoinHostPort(h.ip, strconv.Itoa(l.frontPort))+prefix+j.id,
@@ -186,6 +201,7 @@
 		what := strconv.Itoa(status)
 		if err != nil {
 			status, what = 0, "no answer"
+			l.judgeCut(h, j, prefix, sentAt, until, err)
 		}
 		l.note("answer", "%s from %s: %s %s", j.id, h.name, what, strings.TrimSpace(answer))
 		l.mu.Lock()
@@ -234,3 +250,28 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
+
+// judgeCut judges a connection that ended without an answer as LOST, if the host had a SIGTERM:
+// until 1 s after grace_s, for a job that was passed on to a minion, unless its deadline or its
+// route's timeout was reached or a minion was at work on it in the last sixth of grace_s.
+func (l *lab) judgeCut(h *host, j *job, prefix string, sentAt, until time.Time, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if h.termAt.IsZero() || now.Sub(h.termAt) > 7*time.Second || now.After(until) || l.ctx.Err() != nil || strings.Contains(err.Error(), "connection refused") {
+		return
+	}
+	if now.Sub(sentAt) > timeoutOf(prefix) || !j.started {
+		return
+	}
+	for s, st := range j.steps {
+		for i := range st.Count {
+			t := l.task(fmt.Sprintf("%s.0.%d.%d", j.id, s, i))
+			if len(t.running) > 0 || t.lastEnd.After(h.termAt.Add(5*time.Second)) {
+				return // a minion was at work in the last sixth of the grace
+			}
+		}
+	}
+	l.brokenLocked("LOST", "job %s: %s had read it, a minion had got a task of it, and the connection ended without an answer %v after the SIGTERM, %v after it was sent: %v",
+		j.id, h.name, now.Sub(h.termAt).Round(time.Millisecond), now.Sub(sentAt).Round(time.Millisecond), err)
+}
--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -62,7 +62,8 @@
 	exited   chan struct{}
 	again    bool
 	misses   int
-	inUse    bool // the platform sends it new connections
+	inUse    bool      // the platform sends it new connections
+	termAt   time.Time // of the last SIGTERM
 }
 
 func newLab(trouble bool, only string) *lab {
@@ -211,6 +212,11 @@
 
 func (h *host) signal(s syscall.Signal) {
 	h.lab.note("signal", "%s %v", h.name, s)
+	if s == syscall.SIGTERM {
+		h.lab.mu.Lock()
+		h.termAt = time.Now()
+		h.lab.mu.Unlock()
+	}
 	_ = h.cmd.Process.Signal(s)
 }
 
@@ -335,6 +341,19 @@
 	l.cannot("the configuration was not accepted")
 }
 
+// timeoutOf returns the timeout of the route with a prefix.
+func timeoutOf(prefix string) time.Duration {
+	if prefix == "/b/" {
+		return 10 * time.Second
+	}
+	return 1500 * time.Millisecond
+}
+
+// slowRoute is route with the timeout of /b/.
+func slowRoute(name, prefix string, priority, attempts int) string {
+	return strings.Replace(route(name, prefix, priority, attempts), `"timeout_ms":1500`, fmt.Sprintf(`"timeout_ms":%d`, timeoutOf(prefix).Milliseconds()), 1)
+}
+
 func route(name, prefix string, priority, attempts int) string {
 	return fmt.Sprintf(`{"name":%q,"host":"desk.example","path_prefix":%q,"kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":60,"priority":%d,"service":"desk","max_attempts":%d,"slack_factor":1.6}`, name, prefix, priority, attempts)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	scripts := map[string]func(*lab){"route": routeScript, "drain": drainScript, "cancel": cancelScript}
+	scripts := map[string]func(*lab){"route": routeScript, "drain": drainScript, "cancel": cancelScript, "term": termScript}
 	script, ok := scripts[os.Args[1]]
 	if !ok {
 		os.Exit(2)
@@ -48,7 +48,7 @@
 			l.minions = append(l.minions, newMinion(l, z, "desk", "i-"+newID()[:10], 16000, 1, label(i)...))
 		}
 	}
-	l.configure(1, route("a", "/a/", 0, 3), route("b", "/b/", 1, 3))
+	l.configure(1, route("a", "/a/", 0, 3), slowRoute("b", "/b/", 1, 3))
 	go l.balance()
 	l.awaitReady()
 	time.Sleep(2 * time.Second)
@@ -189,3 +189,39 @@
 	}
 	time.Sleep(9 * time.Second)
 }
+
+// termScript: an edge gets SIGTERM while it waits for jobs whose next step needs the one minion of
+// its zone with a label, which another job uses for longer than the grace.
+func termScript(l *lab) {
+	l.system([]string{"north", "east", "south"}, 2, 3, func(i int) []string {
+		if i == 0 {
+			return []string{"lock", "r1-1"}
+		}
+		return []string{"a", "r1-2"}
+	})
+	stop := make(chan struct{})
+	l.traffic(ms(250), stop, func() (string, []step) {
+		n := 100 + rand.IntN(200)
+		return "/a/", []step{{Count: 2, CPU: 1000, MemMB: 64, EstimatedMS: int64(n), Requirements: "a", length: ms(n)}}
+	})
+	time.Sleep(2 * time.Second)
+	for _, zone := range []string{"north", "east", "north", "east"} {
+		edges := l.edges(zone)
+		l.submitTo(edges[0], "/b/", []step{{Count: 1, CPU: 15000, MemMB: 64, EstimatedMS: 9000, Requirements: "lock", length: ms(9000)}}, 12*time.Second)
+		time.Sleep(300 * time.Millisecond)
+		for range 40 {
+			l.submitTo(edges[1], "/b/", []step{
+				{Count: 1, CPU: 500, MemMB: 64, EstimatedMS: 100, Requirements: "a", length: ms(100)},
+				{Count: 1, CPU: 2000, MemMB: 64, EstimatedMS: 2500, After: []int{0}, Requirements: "lock", length: ms(300)},
+			}, 8*time.Second)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(400 * time.Millisecond)
+		if l.trouble {
+			edges[1].term() // planned: roll_term
+		}
+		time.Sleep(8 * time.Second)
+	}
+	close(stop)
+	time.Sleep(4 * time.Second)
+}
