--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -17,25 +18,27 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 // lab holds the processes of the system, the stand-ins around them and the record.
 type lab struct {
-	ctx     context.Context
-	cancel  context.CancelFunc
-	program string
-	root    string // the repository, in which the processes run
-	temp    string
-	net     string // first two numbers of the loopback addresses of this lab
-	hosts   []*host
-	minions []*minion
-	beats   *http.Client
-	client  *http.Client
-	record  *os.File
-	began   time.Time
-	trouble bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	program  string
+	root     string // the repository, in which the processes run
+	temp     string
+	net      string // first two numbers of the loopback addresses of this lab
+	hosts    []*host
+	minions  []*minion
+	beats    *http.Client
+	client   *http.Client
+	record   *os.File
+	began    time.Time
+	trouble  bool
+	finished atomic.Bool // nothing more is recorded
 
 	frontPort, readyPort, controlPort, peerPort int
 
@@ -64,6 +67,8 @@
 	misses   int
 	inUse    bool      // the platform sends it new connections
 	termAt   time.Time // of the last SIGTERM
+	touched  time.Time // when it was last started or got a signal
+	dark     bool      // it was killed and not started again
 }
 
 func newLab(trouble bool, only string) *lab {
@@ -207,16 +212,21 @@
 	exited, cmd := make(chan struct{}), h.cmd
 	h.exited = exited
 	go func() { _ = cmd.Wait(); close(exited) }()
+	l.mu.Lock()
+	h.touched, h.dark = time.Now(), false
+	l.mu.Unlock()
 	l.note("start", "%s", h.name)
 }
 
 func (h *host) signal(s syscall.Signal) {
 	h.lab.note("signal", "%s %v", h.name, s)
+	h.lab.mu.Lock()
+	h.touched = time.Now()
+	h.dark = h.dark || s == syscall.SIGKILL
 	if s == syscall.SIGTERM {
-		h.lab.mu.Lock()
 		h.termAt = time.Now()
-		h.lab.mu.Unlock()
 	}
+	h.lab.mu.Unlock()
 	_ = h.cmd.Process.Signal(s)
 }
 
@@ -395,7 +405,7 @@
 // finishRun ends the lab and the program.
 func (l *lab) finishRun() {
 	l.mu.Lock()
-	broken, counts := map[string]int{}, l.counts
+	broken, counts := map[string]int{}, maps.Clone(l.counts)
 	for rule, n := range l.breaks {
 		if l.only == "" || slices.Contains(strings.Split(l.only, ","), rule) {
 			broken[rule] = n
@@ -404,6 +414,7 @@
 	all := fmt.Sprint(l.breaks)
 	l.mu.Unlock()
 	l.note("result", "rules broken %v (seen at all: %s), counts %v", broken, all, counts)
+	l.finished.Store(true)
 	text, _ := json.Marshal(map[string]any{"broken": broken, "counts": counts})
 	fmt.Println(string(text))
 	l.close()
@@ -418,6 +429,9 @@
 }
 
 func (l *lab) note(kind, format string, args ...any) {
+	if l.finished.Load() {
+		return
+	}
 	line := fmt.Sprintf("%8.3f %-10s %s\n", time.Since(l.began).Seconds(), kind, fmt.Sprintf(format, args...))
 	_, _ = l.record.WriteString(line)
 }
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,6 +41,7 @@
 	usedCPU  int64
 	usedGPU  int64
 	lease    time.Time
+	leaseEnd atomic.Int64 // lease in Unix nanoseconds, read without the lock
 	down     bool
 	draining bool
 	cut      bool   // from control: its heartbeats are lost
@@ -55,6 +57,7 @@
 	started  time.Time
 	length   time.Duration
 	life     int
+	stopAt   atomic.Int64 // when its stop was first accepted, Unix nanoseconds; 0 if none was
 }
 
 func newMinion(l *lab, zone, service, id string, cpu, gpu int64, labels ...string) *minion {
@@ -248,6 +251,7 @@
 	end := m.started.Add(time.Duration(min(deadline, m.clock()+maxHold.Milliseconds())) * time.Millisecond)
 	if deadline > 0 && end.After(m.lease) {
 		m.lease = end
+		m.leaseEnd.Store(end.UnixNano())
 	}
 }
 
@@ -291,6 +295,7 @@
 	}
 	m.highest[o.Task] = max(m.highest[o.Task], o.Run)
 	if r := m.runs[o.Task]; r != nil && r.number <= o.Run {
+		r.stopAt.CompareAndSwap(0, time.Now().UnixNano())
 		time.AfterFunc(stopTime, func() { m.finishLater(r, "stopped") })
 	}
 	return http.StatusOK, ""
