Ask the hosts with a disk about a pool's targets before a new holder uses them

What callers saw: tasks started on targets that had said that they leave, more than 2 s after that was acknowledged (DRAIN), by the host of another domain that adopts the pool of a domain whose only entry host is lost, frozen or cut off. Draining targets end while tasks run on them.

Cause: a host that becomes a pool's holder took the announcements that it remembered for the present state. Only the entry hosts of the target's domain and the known holder are told of them, so the adopter had those of its own start, up to 30 s old. The hosts with a disk knew better; they heard of the new holder with its next hello message, up to a second later, and told only the lost host until then.

Change: a host that takes a pool over, in whatever way, tells each host with a disk that is alive of its claim and asks for what that host remembers of the pool's targets. The asked host notes the claim first, so that an announcement is either in the answer or forwarded. Until all have answered (two tries, 1 s in all) the new holder uses only targets of which it has an announcement of the last second. Ages in an answer count from the request; forwarded announcements name the time on their receiver's clock at which they were made, as the state of a pool does.

Why it works: a target goes on serving for 2 s after its notice was acknowledged. What the hosts with a disk acknowledged before they answer is in the answers, what they acknowledge later is sent to the new holder, and an announcement of the last second proves that no older notice is due.

An adopter clears targets of former runs while it waits, so it serves as soon as before.

--- a/internal/process/fleet/announcements.go
+++ b/internal/process/fleet/announcements.go
@@ -172,7 +172,7 @@
 		for _, h := range n.announcementReceivers(a.Target, hosts) {
 			m := messages[h.Address]
 			if m == nil {
-				m = &fleetpb.Announcements{}
+				m = &fleetpb.Announcements{MadeAtMs: n.clockOf(h.Address, now)}
 				messages[h.Address] = m
 			}
 			m.Announcements = append(m.Announcements, message)
--- a/internal/process/fleet/clocks.go
+++ b/internal/process/fleet/clocks.go
@@ -11,8 +11,9 @@
 // A submission may wait in the buffers of a connection until a cut between two hosts ends.
 // Its sender has given it up by then, and no message that is sent after it is sure to arrive
 // before it. It therefore carries the time on its holder's clock until which it may start. The
-// state of a pool carries the time at which it was made in the same way: what its receiver may
-// assume of the callers counts from then, however long the state has waited.
+// state of a pool and the announcements of targets carry the time at which they were made in the
+// same way: what their receiver may assume of callers and targets counts from then, however long
+// the message has waited.
 
 // submissionValidity is how long a submission may be under way. Its sender first probes the
 // connection after dialTimeout, and waits as long for the answer.
@@ -38,6 +39,18 @@
 // ownClock returns this host's clock, which other hosts receive with hello messages.
 func ownClock(now time.Time) uint64 { return uint64(monotonicMillis(now)) + 1 }
 
+// timeOfMessage returns when a message was made that names the time on this host's clock, or
+// earlier. Hosts of former releases name none.
+func timeOfMessage(millis uint64, now time.Time) time.Time {
+	if millis == 0 {
+		return now
+	}
+	if madeAt := timeOfOwnClock(millis); madeAt.Before(now) {
+		return madeAt
+	}
+	return now
+}
+
 // timeOfOwnClock is the inverse of ownClock.
 func timeOfOwnClock(millis uint64) time.Time {
 	return processStart.Add(time.Duration(int64(millis)-1) * time.Millisecond)
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -132,7 +132,7 @@
 	p.applyEffects(p.core.StopUnlisted(id, listedRuns, now), now)
 	p.applyEffects(p.core.ReleaseUnlistedRuns(id, listedRuns, now), now)
 	unreadable := r.Unreadable > 0 && !s.leaseExpired(now) // a row may name a run of a former holder
-	if s.clearing.Load() && unknownRuns == 0 && !unreadable && !s.movingAway {
+	if s.clearing.Load() && unknownRuns == 0 && !unreadable && !s.movingAway && p.isConfirmed(id, now) {
 		s.clearing.Store(false)
 		p.applyEffects(p.core.SetClearing(id, false, now), now)
 	}
--- a/internal/process/fleet/export_test.go
+++ b/internal/process/fleet/export_test.go
@@ -1,12 +1,14 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"time"
 
 	"google.golang.org/grpc/connectivity"
 
 	"wasabifield.example/wasabifield/internal/process/discovery"
+	"wasabifield.example/wasabifield/internal/process/scheduler"
 )
 
 // FreeTasksOf returns how many tasks could start at once in another host's pool, as far
@@ -56,3 +58,8 @@
 	a, ok := n.announcements.get(target)
 	return ok && !a.Target.Draining && !a.Deregistered
 }
+
+// SubmitToPool submits a job to the holder of a pool.
+func (n *Node) SubmitToPool(ctx context.Context, pool string, j scheduler.Job) scheduler.Answer {
+	return n.submitToPool(ctx, pool, j)
+}
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -331,7 +331,7 @@
 		return
 	}
 	p.acceptedToken = token
-	madeAt := stateMadeAt(e.message, now)
+	madeAt := timeOfMessage(e.message.GetMadeAtMs(), now)
 	for _, a := range e.message.GetTargets() {
 		p.node.recordIfUsable(announcementFrom(a, madeAt))
 	}
@@ -388,18 +388,6 @@
 // two hosts drift apart between two readings.
 const maxClockError = 100 * time.Millisecond
 
-// stateMadeAt returns when a pool's state was made, by this host's clock, or earlier. Hosts of
-// former releases do not tell it.
-func stateMadeAt(m *fleetpb.PoolState, now time.Time) time.Time {
-	if m.GetMadeAtMs() == 0 {
-		return now
-	}
-	if madeAt := timeOfOwnClock(m.GetMadeAtMs()); madeAt.Before(now) {
-		return madeAt
-	}
-	return now
-}
-
 // awaitedAt returns when it was last known that the caller of a job waits. A host that was
 // heard from awaits the answer to a probe for dialTimeout before it gives the job up.
 func (p *pool) awaitedAt(j scheduler.HandoverJob, now time.Time) time.Time {
--- a/internal/process/fleet/hello.go
+++ b/internal/process/fleet/hello.go
@@ -299,6 +299,19 @@
 	}
 }
 
+// receiveClaim processes a claim that its holder tells this host of.
+func (n *Node) receiveClaim(c *fleetpb.Claim) {
+	if len(n.dropOddClaims([]*fleetpb.Claim{c})) == 0 || c.GetHolder() == n.config.Self.Address {
+		return
+	}
+	n.mu.Lock()
+	n.recordClaim(c)
+	n.mu.Unlock()
+	for _, p := range n.listPools() {
+		p.postClaim(c)
+	}
+}
+
 // fetchAnnouncements asks a host with a disk for the announcements that it remembers.
 // Otherwise the targets would become known only with their next announcements.
 func (n *Node) fetchAnnouncements(address string) {
@@ -308,13 +321,19 @@
 	}
 	ctx, cancel := context.WithTimeout(n.runCtx, helloTimeout)
 	defer cancel()
-	m, err := fleetpb.NewFleetClient(link).Targets(ctx, &fleetpb.Empty{})
+	askedAt := n.now()
+	m, err := fleetpb.NewFleetClient(link).Targets(ctx, &fleetpb.TargetsRequest{})
 	if err != nil {
 		n.log.Warn("The targets that a host knows were not fetched.", "peer", address, "error", err)
 		return
 	}
-	now := n.now()
+	n.recordAnswered(m, askedAt)
+}
+
+// recordAnswered records the announcements in the answer to a request of a given time. Their
+// ages count from then: the answer was made later.
+func (n *Node) recordAnswered(m *fleetpb.Announcements, askedAt time.Time) {
 	for _, a := range m.GetAnnouncements() {
-		n.recordForwarded(announcementFrom(a, now))
+		n.recordForwarded(announcementFrom(a, askedAt))
 	}
 }
--- a/internal/process/fleet/notices.go
+++ b/internal/process/fleet/notices.go
@@ -127,7 +127,7 @@
 	if !ok {
 		return nil // the host is not known any more
 	}
-	m := &fleetpb.Announcements{}
+	m := &fleetpb.Announcements{MadeAtMs: n.clockOf(address, now)}
 	for _, a := range notices {
 		m.Announcements = append(m.Announcements, announcementMessage(a, now))
 	}
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -58,7 +58,8 @@
 	splitTimer shards.SplitTimer // how long the domain has had too many targets
 	balancer   shards.Balancer   // in a domain of uneven hosts
 
-	resumption resumption // after a pause of this host
+	resumption resumption    // after a pause of this host
+	refresh    targetRefresh // since this host took the pool over
 
 	withoutHolderSince time.Time // since when no host that is alive holds the pool; zero if one does
 }
@@ -271,6 +272,7 @@
 	p.withoutHolderSince = time.Time{}
 	p.closeSessions()
 	p.followEvacuations(now)
+	p.beginRefresh(now)
 	for _, a := range p.node.announcements.recent(now) {
 		p.handleAnnouncement(a, now)
 	}
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -30,9 +30,9 @@
 
 // Announce implements fleetpb.FleetServer.
 func (s *service) Announce(_ context.Context, m *fleetpb.Announcements) (*fleetpb.Empty, error) {
-	now := s.node.now()
+	madeAt := timeOfMessage(m.GetMadeAtMs(), s.node.now())
 	for _, a := range m.GetAnnouncements() {
-		s.node.recordForwarded(announcementFrom(a, now))
+		s.node.recordForwarded(announcementFrom(a, madeAt))
 	}
 	return &fleetpb.Empty{}, nil
 }
@@ -65,11 +65,24 @@
 }
 
 // Targets implements fleetpb.FleetServer.
-func (s *service) Targets(context.Context, *fleetpb.Empty) (*fleetpb.Announcements, error) {
+func (s *service) Targets(_ context.Context, r *fleetpb.TargetsRequest) (*fleetpb.Announcements, error) {
+	isAskedFor := func(scheduler.Target) bool { return true }
+	if c := r.GetClaim(); c != nil {
+		id, err := shards.ParsePool(c.GetPool())
+		if err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
+		s.node.receiveClaim(c)
+		isAskedFor = func(t scheduler.Target) bool {
+			return t.Domain == id.Domain && shards.ShardOf(t.ID, max(1, int(c.GetParts()))) == id.Shard
+		}
+	}
 	now := s.node.now()
 	m := &fleetpb.Announcements{}
 	for _, a := range s.node.announcements.recent(now) {
-		m.Announcements = append(m.Announcements, announcementMessage(a, now))
+		if isAskedFor(a.Target) {
+			m.Announcements = append(m.Announcements, announcementMessage(a, now))
+		}
 	}
 	return m, nil
 }
