Start no task by the labels of a target's former incarnation

What callers saw: tasks that need a label started on a target without it (ROUTE), for up to 4 s after the target had crashed behind a cut from control and was back under its id as another kind.

Cause: the holder learns of the restart from the target's list of runs, before the target announces itself. It made the announcement of the new incarnation out of that of the former one, with its labels and capacity, which the new one never stated, and gave it work by these.

Change: what is assumed of a restarted target is marked as such, in the holder and between hosts, until it announces itself. It gets no task that needs a label, and its capacity is taken for the smallest that a target of its service has announced. A job that only such a target may run waits instead of being refused for good. Before a task that needs a label is started, the target is asked for its incarnation, unless it has answered a request of the last 0.1 s.

Why it works: labels come from announcements of the present incarnation alone, and the holder knows which one that is when it sends the start. Jobs without labels go on at once and cost no further request.

--- a/internal/process/fleet/announcements.go
+++ b/internal/process/fleet/announcements.go
@@ -86,6 +86,19 @@
 	return out
 }
 
+// smallestCapacity returns the least of each resource that a target of a service has announced,
+// and of the given capacity.
+func (t *announcementTable) smallestCapacity(service string, smallest scheduler.Resources) scheduler.Resources {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.byID {
+		if a.Target.Service == service {
+			smallest = smallest.Min(a.Target.Capacity)
+		}
+	}
+	return smallest
+}
+
 func (t *announcementTable) get(id string) (Announcement, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/fleet/announcements_test.go
+++ b/internal/process/fleet/announcements_test.go
@@ -100,3 +100,67 @@
 	g.Expect(isNotice(gone, gone, true)).To(BeFalse())
 	g.Expect(isNotice(ready, draining, true)).To(BeFalse())
 }
+
+// The holder learns of a restart from the target's list of runs, before the target announces what
+// it is by now. It kept the labels and the capacity of the former incarnation.
+func TestARestartedTargetHasTheLabelsOfItsFormerIncarnation(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	first := deskTargetAnnouncement(5, 16000, now)
+	first.Target.Labels = []string{"a"}
+	smaller := deskTargetAnnouncement(5, 8000, now)
+	smaller.Target.ID = "smaller"
+	for _, a := range []Announcement{first, smaller} {
+		p.node.announcements.record(a)
+	}
+	announcementEvent{first}.apply(p, now)
+	p.handleReport(p.sessions["t"], TargetReport{}, now)
+	submit := func(id, label string) {
+		job := handoverTestJob(id, now)
+		job.TargetLatency, job.Steps[0].Label, job.Steps[0].Count = time.Minute, label, 1
+		submitEvent{id: uint64(len(p.waiters) + 1), job: job, waiter: waiter{jobID: id, waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, now)
+	}
+
+	p.handleRestart(p.sessions["t"], TargetReport{Incarnation: 2, ClockMS: 10}, now)
+	p.handleReport(p.sessions["t"], TargetReport{}, now)
+	submit("labelled", "a")
+	g.Expect(p.core.RunCount("t")).To(BeZero(), "the target may be of another kind")
+	g.Expect(p.waiters).To(HaveLen(1), "the job waits, as the target may have the label")
+	for _, id := range []string{"1", "2", "3"} {
+		submit(id, "")
+	}
+	g.Expect(p.core.RunCount("t")).To(Equal(2), "it may be of the smaller kind, which runs two tasks")
+
+	state := p.stateMessage(now)
+	successor := newTestPool(t, "127.0.0.1:2")
+	receivePoolEvent{message: state, answer: make(chan receivedPool, 1)}.apply(successor, now)
+	handedOver, _ := successor.node.announcements.get("t")
+	g.Expect(handedOver.Target.LabelsUnknown).To(BeTrue(), "the next holder takes the assumption for an announcement")
+
+	second := deskTargetAnnouncement(0, 16000, now)
+	second.Target.Incarnation, second.Target.Labels = 2, []string{"a"}
+	p.node.announcements.record(second)
+	announcementEvent{second}.apply(p, now)
+	p.applyEffects(p.core.Tick(now), now)
+	g.Expect(p.core.RunCount("t")).To(Equal(4), "it has announced that it has the label")
+}
+
+// What a host has assumed of a restarted target may reach it after the target's announcement.
+func TestAnAssumptionDoesNotReplaceAnAnnouncement(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	assumed, announced := deskTargetAnnouncement(0, 16000, now.Add(time.Second)), deskTargetAnnouncement(0, 16000, now)
+	assumed.Target.LabelsUnknown = true
+	former := deskTargetAnnouncement(7, 16000, now.Add(2*time.Second))
+	former.Target.Incarnation = 0
+	for _, order := range [][]Announcement{{assumed, announced, former}, {former, announced, assumed}, {announced, assumed, former}, {assumed, former, announced}} {
+		table := newAnnouncementTable()
+		for _, a := range order {
+			table.record(a)
+		}
+		newest, _ := table.get("t")
+		NewWithT(t).Expect(newest.Target.LabelsUnknown).To(BeFalse())
+		NewWithT(t).Expect(newest.Target.Incarnation).To(BeEquivalentTo(1))
+	}
+}
--- a/internal/process/fleet/convert.go
+++ b/internal/process/fleet/convert.go
@@ -35,11 +35,15 @@
 }
 
 // isNewerThan reports whether a was sent after o. A deregistration has the sequence number
-// of the last announcement that was known where it was received.
+// of the last announcement that was known where it was received. What a target has announced
+// replaces what was assumed of it after its restart.
 func (a Announcement) isNewerThan(o Announcement) bool {
 	if a.Target.Incarnation != o.Target.Incarnation {
 		return a.Target.Incarnation > o.Target.Incarnation
 	}
+	if !a.Deregistered && !o.Deregistered && a.Target.LabelsUnknown != o.Target.LabelsUnknown {
+		return o.Target.LabelsUnknown
+	}
 	if a.Deregistered && !o.Deregistered {
 		return !o.follows(a)
 	}
@@ -61,7 +65,7 @@
 		Id: t.ID, Service: t.Service, Address: t.Address, Domain: t.Domain, Born: t.Incarnation, Sequence: a.Sequence,
 		Draining: t.Draining, Gone: a.Deregistered, CpuMilli: t.Capacity.CPUMilli, MemoryMb: t.Capacity.MemoryMB,
 		Gpus: t.Capacity.GPUs, Labels: t.Labels, ClockMs: a.ClockMS, AgeMs: uint32(now.Sub(a.ReceivedAt).Milliseconds()),
-		ColdRemainingMs: coldRemainingMS(t.ColdUntil, now),
+		ColdRemainingMs: coldRemainingMS(t.ColdUntil, now), LabelsUnknown: t.LabelsUnknown,
 	}
 }
 
@@ -88,7 +92,7 @@
 		Target: scheduler.Target{
 			ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), Domain: m.GetDomain(), Incarnation: m.GetBorn(),
 			Capacity: scheduler.Resources{CPUMilli: m.GetCpuMilli(), MemoryMB: m.GetMemoryMb(), GPUs: m.GetGpus()},
-			Labels:   m.GetLabels(), Draining: m.GetDraining(), ColdUntil: coldUntilOf(m.GetColdRemainingMs(), now),
+			Labels:   m.GetLabels(), LabelsUnknown: m.GetLabelsUnknown(), Draining: m.GetDraining(), ColdUntil: coldUntilOf(m.GetColdRemainingMs(), now),
 		},
 		Sequence: m.GetSequence(), Deregistered: m.GetGone(), ClockMS: m.GetClockMs(),
 		ReceivedAt: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
--- a/internal/process/fleet/refresh.go
+++ b/internal/process/fleet/refresh.go
@@ -122,5 +122,5 @@
 		return true
 	}
 	a, ok := p.node.announcements.get(id)
-	return ok && now.Sub(a.ReceivedAt) <= announcementValidity
+	return ok && !a.Target.LabelsUnknown && now.Sub(a.ReceivedAt) <= announcementValidity
 }
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -276,6 +276,7 @@
 	}
 	if r.Incarnation == s.incarnation && r.Incarnation != 0 {
 		s.confirmClock(r.ClockMS)
+		s.recordIdentified(sentAt)
 	}
 	for _, e := range r.Ended {
 		s.renewals.recordedEnd = max(s.renewals.recordedEnd, e.Sequence)
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -31,6 +31,12 @@
 		s.handleStartResult(e.Run, startDecision{result: scheduler.Unanswered, certain: true, copies: x.copies.Count()})
 	}
 	go func() {
+		if e.Label != "" {
+			if result, ok := s.identify(); !ok {
+				s.handleStartResult(e.Run, startDecision{result: result, certain: true})
+				return
+			}
+		}
 		x.run()
 		if givenUp {
 			s.pool.metrics.recordGivenUpStart(answered)
--- a/internal/process/fleet/targets.go
+++ b/internal/process/fleet/targets.go
@@ -53,13 +53,26 @@
 		return // the announcement has expired, or the answer is from a former incarnation
 	}
 	if a.Target.Incarnation < r.Incarnation {
-		a.Target.Incarnation, a.Sequence, a.ClockMS, a.ReceivedAt = r.Incarnation, 0, r.ClockMS, now
-		a.Target.Draining, a.Deregistered = false, false
+		a = p.node.assumeRestarted(a, r, now)
 		p.node.announcements.record(a)
 	}
 	p.handleAnnouncement(a, now)
 }
 
+// assumeRestarted returns what is known of a target that has restarted since an announcement
+// and may be of another kind. Its capacity is assumed to be at least that of each kind of its
+// service.
+func (n *Node) assumeRestarted(a Announcement, r TargetReport, now time.Time) Announcement {
+	t := a.Target
+	return Announcement{
+		Target: scheduler.Target{
+			ID: t.ID, Service: t.Service, Address: t.Address, Domain: t.Domain, Incarnation: r.Incarnation,
+			Capacity: n.announcements.smallestCapacity(t.Service, t.Capacity), LabelsUnknown: true,
+		},
+		ClockMS: r.ClockMS, ReceivedAt: now,
+	}
+}
+
 // maxUnansweredSessions bounds the sessions with targets that have never answered, each of
 // which posts events again and again: a flood of entries of another writer would fill the ring.
 // It is above the targets of any pool that a host takes over.
--- a/internal/process/scheduler/admit.go
+++ b/internal/process/scheduler/admit.go
@@ -136,7 +136,7 @@
 }
 
 // checkRunnable returns a refusal and false if a step of the job fits none of the
-// service's targets that aren't draining.
+// service's targets that aren't draining. One whose labels are not known may fit.
 func (c *Core) checkRunnable(s *jobState) (Answer, bool) {
 	serviceKnown := false
 	for _, step := range s.Steps {
@@ -144,7 +144,7 @@
 		for _, t := range c.targets {
 			if t.Service == s.Service && !t.Draining {
 				serviceKnown = true
-				runnable = runnable || t.couldRun(step)
+				runnable = runnable || t.LabelsUnknown || t.couldRun(step)
 			}
 		}
 		if !runnable {
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -139,7 +139,7 @@
 	s.pendingTasks--
 	s.hasStarted = true
 	chosen.addRun(r)
-	c.emit(Start{Target: chosen.ID, Run: r.id, Spec: s.Spec, Incarnation: chosen.Incarnation, Former: t.released})
+	c.emit(Start{Target: chosen.ID, Run: r.id, Spec: s.Spec, Label: step.Label, Incarnation: chosen.Incarnation, Former: t.released})
 }
 
 // Tick drops imported jobs that were not submitted again, gives up jobs with deadly
--- a/internal/process/scheduler/types.go
+++ b/internal/process/scheduler/types.go
@@ -29,6 +29,11 @@
 	return Resources{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.GPUs - o.GPUs}
 }
 
+// Min returns the componentwise minimum of r and o.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.CPUMilli, o.CPUMilli), min(r.MemoryMB, o.MemoryMB), min(r.GPUs, o.GPUs)}
+}
+
 // Covers reports whether r is at least o in each component.
 func (r Resources) Covers(o Resources) bool {
 	return r.CPUMilli >= o.CPUMilli && r.MemoryMB >= o.MemoryMB && r.GPUs >= o.GPUs
@@ -94,8 +99,11 @@
 	Incarnation uint64 // time of the target's start in Unix milliseconds
 	Capacity    Resources
 	Labels      []string
-	Draining    bool
-	ColdUntil   time.Time // the target is slow until then, after its start; zero if it is not
+	// LabelsUnknown is set for a target that has restarted and not announced itself since. It
+	// may be of another kind, so it gets no task that needs a label, and its Capacity is assumed.
+	LabelsUnknown bool
+	Draining      bool
+	ColdUntil     time.Time // the target is slow until then, after its start; zero if it is not
 }
 
 // Outcome is how a job ended.
@@ -138,6 +146,7 @@
 	Incarnation uint64 // of the target, as far as it is known
 	Run         Run
 	Spec        string
+	Label       string  // that the target must have; empty for none
 	Former      Release // end of the task's former run here
 }
 
