Count the deadline of a forwarded job from when it was sent

A job that waits at a frozen holder for 0.7 s of the second in which it may start was taken with a deadline that had moved by 0.7 s, so that its tasks could start after its caller had left, and go on if the cancellation was lost.

Cause: the receiver added the remaining time to the time of arrival.

Change: a submission names the time on its receiver's clock until which it may start, a fixed time after it was sent. A sender that does not know the clock names none; then they count from the arrival as before.

Failed before: TestTheDeadlineOfASubmissionCountsFromItsArrival.

--- a/internal/process/fleet/clocks_test.go
+++ b/internal/process/fleet/clocks_test.go
@@ -51,3 +51,19 @@
 	g.Expect(submit(ownClock(now.Add(time.Minute)))).NotTo(ContainSubstring("under way for too long"))
 	g.Expect(submit(0)).NotTo(ContainSubstring("under way for too long"), "of a host of a former release")
 }
+
+// A submission waits at a frozen holder. The deadline of its caller moved by as much.
+func TestTheDeadlineOfASubmissionCountsFromItsArrival(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	sentAt := time.Now()
+	sent := handoverTestJob("j", sentAt)
+	sent.ArrivedAt, sent.Deadline = sentAt.Add(-time.Second), sentAt.Add(500*time.Millisecond)
+	m := jobMessage(sent, sentAt)
+	arrived := sentAt.Add(700 * time.Millisecond)
+	g.Expect(jobOfSubmission(m, arrived).Deadline).To(BeTemporally("~", arrived.Add(500*time.Millisecond), time.Millisecond), "a sender that knows no clock")
+	m.StartUntilMs = ownClock(sentAt.Add(submissionValidity))
+	j := jobOfSubmission(m, arrived)
+	g.Expect(j.Deadline).To(BeTemporally("~", sent.Deadline, 2*time.Millisecond))
+	g.Expect(j.ArrivedAt).To(BeTemporally("~", sent.ArrivedAt, 2*time.Millisecond))
+}
--- a/internal/process/fleet/service.go
+++ b/internal/process/fleet/service.go
@@ -133,7 +133,7 @@
 // submitForwarded runs a job that another host forwarded, or refuses one that no host of this
 // release would forward.
 func (n *Node) submitForwarded(ctx context.Context, m *fleetpb.JobRequest) scheduler.Answer {
-	j := jobFrom(m, n.now())
+	j := jobOfSubmission(m, n.now())
 	if err := j.Check(); err != nil {
 		n.log.Warn("A job of another host was refused.", "job", j.ID, "peer", m.GetSender(), "reason", err.Error())
 		return refusalAnswer(err)
@@ -141,6 +141,15 @@
 	return n.submitLocally(ctx, m.GetPool(), j, m.GetSender())
 }
 
+// jobOfSubmission returns the job of a submission. Its age and deadline count from when it was
+// sent, as far as that is known.
+func jobOfSubmission(m *fleetpb.JobRequest, now time.Time) scheduler.Job {
+	if m.GetStartUntilMs() == 0 {
+		return jobFrom(m, now)
+	}
+	return jobFrom(m, timeOfMessage(m.GetStartUntilMs()-uint64(submissionValidity.Milliseconds()), now))
+}
+
 // HandOver implements fleetpb.FleetServer.
 func (s *service) HandOver(ctx context.Context, m *fleetpb.PoolState) (*fleetpb.Claim, error) {
 	if !s.node.config.Self.Entry {
