Look for lost senders when a hand-over is refused

While a pool's state is sent, its former holder does not look whether the senders of its jobs still wait. When the receiver refused at last, the jobs of silent senders went on and could start tasks, and those that had come meanwhile started as if they were new, although their callers may have sent them to another pool.

Cause: what waited through the hand-over was taken for awaited. The same class as the state of a pool that waits: found by looking for it on related paths.

Change: the jobs of lost senders are withdrawn before the pool is used again, and a job whose sender is lost is refused when it is admitted, wherever it has waited.

Failed before: TestAJobThatWasGivenUpDuringARefusedHandoverStarts, two of its three cases.

Result of both changes: the tests of internal/process/fleet pass.

--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -37,6 +37,11 @@
 		e.waiter.answer <- refusalAnswer(errSubmissionLate)
 		return
 	}
+	if reason := p.lostSender(e.waiter, now); reason != "" {
+		p.log.Warn("A job is refused.", "job", e.job.ID, "peer", e.waiter.sender, "reason", reason, "waited", now.Sub(e.waiter.waitingSince))
+		e.waiter.answer <- refusalAnswer(failure.New(failure.NotReady, reason))
+		return
+	}
 	p.waiters[e.id] = e.waiter
 	p.core.SetPoolCapacities(p.node.freeCapacityExcept(p.id))
 	p.applyEffects(p.core.Submit(e.job, e.id, now), now)
--- a/internal/process/fleet/handover.go
+++ b/internal/process/fleet/handover.go
@@ -189,6 +189,7 @@
 		p.log.Info("Another host holds the pool.", "pool", p.name, "peer", e.to, "token", e.claim.GetFencingToken())
 	case handoverRefused:
 		p.log.Warn("The pool was not handed over.", "pool", p.name, "peer", e.to, "error", e.err)
+		p.withdrawLostSenders(now)
 		p.takeOver(now, "the handover was refused")
 		p.applyEffects(p.core.ResumeRuns(), now)
 	case handoverUnknown:
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -401,3 +401,49 @@
 	g.Expect(p.node.clockOf("127.0.0.1:3", now)).To(BeZero())
 	g.Expect(timeOfOwnClock(ownClock(now))).To(BeTemporally("~", now, time.Millisecond))
 }
+
+// The sender of a job gives it up while the pool's state is sent in vain, over a connection that
+// is silent. Its caller has sent the job to another pool by then.
+func TestAJobThatWasGivenUpDuringARefusedHandoverStarts(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		parked bool // it came during the handover
+		silent bool
+	}{
+		"came before":            {false, true},
+		"came meanwhile":         {true, true},
+		"its sender still waits": {true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			p, target, now := pausedPool(t)
+			w := waiter{jobID: "j", sender: "127.0.0.1:3", heard: &connHeard{}, startUntil: ownClock(now.Add(submissionValidity)), waitingSince: now, answer: make(chan scheduler.Answer, 1)}
+			w.heard.record(now)
+			job := handoverTestJob("j", now)
+			job.TargetLatency = time.Minute
+			submitted := submitEvent{id: 1, job: job, waiter: w}
+			if !c.parked {
+				submitted.apply(p, now)
+			}
+			p.handingOver = true
+			if c.parked {
+				submitted.apply(p, now)
+			}
+			for range (submissionSilence + pauseBeat) / pauseBeat { // beats without a pause
+				now = now.Add(pauseBeat)
+				p.tick(now)
+			}
+			if !c.silent {
+				w.heard.record(now)
+			}
+			handedOverEvent{to: "127.0.0.1:2", outcome: handoverRefused, done: make(chan struct{})}.apply(p, now)
+			p.applyEffects(p.core.SetClearing(target.Target.ID, false, now), now)
+			if c.silent {
+				g.Expect(p.core.RunCount(target.Target.ID)).To(BeZero())
+			} else {
+				g.Expect(p.core.RunCount(target.Target.ID)).To(Equal(2))
+			}
+		})
+	}
+}
