Release a start that was not sent before the restart of its target is handled

A task that needs a label, whose target turned out to have restarted when it was asked for its incarnation, counted as lost with the target, although its start was never sent, and had to be stopped at the new incarnation before it could start elsewhere.

Cause: the restart was handled before the result of the start, whose session it closes.

Change: the result of the start comes first.

Failed before: TestAStartThatWasNotSentToARestartedTargetCountsAsALossOfItsTask ("the run is stopped as one of the former incarnation").

--- a/internal/process/fleet/identify.go
+++ b/internal/process/fleet/identify.go
@@ -31,13 +31,13 @@
 	return s.pool.node.since(s.identifiedAt) <= identityValidity
 }
 
-// identify reports whether the target is known to be the session's incarnation, and asks it if
-// necessary. If it is not, identify returns the result of a start that was not sent.
-func (s *session) identify() (scheduler.StartResult, bool) {
+// identify asks the target for its incarnation unless it is known. It returns why a start must
+// not be sent: the result of the start, and the report of a target that has restarted.
+func (s *session) identify() (result scheduler.StartResult, restarted *TargetReport, ok bool) {
 	s.identifyMu.Lock()
 	defer s.identifyMu.Unlock()
 	if s.isIdentified() {
-		return scheduler.Started, true
+		return 0, nil, true
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, repeat.MaxTimeout)
 	defer cancel()
@@ -45,15 +45,29 @@
 	r, err := s.pool.node.config.Targets.Renew(ctx, s.ref, RenewRequest{Token: s.token})
 	switch {
 	case errors.Is(err, ErrFenced):
-		return scheduler.Fenced, false
+		return scheduler.Fenced, nil, false
 	case errors.Is(err, ErrWrongTarget):
-		return scheduler.WrongTarget, false
+		return scheduler.WrongTarget, nil, false
 	case err != nil:
-		return scheduler.NotSent, false
+		return scheduler.NotSent, nil, false
 	case r.Incarnation != 0 && r.Incarnation != s.incarnation:
-		s.post(func(p *pool, now time.Time) { p.handleRestart(s, r, now) })
-		return scheduler.NotSent, false
+		return scheduler.NotSent, &r, false
 	}
 	s.recordIdentified(askedAt)
-	return scheduler.Started, true
+	return 0, nil, true
+}
+
+// startIdentified sends the start of a task that needs a label with send, unless the target is not
+// known to be the session's incarnation. The run of a start that was not sent is over before the
+// restart is handled, so it is not taken for lost with the target.
+func (s *session) startIdentified(run scheduler.Run, send func()) {
+	result, restarted, ok := s.identify()
+	if ok {
+		send()
+		return
+	}
+	s.handleStartResult(run, startDecision{result: result, certain: true})
+	if restarted != nil {
+		s.post(func(p *pool, now time.Time) { p.handleRestart(s, *restarted, now) })
+	}
 }
--- a/internal/process/fleet/identify_test.go
+++ b/internal/process/fleet/identify_test.go
@@ -81,3 +81,27 @@
 	job.Steps[0].Label = "a"
 	g.Expect(c.Submit(job, 1, now)).To(ContainElement(HaveField("Label", "a")))
 }
+
+// The target restarted before the start was sent, so the task did not crash it.
+func TestAStartThatWasNotSentToARestartedTargetCountsAsALossOfItsTask(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p, now := newHeldTestPool(t)
+	a := deskTargetAnnouncement(1, 16000, now)
+	a.Target.Labels = []string{"a"}
+	p.node.announcements.record(a)
+	announcementEvent{a}.apply(p, now)
+	s := p.sessions["t"]
+	p.node.config.Targets = &restartedTarget{incarnation: 2}
+	p.handleReport(s, TargetReport{}, now)
+	job := handoverTestJob("j", now)
+	job.TargetLatency, job.Steps[0].Label, job.Steps[0].Count = time.Minute, "a", 1
+	submitEvent{id: 1, job: job, waiter: waiter{jobID: "j", waitingSince: now, answer: make(chan scheduler.Answer, 1)}}.apply(p, now)
+	g.Expect(p.core.RunCount("t")).To(Equal(1))
+	g.Eventually(func() uint64 {
+		applyEvents(p, now)
+		return p.sessions["t"].incarnation
+	}, testWait).Should(BeEquivalentTo(2))
+	g.Expect(p.core.RunCount("t")).To(BeZero(), "the run is stopped as one of the former incarnation")
+	g.Expect(p.node.losses.OfJob("j")).To(BeEmpty())
+}
--- a/internal/process/fleet/start.go
+++ b/internal/process/fleet/start.go
@@ -30,18 +30,17 @@
 		givenUp = true
 		s.handleStartResult(e.Run, startDecision{result: scheduler.Unanswered, certain: true, copies: x.copies.Count()})
 	}
-	go func() {
-		if e.Label != "" {
-			if result, ok := s.identify(); !ok {
-				s.handleStartResult(e.Run, startDecision{result: result, certain: true})
-				return
-			}
-		}
+	send := func() {
 		x.run()
 		if givenUp {
 			s.pool.metrics.recordGivenUpStart(answered)
 		}
-	}()
+	}
+	if e.Label == "" {
+		go send()
+	} else {
+		go s.startIdentified(e.Run, send)
+	}
 	return l.sentAt
 }
 
