Tell the age of an announcement of this moment as 0

An announcement that arrives more than a millisecond after a host has read the time for a message, as on a busy machine, was told with a negative age, which the receiver read as 49 days. It forgot the target until its next announcement, also where a holder asks what is known of a pool's targets.

Failed before: TestAnAnnouncementOfThisMomentIsToldAsWeeksOld.

--- a/internal/process/fleet/announcements_test.go
+++ b/internal/process/fleet/announcements_test.go
@@ -164,3 +164,12 @@
 		NewWithT(t).Expect(newest.Target.Incarnation).To(BeEquivalentTo(1))
 	}
 }
+
+// An announcement arrives between the reading of the time and the making of a message.
+func TestAnAnnouncementOfThisMomentIsToldAsWeeksOld(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	now := time.Now()
+	m := announcementMessage(deskTargetAnnouncement(1, 16000, now.Add(20*time.Millisecond)), now)
+	g.Expect(announcementFrom(m, now).ReceivedAt).To(BeTemporally("~", now, time.Second))
+}
--- a/internal/process/fleet/convert.go
+++ b/internal/process/fleet/convert.go
@@ -64,7 +64,7 @@
 	return &fleetpb.Announcement{
 		Id: t.ID, Service: t.Service, Address: t.Address, Domain: t.Domain, Born: t.Incarnation, Sequence: a.Sequence,
 		Draining: t.Draining, Gone: a.Deregistered, CpuMilli: t.Capacity.CPUMilli, MemoryMb: t.Capacity.MemoryMB,
-		Gpus: t.Capacity.GPUs, Labels: t.Labels, ClockMs: a.ClockMS, AgeMs: uint32(now.Sub(a.ReceivedAt).Milliseconds()),
+		Gpus: t.Capacity.GPUs, Labels: t.Labels, ClockMs: a.ClockMS, AgeMs: uint32(max(0, now.Sub(a.ReceivedAt).Milliseconds())),
 		ColdRemainingMs: coldRemainingMS(t.ColdUntil, now), LabelsUnknown: t.LabelsUnknown,
 	}
 }
