--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -36,7 +36,6 @@
 	minions  []*Minion
 	log      *os.File
 	admits   bool // admission_check of the service
-	bounds   string
 	tolerate int
 }
 
