--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -57,6 +58,9 @@
 	fmt.Fprintf(r.file, "%9.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// metricsPort is that of the deploy file.
+const metricsPort = 9464
+
 // newLab plans the hosts: cores and edges by zone. It starts nothing.
 func newLab(record *Record, zones []string, coresPerZone, edgesPerZone map[string]int) (*Lab, error) {
 	root, err := os.Getwd()
@@ -76,30 +80,36 @@
 	if err != nil {
 		return nil, err
 	}
-	net2 := 20 + os.Getpid()%200
 	n := 0
-	for zi, z := range zones {
-		for range coresPerZone[z] {
-			n++
-			l.hosts = append(l.hosts, &Host{lab: l, name: fmt.Sprintf("core-%s-%d", z, n), zone: z, core: true, ip: fmt.Sprintf("127.%d.%d.%d", net2, zi+1, n)})
-		}
-		for range edgesPerZone[z] {
+	add := func(zone string, core bool, count int) {
+		for range count {
 			n++
-			l.hosts = append(l.hosts, &Host{lab: l, name: fmt.Sprintf("edge-%s-%d", z, n), zone: z, ip: fmt.Sprintf("127.%d.%d.%d", net2, zi+1, n)})
+			class := map[bool]string{true: "core", false: "edge"}[core]
+			l.hosts = append(l.hosts, &Host{lab: l, name: fmt.Sprintf("%s-%s-%d", class, zone, n), zone: zone, core: core})
 		}
 	}
-	for base := 21000 + (os.Getpid()%100)*100; base < 60000; base += 100 {
+	for _, z := range zones {
+		add(z, true, coresPerZone[z])
+		add(z, false, edgesPerZone[z])
+	}
+	// Each run takes loopback addresses on which nobody listens.
+	for try := range 200 {
+		second, base := 20+(os.Getpid()+try)%200, 21000+(os.Getpid()+try)%300*100
+		for i, h := range l.hosts {
+			h.ip = fmt.Sprintf("127.%d.%d.%d", second, slices.Index(zones, h.zone)+1, i+1)
+		}
 		if l.portsFree(base) {
 			l.ports.peer, l.ports.front, l.ports.ready, l.ports.control = base, base+20, base+21, base+22
 			return l, nil
 		}
 	}
+	os.RemoveAll(dir)
 	return nil, fmt.Errorf("no free ports")
 }
 
 func (l *Lab) portsFree(base int) bool {
 	for _, h := range l.hosts {
-		for _, p := range []int{base, base + 20, base + 21, base + 22} {
+		for _, p := range []int{base, base + 20, base + 21, base + 22, metricsPort} {
 			c, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h.ip, p))
 			if err != nil {
 				return false
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -27,6 +29,13 @@
 		return 2
 	}
 	defer l.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { // a run that is cut short ends its processes, too
+		<-signals
+		l.close()
+		os.Exit(2)
+	}()
 	c := newChecker(r)
 	switch name {
 	case "first-start":
