review: case 6 starts the last control process 0.25 s late

On arm64 the kill at 0.2 s came too late in 1 of 5 runs: all processes had started at once, and the register was there already. DEPLOY.md lets the machines start within 0.3 s of each other in any order; with one initial voter 0.25 s late no register can be there at 0.2 s. The variant with an edge that stands still is taken out: it held on arm64.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -7,7 +7,6 @@
 	"os"
 	"sort"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -15,41 +14,42 @@
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
 // firstStart is the case of a control process that is killed just after the whole system has
-// started for the first time.
+// started for the first time. The last control process starts 0.25 s after the others: all start
+// within 0.3 s of each other.
 func firstStart(l *Lab, c *Checker) error {
+	cores := l.cores()
+	sort.Slice(cores, func(i, j int) bool { return cores[i].addr(l.ports.peer) < cores[j].addr(l.ports.peer) })
+	last, killed := cores[len(cores)-1], cores[:1]
+	if os.Getenv("ALL") == "1" { // all start at once, and all control processes are killed
+		last, killed = nil, cores
+	}
 	for _, h := range l.hosts {
+		if h == last {
+			continue
+		}
 		if err := h.start(); err != nil {
 			return err
 		}
 	}
 	began := time.Now()
-	cores := l.cores()
-	sort.Slice(cores, func(i, j int) bool { return cores[i].addr(l.ports.peer) < cores[j].addr(l.ports.peer) })
 	stableFrom := began
 	if trouble() {
-		killAt := 200 * time.Millisecond
-		if os.Getenv("FROZEN") == "1" { // an edge stands still meanwhile, and the process is killed later
-			time.Sleep(100 * time.Millisecond)
-			edge := l.edges("")[0]
-			edge.signal(syscall.SIGSTOP)
-			defer edge.signal(syscall.SIGCONT)
-			killAt = 3 * time.Second
-		}
-		time.Sleep(killAt - time.Since(began))
-		killed := cores[:1]
-		if os.Getenv("ALL") == "1" { // all control processes at the same moment, back within a second
-			killed = cores
-		}
+		time.Sleep(200*time.Millisecond - time.Since(began))
 		for _, h := range killed {
 			h.kill()
 		}
-		time.Sleep(500 * time.Millisecond)
+		if err := startLast(last, began); err != nil {
+			return err
+		}
+		time.Sleep(700*time.Millisecond - time.Since(began))
 		for _, h := range killed {
 			if err := h.start(); err != nil {
 				return err
 			}
 		}
 		stableFrom = time.Now()
+	} else if err := startLast(last, began); err != nil {
+		return err
 	}
 	// The core is stable contact_ms (3 s) after its last disruption. The operator sends its first
 	// configuration, and again, to all nodes in turn.
@@ -60,7 +60,7 @@
 		c.fail("Acks", "the first configuration has no acknowledgement %v after the last disruption; ack_ms is 4 s", time.Since(stableFrom).Round(time.Second))
 		c.mu.Unlock()
 	}
-	client := &http.Client{Timeout: time.Second} // one of the edges may stand still
+	client := &http.Client{Timeout: time.Second}
 	for _, h := range l.edges("") {
 		a, err := client.Post("http://"+h.front()+jobPrefix+"0123456789abcdef", "application/json", strings.NewReader("{}"))
 		if err == nil {
@@ -71,6 +71,15 @@
 	return nil
 }
 
+// startLast starts the last control process 0.25 s after the others.
+func startLast(last *Host, began time.Time) error {
+	if last == nil {
+		return nil
+	}
+	time.Sleep(250*time.Millisecond - time.Since(began))
+	return last.start()
+}
+
 // ready starts the hosts and minions, puts the first configuration and waits for readiness.
 func (l *Lab) readyUp(ctx context.Context, c *Checker, perZone int) (*Balancer, error) {
 	for zi, z := range l.zones {
