--- a/Makefile
+++ b/Makefile
@@ -40,8 +40,13 @@
 RACE_SKIP := $(SKIP)
 endif
 
+# Tests that measure what a process uses run one at a time, after the others.
+CROWDS := ^(TestCrowd|TestCrowdAtAnEntryHost|TestALargeJobIsServedInCalm)$$
+CROWD_PACKAGES := ./platform ./internal/process/host
+
 test: build
-	$(GO) test -race -count=1 $(if $(RACE_SKIP),-skip '$(RACE_SKIP)') ./...
+	$(GO) test -race -count=1 -skip '$(if $(RACE_SKIP),$(RACE_SKIP)|)$(CROWDS)' ./...
+	$(GO) test -count=1 -p 1 -run '$(CROWDS)' $(if $(SKIP),-skip '$(SKIP)') $(CROWD_PACKAGES)
 ifneq ($(RACE_SKIP),$(SKIP))
 	$(GO) test -count=1 -run '$(BUBBLES)' $(if $(SKIP),-skip '$(SKIP)') ./internal/process/fleet
 endif
