Stop the check of a catalog at its first fault

What callers saw: a document of 4 MiB with many invalid routes took hundreds of MiB of the host that refused it.

Cause: Check needs the first fault and collected all: up to five messages for each route, of which a document of the largest size can have a million.

Change: the faults are yielded one by one; Check takes one, Errors all.

Order and texts of the faults are unchanged (the tests that compare the check with a host's answer).

--- a/internal/version/catalog/catalog_test.go
+++ b/internal/version/catalog/catalog_test.go
@@ -47,6 +47,15 @@
 	}
 }
 
+func TestARefusedCatalogLeavesNoMessageForEachOfItsFaults(t *testing.T) {
+	g := NewWithT(t)
+	c := validCatalog()
+	c.Queues = make([]catalog.Queue, 1000)
+	g.Expect(c.Check()).NotTo(Succeed())
+	g.Expect(testing.AllocsPerRun(10, func() { _ = c.Check() })).To(BeNumerically("<", 100))
+	g.Expect(c.Errors()).To(HaveLen(1000*4 + 999))
+}
+
 func TestTheLongestPrefixOfTheHostMatches(t *testing.T) {
 	g := NewWithT(t)
 	c := validCatalog()
--- a/internal/version/catalog/check.go
+++ b/internal/version/catalog/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"slices"
 	"strings"
 
 	"wasabifield.example/wasabifield/internal/request/failure"
@@ -43,49 +45,51 @@
 
 // Check returns an InvalidRequest error for the first of the catalog's Errors, or nil.
 func (c Catalog) Check() error {
-	errs := c.Errors()
-	if len(errs) == 0 {
-		return nil
+	for remark := range c.errors() {
+		return remark.err()
 	}
-	return errs[0].err()
+	return nil
 }
 
 // Errors returns why the catalog is refused: every invalid field, in the order of the
 // catalog. It is empty if the catalog is accepted.
-func (c Catalog) Errors() []Remark {
-	var errs []Remark
-	if c.Version == 0 {
-		errs = append(errs, Remark{Severity: finding.Error, Field: "Version", Text: "must be at least 1"})
-	}
-	services := map[string]bool{}
-	for _, s := range c.Services {
-		services[s.Name] = true
-	}
-	queueByPrefix := map[string]string{}
-	for i, q := range c.Queues {
-		invalid := func(field, text string) {
-			errs = append(errs, Remark{Severity: finding.Error, List: Queues, Index: i, Name: q.Name, Field: field, Text: text})
-		}
-		if q.Name == "" {
-			invalid("Name", "has no name")
-		}
-		if !services[q.Service] {
-			invalid("Service", fmt.Sprintf("names the unknown service %q", q.Service))
-		}
-		if q.Timeout <= 0 {
-			invalid("Timeout", "has no timeout")
+func (c Catalog) Errors() []Remark { return slices.Collect(c.errors()) }
+
+// errors yields the Errors one by one: a document of the largest size may have a million.
+func (c Catalog) errors() iter.Seq[Remark] {
+	return func(yield func(Remark) bool) {
+		if c.Version == 0 && !yield(Remark{Severity: finding.Error, Field: "Version", Text: "must be at least 1"}) {
+			return
 		}
-		if !strings.HasPrefix(q.PathPrefix, "/") {
-			invalid("PathPrefix", "has a path prefix that does not begin with /")
+		services := map[string]bool{}
+		for _, s := range c.Services {
+			services[s.Name] = true
 		}
-		prefix := q.matchKey()
-		if other, taken := queueByPrefix[prefix]; taken {
-			invalid("PathPrefix", "has the host and prefix of queue "+other)
-			continue
+		queueByPrefix := map[string]string{}
+		for i, q := range c.Queues {
+			report := func(field, text string) bool {
+				return yield(Remark{Severity: finding.Error, List: Queues, Index: i, Name: q.Name, Field: field, Text: text})
+			}
+			if q.Name == "" && !report("Name", "has no name") {
+				return
+			}
+			if !services[q.Service] && !report("Service", fmt.Sprintf("names the unknown service %q", q.Service)) {
+				return
+			}
+			if q.Timeout <= 0 && !report("Timeout", "has no timeout") {
+				return
+			}
+			if !strings.HasPrefix(q.PathPrefix, "/") && !report("PathPrefix", "has a path prefix that does not begin with /") {
+				return
+			}
+			prefix := q.matchKey()
+			if other, taken := queueByPrefix[prefix]; !taken {
+				queueByPrefix[prefix] = q.Name
+			} else if !report("PathPrefix", "has the host and prefix of queue "+other) {
+				return
+			}
 		}
-		queueByPrefix[prefix] = q.Name
 	}
-	return errs
 }
 
 // matchKey returns the text that a request's lower-case host and path begin with if the
