Bound what clients may hold of a host at the product's own interface

What callers saw: as on the platform, a crowd of large bodies that stop short of their end, of bodies of many small values, of endless headers or of answers that nobody reads took the memory of a host.

Cause: callerapi and operatorapi read bodies whole, with a bound for each body alone; the server limited only the time to receive headers.

Change: the HTTP address is served by package intake, bodies are read and charged by it, also with what decoding takes. New settings, each with a default above what callers use: limits.client_bytes, limits.client_connections, limits.header_bytes, timing.header_timeout, timing.idle_timeout.

--- a/internal/connection/callerapi/api.go
+++ b/internal/connection/callerapi/api.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
+	"wasabifield.example/wasabifield/internal/connection/intake"
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/request/job"
@@ -66,7 +66,7 @@
 }
 
 func (a *API) submit(w http.ResponseWriter, r *http.Request) {
-	body, err := a.readBody(w, r)
+	body, err := a.readBody(r)
 	if err != nil {
 		a.writeAnswer(w, job.ErrorAnswer(err))
 		return
@@ -82,18 +82,20 @@
 	a.writeAnswer(w, a.config.Backend.Submit(r.Context(), spec, body))
 }
 
-// readBody returns the whole body. It fails with TooLarge or InvalidRequest.
-func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.config.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		message := "must be at most " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
-		return nil, &failure.Error{Kind: failure.TooLarge, Field: "body", Message: message}
-	}
+// listEntryBytes is what a task of a job, or an entry of a report, takes in a list that
+// has grown.
+const listEntryBytes = 256
+
+// readBody returns the whole body. The request is charged with it and with what decoding
+// takes. The errors are those of intake.Request.
+func (a *API) readBody(r *http.Request) ([]byte, error) {
+	request := intake.RequestOf(r)
+	body, err := request.ReadBody(r, a.config.MaxBodyBytes, time.Time{})
 	if err != nil {
-		return nil, failure.Invalid("body", "could not be read: "+err.Error())
+		return nil, err
 	}
-	return body, nil
+	_, err = request.HoldDecoded(body, listEntryBytes)
+	return body, err
 }
 
 // writeAnswer adds this host's name, the bundle version and the caller's next ticket
--- a/internal/connection/callerapi/handlers.go
+++ b/internal/connection/callerapi/handlers.go
@@ -27,7 +27,7 @@
 }
 
 func (a *API) announce(w http.ResponseWriter, r *http.Request) {
-	body, err := a.readBody(w, r)
+	body, err := a.readBody(r)
 	if err != nil {
 		a.writeError(w, err)
 		return
--- a/internal/connection/callerapi/usage.go
+++ b/internal/connection/callerapi/usage.go
@@ -15,7 +15,7 @@
 const maxReportedWorkers = 4096 // maximum number of workers in one report
 
 func (a *API) reportUsage(w http.ResponseWriter, r *http.Request) {
-	body, err := a.readBody(w, r)
+	body, err := a.readBody(r)
 	if err != nil {
 		a.writeError(w, err)
 		return
--- a/internal/connection/operatorapi/command.go
+++ b/internal/connection/operatorapi/command.go
@@ -6,11 +6,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
+	"wasabifield.example/wasabifield/internal/connection/intake"
 	"wasabifield.example/wasabifield/internal/connection/wire"
 	"wasabifield.example/wasabifield/internal/request/failure"
 	"wasabifield.example/wasabifield/internal/version/control"
@@ -19,7 +20,7 @@
 // handleCommand returns the handler of one action.
 func (a *API) handleCommand(action control.Action) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c, err := a.readCommand(w, r, action)
+		c, err := a.readCommand(r, action)
 		if err != nil {
 			a.writeError(w, err)
 			return
@@ -50,17 +51,20 @@
 	return answer, nil
 }
 
-// readCommand decodes the command in a request's body. It fails with TooLarge, or with
-// InvalidRequest for the invalid field.
-func (a *API) readCommand(w http.ResponseWriter, r *http.Request, action control.Action) (control.Command, error) {
+// listEntryBytes is what an entry of a list in a command takes.
+const listEntryBytes = 256
+
+// readCommand decodes the command in a request's body. Its errors are those of
+// intake.Request, or InvalidRequest for the invalid field.
+func (a *API) readCommand(r *http.Request, action control.Action) (control.Command, error) {
 	var c control.Command
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.config.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return c, &failure.Error{Kind: failure.TooLarge, Field: "body", Message: fmt.Sprintf("must be at most %d bytes", tooLarge.Limit)}
-	}
+	request := intake.RequestOf(r)
+	body, err := request.ReadBody(r, a.config.MaxBodyBytes, time.Time{})
 	if err != nil {
-		return c, failure.Invalid("body", "could not be read: "+err.Error())
+		return c, err
+	}
+	if _, err := request.HoldDecoded(body, listEntryBytes); err != nil {
+		return c, err
 	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
--- a/internal/process/host/crowd_test.go
+++ b/internal/process/host/crowd_test.go
@@ -25,11 +25,13 @@
 // crowdMemoryBytes is what a host may use (CONTRIBUTING.md).
 const (
 	crowdMemoryBytes = 256 << 20
+	crowdConnections = 500
+	crowdDescriptors = crowdConnections + 100 // with those of the host's own
 	crowdHTTPAddress = "127.91.1.1:8100"
 )
 
 // startCrowdHost starts a host as a process with one target, and watches the process.
-func startCrowdHost(t *testing.T, change func(*settings.Settings)) (*fleet, *launch.Process, *crowd.Watch) {
+func startCrowdHost(t *testing.T) (*fleet, *launch.Process, *crowd.Watch) {
 	g := NewWithT(t)
 	folder := t.TempDir()
 	program := filepath.Join(folder, "wasabifieldd")
@@ -38,7 +40,7 @@
 	s := settings.Default()
 	s.Host, s.Domain, s.Region, s.HTTPAddress, s.PeerAddress = "a1", "a", "r", crowdHTTPAddress, "127.91.1.1:8101"
 	s.Log.Level = "warn"
-	change(&s)
+	s.Limits.ClientConnections = crowdConnections
 	file, err := launch.WriteSettings(folder, s)
 	g.Expect(err).NotTo(HaveOccurred())
 	log, err := os.Create(filepath.Join(folder, "log"))
@@ -91,12 +93,13 @@
 		{"chunks_stop_short", 100, crowd.UnfinishedChunks(post(wire.PathJobs), padded, 1<<10)},
 		{"many_small_values", 8, crowd.Whole(post(wire.PathJobs), []byte(manyTasks))},
 		{"reports_stop_short", 100, crowd.Unfinished(post(wire.PathTargets), padded)},
+		{"silent_connections", 1500, crowd.Silent()},
 		{"headers_never_end", 1500, crowd.Headers(post(wire.PathJobs), 3000)},
 		{"unread_answers", 1500, crowd.Unread(crowd.Head("GET", wire.PathReady, "x"), 20_000)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			f, process, watch := startCrowdHost(t, func(*settings.Settings) {})
+			f, process, watch := startCrowdHost(t)
 			gathered := crowd.Gather(crowdHTTPAddress, c.size, c.client)
 			defer gathered.Close()
 			g.Eventually(func() bool { return f.completes("a1") }, 3*eventuallyTimeout, pollInterval).Should(BeTrue(), "an ordinary job")
@@ -105,6 +108,7 @@
 			t.Logf("at most %d bytes of memory and %d descriptors", usage.MemoryBytes, usage.Descriptors)
 			g.Expect(process.HasExited()).To(BeFalse())
 			g.Expect(usage.MemoryBytes).To(BeNumerically("<=", crowdMemoryBytes), "memory")
+			g.Expect(usage.Descriptors).To(BeNumerically("<=", crowdDescriptors), "descriptors")
 			runtime.KeepAlive(gathered)
 		})
 	}
--- a/internal/process/host/drain.go
+++ b/internal/process/host/drain.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"google.golang.org/grpc"
+
+	"wasabifield.example/wasabifield/internal/connection/intake"
 )
 
 // ErrJobsAborted is returned by Run if jobs were still in progress when the
@@ -19,7 +20,7 @@
 // servers close and the records are handed over to another host. It stops at
 // once when abort is cancelled, and returns ErrJobsAborted if jobs are still in
 // progress then or after the drain limit.
-func (h *Host) drain(abort context.Context, httpServer *http.Server, peerServer *grpc.Server) error {
+func (h *Host) drain(abort context.Context, httpServer *intake.Server, peerServer *grpc.Server) error {
 	h.log.Info("Draining.")
 	h.draining.Store(true)
 	if err := h.loop.Drain(); err != nil {
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"wasabifield.example/wasabifield/internal/connection/callerapi"
+	"wasabifield.example/wasabifield/internal/connection/intake"
 	"wasabifield.example/wasabifield/internal/connection/peer"
 	"wasabifield.example/wasabifield/internal/connection/peertls"
 	"wasabifield.example/wasabifield/internal/connection/targetlink"
@@ -38,7 +39,6 @@
 	loopTickInterval      = 10 * time.Millisecond
 	macKeyBytes           = 32
 	incarnationRandomBits = 20 // the low bits of an incarnation, drawn at random
-	readHeaderTimeout     = 10 * time.Second
 )
 
 // Host is one entry host. It implements the back ends of the servers for
@@ -169,7 +169,7 @@
 // it stopped, and nil if every job in progress finished.
 func (h *Host) Run(ctx, abort context.Context) error {
 	defer h.peerClient.Close()
-	httpListener, err := net.Listen("tcp", h.settings.HTTPAddress)
+	httpListener, err := intake.Listen(h.settings.HTTPAddress)
 	if err != nil {
 		return err
 	}
@@ -179,7 +179,7 @@
 	}
 	httpListener = h.observer.trafficMeter(httpConnections).Listen(httpListener)
 	peerListener = h.observer.trafficMeter(peerConnections).Listen(peerListener)
-	httpServer := &http.Server{Handler: h.observer.instrumentHandler(h.mux()), ReadHeaderTimeout: readHeaderTimeout}
+	httpServer := h.newHTTPServer()
 	grpcServer := grpc.NewServer(
 		grpc.Creds(h.peerCredentials.Server),
 		grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
@@ -194,6 +194,10 @@
 	group.Go(func() error { return h.loop.Run(groupCtx) })
 	group.Go(func() error { return h.observer.sample(groupCtx, h.loop) })
 	group.Go(func() error { return h.serveHTTP(httpServer, httpListener) })
+	group.Go(func() error {
+		intake.Report(groupCtx, httpServer.Limiter, h.observer.metrics.Scope(), h.log, string(httpConnections))
+		return nil
+	})
 	group.Go(func() error { return grpcServer.Serve(peerListener) })
 	group.Go(func() error { return h.controlPlane.Run(groupCtx) })
 	group.Go(func() error { return h.runExchanges(groupCtx) })
@@ -210,9 +214,21 @@
 	return group.Wait()
 }
 
+func (h *Host) newHTTPServer() *intake.Server {
+	timeouts := intake.Timeouts{
+		Header: h.settings.Timing.HeaderTimeout, Idle: h.settings.Timing.IdleTimeout, HeaderBytes: h.settings.Limits.MaxHeaderBytes,
+	}
+	return intake.NewServer(intake.Config{
+		Handler:  h.observer.instrumentHandler(h.mux()),
+		Limits:   intake.Limits{Bytes: h.settings.Limits.MaxClientBytes(), Connections: h.settings.Limits.ClientConnections},
+		Timeouts: func() intake.Timeouts { return timeouts },
+		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelWarn),
+	})
+}
+
 // serveHTTP serves until the server is shut down. It uses TLS if the settings
 // name a certificate.
-func (h *Host) serveHTTP(server *http.Server, listener net.Listener) error {
+func (h *Host) serveHTTP(server *intake.Server, listener net.Listener) error {
 	files := h.settings.HTTPTLS
 	if files.CertFile == "" {
 		return ignoreClosed(server.Serve(listener))
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -114,6 +114,11 @@
 	c.checkRange("limits.records", int64(l.MaxRecords), 1, 10_000_000)
 	c.checkRange("limits.record_bytes", l.MaxRecordBytes, 1<<10, 1<<40)
 	c.checkRange("limits.ring", int64(l.RingCapacity), 16, 1<<20)
+	c.checkRange("limits.header_bytes", int64(l.MaxHeaderBytes), 1<<10, 1<<24)
+	if l.ClientBytes != 0 {
+		c.checkRange("limits.client_bytes", l.ClientBytes, max(1<<20, clientBodies*l.MaxBodyBytes), 1<<40)
+	}
+	c.checkRange("limits.client_connections", int64(l.ClientConnections), 10, 1_000_000)
 }
 
 func (t Timing) check(c *checker) {
@@ -123,6 +128,8 @@
 	c.checkDuration("timing.drain_notice", t.DrainDelay, 0, time.Minute)
 	c.checkDuration("timing.drain_limit", t.DrainTimeout, 0, time.Hour)
 	c.checkDuration("timing.dial_timeout", t.DialTimeout, 10*time.Millisecond, time.Minute)
+	c.checkDuration("timing.header_timeout", t.HeaderTimeout, 10*time.Millisecond, 10*time.Minute)
+	c.checkDuration("timing.idle_timeout", t.IdleTimeout, 10*time.Millisecond, 24*time.Hour)
 }
 
 func (s Settings) checkOperators(c *checker) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -59,16 +59,35 @@
 	MaxRecords     int   `yaml:"records"`      // job records kept for resubmissions
 	MaxRecordBytes int64 `yaml:"record_bytes"` // answer bytes of the job records
 	RingCapacity   int   `yaml:"ring"`         // messages waiting in each ring
+
+	MaxHeaderBytes    int   `yaml:"header_bytes"`       // size of a request's headers
+	ClientBytes       int64 `yaml:"client_bytes"`       // memory of all requests on the HTTP address; 0 is clientBodies times body_bytes, at least minClientBytes
+	ClientConnections int   `yaml:"client_connections"` // open connections to the HTTP address
+}
+
+const (
+	clientBodies   = 8
+	minClientBytes = 48 << 20
+)
+
+// MaxClientBytes returns the memory that all requests on the HTTP address may take.
+func (l Limits) MaxClientBytes() int64 {
+	if l.ClientBytes != 0 {
+		return l.ClientBytes
+	}
+	return max(minClientBytes, clientBodies*l.MaxBodyBytes)
 }
 
 // Timing holds the intervals and timeouts of the host.
 type Timing struct {
-	TargetLease          time.Duration `yaml:"target_lease"` // a target that does not renew for this long gets no more work
-	BaseExchangeInterval time.Duration `yaml:"exchange"`     // between messages to one domain peer, if there are at most two
-	TicketLifetime       time.Duration `yaml:"ticket_life"`  // from a ticket's issue to its expiry
-	DrainDelay           time.Duration `yaml:"drain_notice"` // from failing readiness to closing the listeners
-	DrainTimeout         time.Duration `yaml:"drain_limit"`  // how long a graceful shutdown waits for requests at most
-	DialTimeout          time.Duration `yaml:"dial_timeout"` // to connect to a target or a peer
+	TargetLease          time.Duration `yaml:"target_lease"`   // a target that does not renew for this long gets no more work
+	BaseExchangeInterval time.Duration `yaml:"exchange"`       // between messages to one domain peer, if there are at most two
+	TicketLifetime       time.Duration `yaml:"ticket_life"`    // from a ticket's issue to its expiry
+	DrainDelay           time.Duration `yaml:"drain_notice"`   // from failing readiness to closing the listeners
+	DrainTimeout         time.Duration `yaml:"drain_limit"`    // how long a graceful shutdown waits for requests at most
+	DialTimeout          time.Duration `yaml:"dial_timeout"`   // to connect to a target or a peer
+	HeaderTimeout        time.Duration `yaml:"header_timeout"` // to receive the headers of a request
+	IdleTimeout          time.Duration `yaml:"idle_timeout"`   // without a byte between requests, in a body, or of an answer that is read
 }
 
 // Operator identifies a signer of bundles.
@@ -88,6 +107,9 @@
 			MaxRecords:     20_000,
 			MaxRecordBytes: 64 << 20,
 			RingCapacity:   4096,
+
+			MaxHeaderBytes:    1 << 20,
+			ClientConnections: 2000,
 		},
 		Timing: Timing{
 			TargetLease:          4 * time.Second,
@@ -96,6 +118,8 @@
 			DrainDelay:           time.Second,
 			DrainTimeout:         30 * time.Second,
 			DialTimeout:          500 * time.Millisecond,
+			HeaderTimeout:        10 * time.Second,
+			IdleTimeout:          2 * time.Minute,
 		},
 		RequiredApprovals: 1,
 	}
