Bound the time for a body by how long its caller still waits

The deadline of a job is a time on the host's clock, which counts suspensions of the machine; the deadlines of connections do not. After a suspension of five seconds, a body could stall for five seconds longer than its caller waits. Only the time that is left is now handed to the connection.

Found by reading; TestABodyIsReadForAsLongAsItsClientWaits covers the bound.

--- a/internal/connection/callerapi/api.go
+++ b/internal/connection/callerapi/api.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/intake"
 	"wasabifield.example/wasabifield/internal/connection/wire"
@@ -90,7 +89,7 @@
 // takes. The errors are those of intake.Request.
 func (a *API) readBody(r *http.Request) ([]byte, error) {
 	request := intake.RequestOf(r)
-	body, err := request.ReadBody(r, a.config.MaxBodyBytes, time.Time{})
+	body, err := request.ReadBody(r, a.config.MaxBodyBytes, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -30,17 +30,17 @@
 	return Request{c}
 }
 
-// ReadBody returns the whole body of r, of at most limit bytes. It reads until the given
-// time at the latest, or without a bound of its own if that is zero. Its errors have the
+// ReadBody returns the whole body of r, of at most limit bytes. It reads for the time that
+// the client waits, or without a bound of its own if patience is 0. Its errors have the
 // kinds TooLarge, Overloaded if the request has given way to others, ExpiredQueued if
 // the time has passed, and InvalidRequest. After an error the request must not run.
-func (q Request) ReadBody(r *http.Request, limit int64, until time.Time) ([]byte, error) {
+func (q Request) ReadBody(r *http.Request, limit int64, patience time.Duration) ([]byte, error) {
 	limit = max(0, limit)
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
-	if q.conn != nil {
-		q.conn.setUntil(until)
+	if q.conn != nil && patience > 0 {
+		q.conn.setUntil(time.Now().Add(patience))
 	}
 	body, err := q.read(r, limit)
 	if q.conn != nil && err == nil && !q.conn.enter(Working) {
--- a/internal/connection/intake/server_test.go
+++ b/internal/connection/intake/server_test.go
@@ -20,7 +20,8 @@
 const testTimeout = 20 * time.Second // long, because no test here asserts speed
 
 // testServer answers a POST with the length of its body, or the kind of the failure, and
-// a POST to /refused without reading the body.
+// a POST to /refused without reading the body. The client of a POST to /brief waits 20 ms
+// for its body to arrive.
 type testServer struct {
 	*intake.Server
 	g       *WithT
@@ -37,7 +38,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /", func(w http.ResponseWriter, r *http.Request) {
 		request := intake.RequestOf(r)
-		body, err := request.ReadBody(r, bodyLimit, time.Time{})
+		patience := time.Duration(0)
+		if r.URL.Path == "/brief" {
+			patience = 20 * time.Millisecond
+		}
+		body, err := request.ReadBody(r, bodyLimit, patience)
 		if err == nil {
 			_, err = request.HoldDecoded(body, 600)
 		}
@@ -182,6 +187,21 @@
 	s.g.Expect(s.ran.Load()).To(Equal(int64(1)))
 }
 
+func TestABodyIsReadForAsLongAsItsClientWaits(t *testing.T) {
+	s := newTestServer(t, intake.Limits{Bytes: 16 << 20, Connections: 10})
+	p := s.dial(t)
+	p.sends(post("/brief", 10) + "x")
+	_, text := p.answer()
+	s.g.Expect(text).To(Equal(string(failure.ExpiredQueued)))
+	p = s.dial(t)
+	for range 2 { // the time of the first request is not that of the second
+		p.sends(post("/brief", 5) + "hello")
+		status, _ := p.answer()
+		s.g.Expect(status).To(Equal(200))
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
 func TestABodyOfTooManyValuesIsRefused(t *testing.T) {
 	s := newTestServer(t, intake.Limits{Bytes: 8 << 20, Connections: 10})
 	p := s.dial(t)
@@ -235,7 +255,7 @@
 	ended := make(chan struct{})
 	server := intake.NewServer(intake.Config{
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-			_, _ = intake.RequestOf(r).ReadBody(r, bodyLimit, time.Time{})
+			_, _ = intake.RequestOf(r).ReadBody(r, bodyLimit, 0)
 			<-r.Context().Done()
 			close(ended)
 		}),
--- a/internal/connection/operatorapi/command.go
+++ b/internal/connection/operatorapi/command.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"wasabifield.example/wasabifield/internal/connection/intake"
 	"wasabifield.example/wasabifield/internal/connection/wire"
@@ -59,7 +58,7 @@
 func (a *API) readCommand(r *http.Request, action control.Action) (control.Command, error) {
 	var c control.Command
 	request := intake.RequestOf(r)
-	body, err := request.ReadBody(r, a.config.MaxBodyBytes, time.Time{})
+	body, err := request.ReadBody(r, a.config.MaxBodyBytes, 0)
 	if err != nil {
 		return c, err
 	}
