--- a/internal/connection/intake/body.go
+++ b/internal/connection/intake/body.go
@@ -107,7 +107,7 @@
 // request must be refused.
 func (q Request) HoldDecoded(body []byte, objectBytes int64) (int64, error) {
 	decoded := decodedBytes(body, objectBytes)
-	if q.conn != nil && decoded > q.conn.lease.limiter.limits.largest() {
+	if q.conn != nil && decoded > q.conn.account.limiter.limits.largest() {
 		return 0, &failure.Error{Kind: failure.TooLarge, Field: "body", Message: "holds too many values"}
 	}
 	if !q.Hold(int64(cap(body)) + decoded) {
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -44,7 +44,7 @@
 type conn struct {
 	net.Conn
 	timeouts func() Timeouts
-	lease    *Lease
+	account    *Account
 	refused  atomic.Bool // set by giveWay
 	closing  sync.Once
 
@@ -138,7 +138,7 @@
 		if !c.first {
 			c.since = now
 		}
-		c.lease.Enter(Headers, now)
+		c.account.Enter(Headers, now)
 		fallthrough
 	case Headers:
 		c.headerBytes += n
@@ -146,12 +146,12 @@
 			c.cut = true
 			return errHeadersTooLong
 		}
-		c.lease.Progress(n, now)
+		c.account.Progress(n, now)
 		if c.headerBytes > headerSlack && !c.hold(int64(n)*headerBytesFactor, now) {
 			return errGaveWay
 		}
 	case Body:
-		c.lease.Progress(n, now)
+		c.account.Progress(n, now)
 	case Working:
 		// The client sends on without waiting for its answer: the kernel's buffer fills.
 		c.cut = c.cut || !c.hold(2*receiveBufferBytes, now)
@@ -160,7 +160,7 @@
 }
 
 func (c *conn) hold(delta int64, now time.Time) bool {
-	if !c.lease.Hold(delta, now) {
+	if !c.account.Hold(delta, now) {
 		return false
 	}
 	c.charged += delta
@@ -199,7 +199,7 @@
 		c.first, c.until = false, time.Time{}
 		c.hold(-c.charged, now)
 	}
-	return c.lease.Enter(phase, now)
+	return c.account.Enter(phase, now)
 }
 
 // discard reads what still comes of the body of an answered request. If that does not
@@ -235,8 +235,8 @@
 func (c *conn) Write(p []byte) (int, error) {
 	now, idle := time.Now(), c.timeouts().Idle
 	if c.currentPhase() == Working {
-		c.lease.Enter(Answering, now)
-		defer c.lease.Enter(Working, now)
+		c.account.Enter(Answering, now)
+		defer c.account.Enter(Working, now)
 	}
 	for written := 0; ; now = time.Now() {
 		part := p[written:min(len(p), written+writeBytes)]
@@ -262,7 +262,7 @@
 			_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 		}
 		err = c.Conn.Close()
-		c.lease.End()
+		c.account.End()
 	})
 	return err
 }
--- a/internal/connection/intake/limiter.go
+++ b/internal/connection/intake/limiter.go
@@ -58,7 +58,7 @@
 	mu     sync.Mutex
 	limits Limits
 	bytes  int64
-	leases map[*Lease]struct{}
+	accounts map[*Account]struct{}
 	stats  Stats
 }
 
@@ -73,7 +73,7 @@
 
 // NewLimiter returns a Limiter without connections.
 func NewLimiter(limits Limits) *Limiter {
-	return &Limiter{limits: limits, leases: map[*Lease]struct{}{}}
+	return &Limiter{limits: limits, accounts: map[*Account]struct{}{}}
 }
 
 // Stats returns the present figures.
@@ -81,12 +81,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stats := l.stats
-	stats.Connections, stats.Bytes = len(l.leases), l.bytes
+	stats.Connections, stats.Bytes = len(l.accounts), l.bytes
 	return stats
 }
 
-// Lease is the account of one connection.
-type Lease struct {
+// Account is the account of one connection.
+type Account struct {
 	limiter *Limiter
 	giveWay func(Ending)
 	phase   Phase
@@ -101,16 +101,16 @@
 // Admit opens the account of a new connection. It returns nil if there is no room and no
 // connection that gives way. giveWay is called without locks when the connection has to
 // give way; it must not block.
-func (l *Limiter) Admit(now time.Time, giveWay func(Ending)) *Lease {
-	lease := &Lease{limiter: l, giveWay: giveWay, progressAt: now}
+func (l *Limiter) Admit(now time.Time, giveWay func(Ending)) *Account {
+	account := &Account{limiter: l, giveWay: giveWay, progressAt: now}
 	l.mu.Lock()
 	var endings endings
-	for len(l.leases) >= l.limits.Connections && l.closeWorst(now, &endings) {
+	for len(l.accounts) >= l.limits.Connections && l.closeWorst(now, &endings) {
 	}
-	ok := len(l.leases) < l.limits.Connections && l.makeRoom(lease, connectionBytes, now, &endings)
+	ok := len(l.accounts) < l.limits.Connections && l.makeRoom(account, connectionBytes, now, &endings)
 	if ok {
 		l.bytes += connectionBytes
-		l.leases[lease] = struct{}{}
+		l.accounts[account] = struct{}{}
 	} else {
 		l.stats.NotAccepted++
 	}
@@ -119,12 +119,12 @@
 	if !ok {
 		return nil
 	}
-	return lease
+	return account
 }
 
 // Enter records that the connection is in another phase. It returns false if the
 // connection or its request has given way: then the request must not run.
-func (a *Lease) Enter(phase Phase, now time.Time) bool {
+func (a *Account) Enter(phase Phase, now time.Time) bool {
 	a.limiter.mu.Lock()
 	defer a.limiter.mu.Unlock()
 	if a.ended {
@@ -138,7 +138,7 @@
 }
 
 // Progress records that n bytes of a request have arrived.
-func (a *Lease) Progress(n int, now time.Time) {
+func (a *Account) Progress(n int, now time.Time) {
 	a.limiter.mu.Lock()
 	defer a.limiter.mu.Unlock()
 	a.progressAt = a.progressAt.Add(time.Duration(n) * time.Second / progressRate)
@@ -150,7 +150,7 @@
 // Hold changes by delta what the connection holds of its request. It returns false, and
 // changes nothing, if there is no room, or if the connection or its request has given
 // way.
-func (a *Lease) Hold(delta int64, now time.Time) bool {
+func (a *Account) Hold(delta int64, now time.Time) bool {
 	l := a.limiter
 	l.mu.Lock()
 	var endings endings
@@ -173,7 +173,7 @@
 }
 
 // End closes the account.
-func (a *Lease) End() {
+func (a *Account) End() {
 	a.limiter.mu.Lock()
 	defer a.limiter.mu.Unlock()
 	a.limiter.remove(a)
@@ -183,18 +183,18 @@
 // connectionBytes.
 func charge(held int64) int64 { return max(0, held-requestBytes) }
 
-func (l *Limiter) remove(a *Lease) {
+func (l *Limiter) remove(a *Account) {
 	if a.ended {
 		return
 	}
 	a.ended = true
 	l.bytes -= connectionBytes + charge(a.held)
-	delete(l.leases, a)
+	delete(l.accounts, a)
 }
 
 // makeRoom lets connections other than a give way until a can be charged with added
 // bytes more. It returns false if these are too many.
-func (l *Limiter) makeRoom(a *Lease, added int64, now time.Time, endings *endings) bool {
+func (l *Limiter) makeRoom(a *Account, added int64, now time.Time, endings *endings) bool {
 	limit := l.limits.Bytes
 	if charge(a.held)+added > largeBytes {
 		limit = l.limits.largest()
@@ -209,7 +209,7 @@
 	return true
 }
 
-func (l *Limiter) end(a *Lease, endings *endings) {
+func (l *Limiter) end(a *Account, endings *endings) {
 	if a.phase == Body && charge(a.held) > 0 {
 		a.refused, a.phase = true, Discarding
 		l.bytes -= charge(a.held)
@@ -238,10 +238,10 @@
 // worst returns the connection that gives way first, other than except: one whose
 // request is answered, or else the one with the largest product of memory and time
 // without progress. It returns nil if all others work.
-func (l *Limiter) worst(except *Lease, now time.Time) *Lease {
-	var worst *Lease
+func (l *Limiter) worst(except *Account, now time.Time) *Account {
+	var worst *Account
 	var worstCost float64
-	for a := range l.leases {
+	for a := range l.accounts {
 		if a == except || a.phase == Working {
 			continue
 		}
@@ -259,7 +259,7 @@
 // endings are the connections that give way once the lock is released.
 type endings []func()
 
-func (e *endings) add(a *Lease, how Ending) { *e = append(*e, func() { a.giveWay(how) }) }
+func (e *endings) add(a *Account, how Ending) { *e = append(*e, func() { a.giveWay(how) }) }
 
 func (e endings) carryOut() {
 	for _, f := range e {
--- a/internal/connection/intake/limiter_test.go
+++ b/internal/connection/intake/limiter_test.go
@@ -14,9 +14,9 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-// client is the other side of a lease.
+// client is the other side of an account.
 type client struct {
-	*intake.Lease
+	*intake.Account
 	phase intake.Phase
 	ended []intake.Ending
 	cut   bool // gave way although its request had arrived
@@ -28,7 +28,7 @@
 		c.ended = append(c.ended, how)
 		c.cut = c.phase == intake.Working
 	}
-	if c.Lease = l.Admit(now, giveWay); c.Lease == nil {
+	if c.Account = l.Admit(now, giveWay); c.Account == nil {
 		return nil
 	}
 	return c
--- a/internal/connection/intake/server.go
+++ b/internal/connection/intake/server.go
@@ -107,7 +107,7 @@
 		}
 		now := time.Now()
 		c := newConn(inner, l.server.config.Timeouts, now)
-		if c.lease = l.server.Limiter.Admit(now, c.giveWay); c.lease != nil {
+		if c.account = l.server.Limiter.Admit(now, c.giveWay); c.account != nil {
 			return c, nil
 		}
 		_ = inner.Close()
