--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -44,7 +44,7 @@
 type conn struct {
 	net.Conn
 	timeouts func() Timeouts
-	account    *Account
+	account  *Account
 	refused  atomic.Bool // set by giveWay
 	closing  sync.Once
 
--- a/internal/connection/intake/limiter.go
+++ b/internal/connection/intake/limiter.go
@@ -55,11 +55,11 @@
 // Limiter keeps the accounts of the connections of one listener. Its methods may be
 // called concurrently.
 type Limiter struct {
-	mu     sync.Mutex
-	limits Limits
-	bytes  int64
+	mu       sync.Mutex
+	limits   Limits
+	bytes    int64
 	accounts map[*Account]struct{}
-	stats  Stats
+	stats    Stats
 }
 
 // Stats are the figures of a Limiter. The counters only grow.
