Let nobody give way for a request that finds no room all the same

What callers saw: a request that needs more than the memory left beside requests in progress ended every other connection, and was then refused all the same.

Cause: room was made one connection after another, without a look at whether all of them together are enough.

Evidence: TestNobodyGivesWayForARequestThatFindsNoRoom fails on the code before. Found by reading. The model of TestUseStaysWithinTheLimits now follows the phase that a refused request enters; its check is as before, and fails if requests in progress give way.

--- a/internal/connection/intake/limiter.go
+++ b/internal/connection/intake/limiter.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -193,22 +194,34 @@
 }
 
 // makeRoom lets connections other than a give way until a can be charged with added
-// bytes more. It returns false if these are too many.
+// bytes more. It returns false, and none gives way, if that would not be enough.
 func (l *Limiter) makeRoom(a *Account, added int64, now time.Time, endings *endings) bool {
 	limit := l.limits.Bytes
 	if charge(a.held)+added > largeBytes {
 		limit = l.limits.largest()
 	}
-	for l.bytes+added > limit {
-		worst := l.worst(a, now)
-		if worst == nil {
-			return false
+	if l.bytes+added <= limit {
+		return true
+	}
+	kept := int64(0) // by connections that do not give way
+	for other := range l.accounts {
+		if other == a || !other.givesWay() {
+			kept += connectionBytes + charge(other.held)
 		}
-		l.end(worst, endings)
+	}
+	if kept+added > limit {
+		return false
+	}
+	for l.bytes+added > limit {
+		l.end(l.worst(a, now), endings)
 	}
 	return true
 }
 
+// givesWay reports whether the connection may be ended for another one.
+func (a *Account) givesWay() bool { return a.phase != Working }
+
+// end refuses a body that takes more than its connection, and closes other connections.
 func (l *Limiter) end(a *Account, endings *endings) {
 	if a.phase == Body && charge(a.held) > 0 {
 		a.refused, a.phase = true, Discarding
@@ -242,12 +255,12 @@
 	var worst *Account
 	var worstCost float64
 	for a := range l.accounts {
-		if a == except || a.phase == Working {
+		if a == except || !a.givesWay() {
 			continue
 		}
 		cost := float64(connectionBytes+charge(a.held)) * float64(now.Sub(a.progressAt))
 		if a.phase == Discarding {
-			cost += 1e30 // above any other cost
+			cost = math.Inf(1)
 		}
 		if worst == nil || cost > worstCost {
 			worst, worstCost = a, cost
--- a/internal/connection/intake/limiter_test.go
+++ b/internal/connection/intake/limiter_test.go
@@ -26,7 +26,8 @@
 	c := &client{}
 	giveWay := func(how intake.Ending) {
 		c.ended = append(c.ended, how)
-		c.cut = c.phase == intake.Working
+		c.cut = c.cut || c.phase == intake.Working
+		c.phase = intake.Discarding
 	}
 	if c.Account = l.Admit(now, giveWay); c.Account == nil {
 		return nil
@@ -84,6 +85,15 @@
 	g.Expect(l.Stats()).To(Equal(intake.Stats{Connections: 2, Bytes: l.Stats().Bytes, NotAccepted: 1}))
 }
 
+func TestNobodyGivesWayForARequestThatFindsNoRoom(t *testing.T) {
+	g := NewWithT(t)
+	l := intake.NewLimiter(intake.Limits{Bytes: 4 << 20, Connections: 100})
+	idle, large := admit(l, at(0)), admit(l, at(0))
+	large.Enter(intake.Body, at(0))
+	g.Expect(large.Hold(4<<20, at(time.Hour))).To(BeFalse())
+	g.Expect(idle.ended).To(BeEmpty())
+}
+
 func TestAnAnsweredRequestGivesWayFirst(t *testing.T) {
 	g := NewWithT(t)
 	l := intake.NewLimiter(intake.Limits{Bytes: roomy, Connections: 2})
@@ -174,9 +184,8 @@
 			"enter": func(t *rapid.T) {
 				c := drawn()
 				phase := intake.Phase(rapid.IntRange(int(intake.Waiting), int(intake.Discarding)).Draw(t, "phase"))
-				if c.Enter(phase, now) {
-					c.phase = phase
-				}
+				c.Enter(phase, now)
+				c.phase = phase
 			},
 			"receive": func(t *rapid.T) { drawn().receives(rapid.IntRange(0, 1<<20).Draw(t, "n"), now) },
 			"release": func(t *rapid.T) { drawn().Hold(-rapid.Int64Range(0, 1<<20).Draw(t, "n"), now) },
