--- a/internal/connection/intake/limiter_test.go
+++ b/internal/connection/intake/limiter_test.go
@@ -169,11 +169,11 @@
 		l := intake.NewLimiter(limits)
 		now := start
 		var open []*client
-		drawn := func() *client {
-			if len(open) == 0 {
-				t.Skip("no connection")
+		// withAny calls f with one of the open connections, if there are any.
+		withAny := func(t *rapid.T, f func(c *client)) {
+			if len(open) > 0 {
+				f(rapid.SampledFrom(open).Draw(t, "connection"))
 			}
-			return rapid.SampledFrom(open).Draw(t, "connection")
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"admit": func(t *rapid.T) {
@@ -182,14 +182,18 @@
 				}
 			},
 			"enter": func(t *rapid.T) {
-				c := drawn()
-				phase := intake.Phase(rapid.IntRange(int(intake.Waiting), int(intake.Discarding)).Draw(t, "phase"))
-				c.Enter(phase, now)
-				c.phase = phase
+				withAny(t, func(c *client) {
+					c.phase = intake.Phase(rapid.IntRange(int(intake.Waiting), int(intake.Discarding)).Draw(t, "phase"))
+					c.Enter(c.phase, now)
+				})
 			},
-			"receive": func(t *rapid.T) { drawn().receives(rapid.IntRange(0, 1<<20).Draw(t, "n"), now) },
-			"release": func(t *rapid.T) { drawn().Hold(-rapid.Int64Range(0, 1<<20).Draw(t, "n"), now) },
-			"end":     func(t *rapid.T) { drawn().End() },
+			"receive": func(t *rapid.T) {
+				withAny(t, func(c *client) { c.receives(rapid.IntRange(0, 1<<20).Draw(t, "n"), now) })
+			},
+			"release": func(t *rapid.T) {
+				withAny(t, func(c *client) { c.Hold(-rapid.Int64Range(0, 1<<20).Draw(t, "n"), now) })
+			},
+			"end": func(t *rapid.T) { withAny(t, func(c *client) { c.End() }) },
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
 			},
