--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,7 +24,7 @@
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 	plays := map[string]func(r *rig, trouble bool) int{
-		"twice": playTwice, "hang": playHang, "cancel": playCancel, "memory": playMemory, "crowd": playCrowd,
+		"twice": playTwice, "hang": playHang, "memory": playMemory, "crowd": playCrowd,
 	}
 	f, ok := plays[*play]
 	if !ok {
