--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -31,15 +31,18 @@
 
 // rig is a small deployment: in each zone, one core machine, one edge machine and some minions.
 type rig struct {
-	dir     string
-	daemon  string
-	begun   time.Time
-	cores   []*machine
-	edges   []*machine
-	minions []*minion
-	log     *os.File
-	over    atomic.Bool
-	watch   atomic.Bool // the platform kills a process that uses more than its memory_mb
+	dir        string
+	daemon     string
+	begun      time.Time
+	cores      []*machine
+	edges      []*machine
+	minions    []*minion
+	log        *os.File
+	over       atomic.Bool
+	control    []string      // addresses of the core machines
+	beat       time.Duration // between heartbeats of a minion
+	lateStarts atomic.Int64  // on minions that leave
+	watch      atomic.Bool   // the platform kills a process that uses more than its memory_mb
 
 	mu       sync.Mutex
 	lines    *os.File
@@ -72,7 +75,7 @@
 	started  int
 }
 
-func newRig(dir, daemon string, edgesPerZone, minionsPerZone int) (*rig, error) {
+func newRig(dir, daemon string, edgesPerZone, minionsPerZone int, beat time.Duration) (*rig, error) {
 	temp, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
@@ -86,7 +89,7 @@
 		return nil, err
 	}
 	r := &rig{
-		dir: temp, daemon: daemon, begun: time.Now(), lines: lines, log: log,
+		dir: temp, daemon: daemon, beat: beat, begun: time.Now(), lines: lines, log: log,
 		mostMB: map[string]int{}, killed: map[string]int{}, starts: map[string]int{},
 	}
 	prefix, err := freePrefix((1 + edgesPerZone) * len(zones))
@@ -105,6 +108,7 @@
 			r.edges = append(r.edges, &machine{r: r, name: fmt.Sprintf("edge-%s-%d", zone, n+1), zone: zone, ip: ip()})
 		}
 	}
+	r.control = control
 	for _, m := range r.machines() {
 		if err := m.start(control); err != nil {
 			return nil, err
@@ -157,7 +161,7 @@
 	}
 	fmt.Fprintf(&b, "node_name = %q\nrole = %q\nmachine_class = %q\nserves = [%q]\nip = %q\nzone = %q\nregion = \"r\"\n", m.name, serves, class, serves, m.ip, m.zone)
 	fmt.Fprintf(&b, "internal_port_range = [%s, 7735]\nseeds = [\"%s\"]\nbootstrap = %v\nfailure_counted = %v\n", internalPort, strings.Join(control, `","`), m.started == 0, m.core)
-	b.WriteString("discovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 500\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\"]\nconfig_mode = \"highest\"\norders = \"call\"\n")
+	fmt.Fprintf(&b, "discovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = %d\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\"]\nconfig_mode = \"highest\"\norders = \"call\"\n", m.r.beat.Milliseconds())
 	disk := 0
 	if m.core {
 		disk = 128
