--- a/review/standin-3/frozen.go
+++ b/review/standin-3/frozen.go
@@ -45,6 +45,7 @@
 		m.mu.Lock()
 		process, exited := m.process, m.exited
 		m.mu.Unlock()
+		r.disturbed()
 		r.record("planned", m.name, "SIGTERM")
 		_ = process.Process.Signal(syscall.SIGTERM)
 		select {
@@ -88,7 +89,10 @@
 	m.mu.Unlock()
 	r.record("trouble", m.name, "node_freeze begins")
 	_ = process.Signal(syscall.SIGSTOP)
+	r.frozen.Store(true)
 	time.Sleep(length)
+	r.frozen.Store(false)
+	r.disturbed()
 	_ = process.Signal(syscall.SIGCONT)
 	r.record("trouble", m.name, "node_freeze ends")
 }
@@ -150,3 +154,14 @@
 	}
 	return t.r.edges[i]
 }
+
+// readiness returns what the platform's probe of a machine is answered.
+func (r *rig) readiness(m *machine) string {
+	client := &http.Client{Timeout: time.Second}
+	answer, err := client.Get("http://" + m.ip + ":" + readyPort + "/wasabifield/ready")
+	if err != nil {
+		return err.Error()
+	}
+	_ = answer.Body.Close()
+	return answer.Status
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,6 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // The exit codes of a script.
@@ -25,7 +28,7 @@
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 	plays := map[string]func(r *rig, trouble bool) int{
-		"twice": playTwice, "hang": playHang, "memory": playMemory, "frozen": playFrozen, "crowd": playCrowd,
+		"twice": playTwice, "hang": playHang, "memory": playMemory, "frozen": playFrozen,
 	}
 	f, ok := plays[*play]
 	if !ok {
@@ -35,8 +38,12 @@
 	r, err := newRig(*dir, *daemon, *edges, *minions, *beat)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
+		if r != nil {
+			r.close()
+		}
 		os.Exit(notRun)
 	}
+	go endEarly(r)
 	code := notRun
 	if err := r.begin(); err != nil {
 		r.record("rig", "begin", err.Error())
@@ -50,3 +57,20 @@
 	r.close()
 	os.Exit(code)
 }
+
+// longest is how long a play may take; all processes have ended by then.
+const longest = 117 * time.Second
+
+// endEarly ends a play that takes too long or is told to end.
+func endEarly(r *rig) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		r.record("rig", "ended", s.String())
+	case <-time.After(longest):
+		r.record("rig", "ended", "it took too long")
+	}
+	r.close()
+	os.Exit(notRun)
+}
