--- a/review/standin-3/clients.go
+++ b/review/standin-3/clients.go
@@ -139,3 +139,14 @@
 	wait.Wait()
 	return out
 }
+
+// readiness returns what the platform's probe of a machine is answered.
+func (r *rig) readiness(m *machine) string {
+	client := &http.Client{Timeout: time.Second}
+	answer, err := client.Get("http://" + m.ip + ":" + readyPort + "/wasabifield/ready")
+	if err != nil {
+		return err.Error()
+	}
+	_ = answer.Body.Close()
+	return answer.Status
+}
