Report how long the run of a dropped job goes on

The logs named the stop that was requested, and not when the run was over, by what it was taken for over, or whether its target's lease was extended meanwhile. So they could not tell apart: a stop that is confirmed late while the lease is renewed; a lease that ends late on its target; a start that is carried out after the stop.

The scheduler notes at each tick when the caller of a job was last known to wait: a caller of this host until its connection is closed, another host until it was heard from last. When a run of a dropped job is over, a log line says how long after that, by which evidence, and how long after it the last lease was sent to its target. A histogram counts them by evidence.

--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -118,6 +118,12 @@
 	m.scope.Tagged(map[string]string{"cause": c.String()}).Counter("runs_lost").Inc(1)
 }
 
+// recordDroppedRun counts a run of a dropped job by what it was taken for over by, and records
+// how long it went on after its caller was last known to wait.
+func (m *poolMetrics) recordDroppedRun(by scheduler.Evidence, age time.Duration) {
+	m.scope.Tagged(map[string]string{"over_by": by.String()}).Histogram("dropped_run", jobDurationBuckets).RecordDuration(age)
+}
+
 // recordSuspect counts a decision about a task under which a target was lost.
 func (m *poolMetrics) recordSuspect(d scheduler.SuspectDecision) {
 	m.scope.Tagged(map[string]string{"decision": d.String()}).Counter("suspects").Inc(1)
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -47,6 +47,7 @@
 	homeHostSince      time.Time     // since when an entry host of the pool's own domain is heard from
 	formerPoolUntil    time.Time     // targets of this new shard are left to their former pool until then; zero if there is none
 	orphansCheckedAt   time.Time     // when orphaned domains were last looked for
+	callersSeenAt      time.Time     // when this host last looked which callers wait
 	targetsCountedAt   time.Time     // when the targets of the domain were last counted
 	unbalancedSince    time.Time     // since when this host holds several pools while a host that could take over this one holds none; zero if that is not so
 	balanceCheckedAt   time.Time
@@ -225,6 +226,7 @@
 		p.core.SetPoolCapacities(p.node.freeCapacityExcept(p.id))
 		p.node.resolveLosses(now)
 		p.core.ExtendUnknownRuns(func(targetID string) time.Duration { return p.sessionLeaseRemaining(targetID, now) }, now)
+		p.recordAwaited(now)
 		p.applyEffects(p.core.Tick(now), now)
 		p.withdrawLostSenders(now)
 		p.forgetClosedSessions(now)
@@ -387,6 +389,8 @@
 			p.logWithheld(e, now)
 		case scheduler.Reply:
 			p.reply(e, now)
+		case scheduler.DroppedRunEnded:
+			p.logDroppedRun(e, now)
 		case scheduler.LogEntry:
 			p.log.Info(e.Message, "job", e.Job, "target", e.Target, "reason", e.Reason, "age", e.Age)
 		}
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -177,6 +177,13 @@
 	}
 }
 
+// lastLease returns when the last request with a lease was sent.
+func (s *session) lastLease() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaseSentAt
+}
+
 // leaseRemaining returns how long a lease that was sent may still be in force; zero or
 // less once every one has expired.
 func (s *session) leaseRemaining(now time.Time) time.Duration {
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -108,7 +108,7 @@
 		return c.drainEffects()
 	}
 	s := newJobState(c.refineEstimates(j))
-	s.waiters = []uint64{waiter}
+	s.waiters, s.awaitedAt = []uint64{waiter}, now
 	c.recallLosses(s)
 	if c.deadlyTask(s) != nil {
 		c.emit(Reply{Waiter: waiter, Job: j.ID, Answer: crashedAnswer})
@@ -398,6 +398,7 @@
 	for _, t := range s.tasks {
 		if t.run != nil {
 			c.stopRun(t.run, reason)
+			t.run.awaitedAt = s.awaitedAt
 			c.formerRuns[t.run.id.ofTask()] = t.run
 		}
 	}
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -79,7 +79,7 @@
 		}
 		s := newJobState(h.Job)
 		s.hasStarted = h.HasStarted
-		s.resubmitBy = h.AwaitedAt.Add(handoverRetention)
+		s.awaitedAt, s.resubmitBy = h.AwaitedAt, h.AwaitedAt.Add(handoverRetention)
 		s.pendingTasks, s.unfinishedTasks = 0, 0
 		c.addJob(s)
 		for _, t := range h.Tasks {
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -69,6 +69,7 @@
 	percentDone  int       // as reported last
 	progressedAt time.Time // when percentDone was first reported
 	listedAt     time.Time // when the target reported the run last
+	awaitedAt    time.Time // when the caller of its dropped job was last known to wait; zero while the job is in progress
 }
 
 // on reports whether the run was started on this incarnation of its target, as far as that
