Let no lease outlast the return of a caller

Cause: a lease is the target's, and its holder extended it by a second every 0.3 s as long as any run was on the target, runs that it was stopping included. So a run whose stop stays unanswered lived for as long as that, and the promise that all runs of a dropped job are over when its caller comes back rested on the stop alone. The same code extends the lease after a suspension of the holder, before anything was heard of the hosts that sent the jobs.

The change: one rule says until when a run may go on: 1.15 s after its caller was last known to wait (ResubmitDelay less a margin; the retention of jobs that are handed over follows from it too). A caller of this host waits until its connection is closed, one of another host until that host was heard from, none beyond its deadline, and what is read right after a pause tells nothing. The time moves on with each look of the pool's goroutine, and stands still once the job is dropped. No lease on a target ends later than the earliest such time of its runs, whether a renewal or a start carries it; it is a time of day on the target's clock, so that a request that is late extends nothing either. The limit is lifted once the run is known to be over. Until then renewals come closer together, so that the lease is extended in time. No task is started under a lease of less than 0.5 s, or for a caller of whom nothing was heard for longer. A lapse for this reason is no sign of a crash.

Why this works: the last lease is computed from evidence that is older than the caller's departure, so no lost stop, withdrawal or report prolongs it; a goroutine that stands still lets it end.

Tests of the scheduler whose clock jumps by a second now say that the callers still wait: jobs of which nothing was heard for that long start nothing.

--- a/internal/process/fleet/awaited.go
+++ b/internal/process/fleet/awaited.go
@@ -24,9 +24,9 @@
 	at := p.callersSeenAt
 	if w.heard != nil {
 		at = now.Add(-w.heard.silence(now))
-	}
-	if pause := p.resumption.pause; !at.Before(pause.from) && at.Before(pause.to.Add(resumeReadTime)) {
-		at = pause.from
+		if pause := p.resumption.pause; at.After(pause.from) && at.Before(pause.to.Add(resumeReadTime)) {
+			at = pause.from
+		}
 	}
 	if !w.deadline.IsZero() && at.After(w.deadline) {
 		at = w.deadline
--- a/internal/process/fleet/config.go
+++ b/internal/process/fleet/config.go
@@ -65,6 +65,7 @@
 	Bootstrapped  bool          // the register was bootstrapped before
 	VoterCount    int           // number of disks that vote on the catalog; the others are standbys
 	MaxLease      time.Duration // longest lease that a target grants
+	ResubmitDelay time.Duration // after which a caller whose attempt has ended sends its job again; 0 for the scheduler's default
 	RunStopTime   time.Duration // longest time that a target takes to end a run whose stop it has confirmed; 0 for defaultRunStopTime
 	// EvacuateWithin is the time from the acknowledgement of an evacuation until no task
 	// of the domain may be started any more; 0 where operators request no evacuations.
--- a/internal/process/fleet/handover_test.go
+++ b/internal/process/fleet/handover_test.go
@@ -47,6 +47,13 @@
 	return p, now
 }
 
+// resubmitTestJob submits the job of a hand-over again, as the host of its caller does.
+func resubmitTestJob(p *pool, now time.Time) {
+	j := handoverTestJob("j", now)
+	j.Resubmitted = true
+	p.applyEffects(p.core.Submit(j, 1, now.Add(p.node.longestLease()/2)), now)
+}
+
 func handoverTestJob(id string, now time.Time) scheduler.Job {
 	return scheduler.Job{
 		ID: id, Queue: "q", Service: "desk", MaxAttempts: 2, SlackFactor: 2, ArrivedAt: now, Deadline: now.Add(time.Minute),
@@ -200,6 +207,7 @@
 	receivePoolEvent{message: former.stateMessage(now), answer: make(chan receivedPool, 1)}.apply(successor, now)
 	successor.applyEffects(successor.core.SetClearing(kept.Target.ID, false, now), now)
 	g.Expect(successor.core.RunCount(kept.Target.ID)).To(BeZero(), "the tasks run on the target that moves")
+	resubmitTestJob(successor, now)
 	// Leases are counted from when they were sent, which may be later than now.
 	successor.core.Tick(time.Now().Add(former.node.longestLease() + time.Millisecond))
 	g.Expect(successor.core.RunCount(kept.Target.ID)).To(Equal(2), "the leases have expired")
@@ -269,6 +277,7 @@
 	receivePoolEvent{message: former.stateMessage(now), answer: make(chan receivedPool, 1)}.apply(successor, now)
 	successor.applyEffects(successor.core.SetClearing("kept", false, now), now)
 	g.Expect(successor.core.RunCount("kept")).To(BeZero(), "the tasks may run on the target that deregistered")
+	resubmitTestJob(successor, now)
 	successor.core.Tick(time.Now().Add(former.node.longestLease() + time.Millisecond))
 	g.Expect(successor.core.RunCount("kept")).To(Equal(2), "the leases have expired")
 }
--- a/internal/process/fleet/late_orders_test.go
+++ b/internal/process/fleet/late_orders_test.go
@@ -19,13 +19,13 @@
 
 // lateOrders are targets to which a test passes requests on later: all start requests to
 // the targets in holdStarts, and copies of the renewals of those in copyRenewals. Targets
-// in silent get nothing, and the answers of those in loseAnswers are lost. A run ends lateEnds
-// after its stop was confirmed.
+// in silent get nothing, those in loseStops no stop requests, and the answers of those in
+// loseAnswers are lost. A run ends lateEnds after its stop was confirmed.
 type lateOrders struct {
 	*fakeTargets
 	mu                               sync.Mutex
 	holdStarts, copyRenewals, silent map[string]bool // by id
-	loseAnswers                      map[string]bool
+	loseAnswers, loseStops           map[string]bool
 	underWay                         []func()
 	lateEnds                         time.Duration
 }
@@ -33,7 +33,7 @@
 func newLateOrders(runDuration time.Duration) *lateOrders {
 	return &lateOrders{
 		fakeTargets: newFakeTargets(runDuration),
-		holdStarts:  map[string]bool{}, copyRenewals: map[string]bool{}, silent: map[string]bool{}, loseAnswers: map[string]bool{},
+		holdStarts:  map[string]bool{}, copyRenewals: map[string]bool{}, silent: map[string]bool{}, loseAnswers: map[string]bool{}, loseStops: map[string]bool{},
 	}
 }
 
@@ -64,10 +64,11 @@
 	return l.silent[id]
 }
 
-func (l *lateOrders) losesAnswer(id string) bool {
+// has reports whether an id is in one of the sets.
+func (l *lateOrders) has(ids map[string]bool, id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.loseAnswers[id]
+	return ids[id]
 }
 
 func (l *lateOrders) Start(ctx context.Context, t fleet.TargetRef, r fleet.StartRequest) (scheduler.StartResult, int64) {
@@ -83,7 +84,7 @@
 }
 
 func (l *lateOrders) Stop(ctx context.Context, t fleet.TargetRef, r scheduler.Run, token uint64) error {
-	if l.lose(t.ID, nil, nil) {
+	if l.lose(t.ID, nil, nil) || l.has(l.loseStops, t.ID) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -105,7 +106,7 @@
 		return fleet.TargetReport{}, ctx.Err()
 	}
 	report, err := l.fakeTargets.Renew(ctx, t, r)
-	if l.losesAnswer(t.ID) {
+	if l.has(l.loseAnswers, t.ID) {
 		<-ctx.Done()
 		return fleet.TargetReport{}, ctx.Err()
 	}
--- a/internal/process/fleet/metrics.go
+++ b/internal/process/fleet/metrics.go
@@ -124,6 +124,15 @@
 	m.scope.Tagged(map[string]string{"over_by": by.String()}).Histogram("dropped_run", jobDurationBuckets).RecordDuration(age)
 }
 
+// recordLeaseLimit counts a lease that was limited, or that ended at its limit with other runs.
+func (m *poolMetrics) recordLeaseLimit(counter string, cause scheduler.LimitCause, otherRuns int) {
+	scope := m.scope.Tagged(map[string]string{"cause": cause.String()})
+	scope.Counter("leases_" + counter).Inc(1)
+	if otherRuns > 0 {
+		scope.Counter("leases_" + counter + "_other_runs").Inc(int64(otherRuns))
+	}
+}
+
 // recordSuspect counts a decision about a task under which a target was lost.
 func (m *poolMetrics) recordSuspect(d scheduler.SuspectDecision) {
 	m.scope.Tagged(map[string]string{"decision": d.String()}).Counter("suspects").Inc(1)
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -110,6 +110,7 @@
 	config := scheduler.DefaultConfig()
 	config.Losses = p.node.losses
 	config.EvacuationGrace = p.node.config.EvacuateWithin / evacuationGraceDivisor
+	config.LimitLeases, config.ResubmitDelay = true, p.node.config.ResubmitDelay
 	config.RemoteFactor, config.MaxLocalWait = p.node.config.RemoteFactor, p.node.config.MaxLocalWait
 	core := scheduler.NewCore(config)
 	core.HoldStarts(p.resumption.startsHeld)
@@ -228,6 +229,7 @@
 		p.core.ExtendUnknownRuns(func(targetID string) time.Duration { return p.sessionLeaseRemaining(targetID, now) }, now)
 		p.recordAwaited(now)
 		p.applyEffects(p.core.Tick(now), now)
+		p.limitLeases(now)
 		p.withdrawLostSenders(now)
 		p.forgetClosedSessions(now)
 	}
@@ -366,6 +368,7 @@
 				"born", e.Incarnation, "token", p.holderView.Claim().Token, "former_target", e.Former.Target,
 				"former_over_by", e.Former.Evidence.String(), "age", formerAge(e.Former, now))
 			if s, ok := p.sessions[e.Target]; ok {
+				p.limitLeasesOf(s, now)
 				p.core.RecordStartSent(e.Target, e.Run, s.requestStart(e, now))
 			}
 		case scheduler.Stop:
--- a/internal/process/fleet/refresh_test.go
+++ b/internal/process/fleet/refresh_test.go
@@ -45,6 +45,9 @@
 
 // startsOn reports whether a task starts on the target of the tests once it has listed its runs.
 func startsOn(p *pool, now time.Time) bool {
+	for range 2 {
+		p.recordAwaited(now) // the callers still wait
+	}
 	p.handleReport(p.sessions["t"], TargetReport{}, now)
 	p.applyEffects(p.core.Tick(now), now)
 	return p.core.RunCount("t") > 0
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -156,7 +156,8 @@
 }
 
 // sendRenewal sends one renewal request, which acknowledges the recorded ends. It extends
-// the lease if runs are active and the target has not been silent for maxSilence. The
+// the lease as far as that is allowed if runs are active and the target has not been silent for
+// maxSilence. The
 // target may delay its answer if runs are active, it answered the last renewal and no runs
 // of a former holder may be there.
 func (s *session) sendRenewal() *renewal {
@@ -168,8 +169,9 @@
 	r := &renewal{number: n.sent, call: n.call, request: RenewRequest{Token: s.token, AckCursor: n.recordedEnd}, sentAt: s.pool.node.now()}
 	if s.activeRuns.Load() > 0 {
 		if n.unanswered == 0 || s.pool.node.since(n.silentSince) < maxSilence {
-			r.lease = s.extendLease(r.sentAt)
-			r.request.LeaseUntilMS = r.lease.untilMS
+			if l, ok := s.renewLease(r.sentAt); ok {
+				r.lease, r.request.LeaseUntilMS = l, l.untilMS
+			}
 		}
 		if n.unanswered == 0 && !s.clearing.Load() {
 			r.request.MaxWait = s.renewWait()
@@ -193,6 +195,9 @@
 	if s.losesRequests() {
 		wait = min(wait, lossyWaitTimeouts*s.pool.answerTimer.Timeout())
 	}
+	if left := s.leaseLeft(s.pool.node.now()); left > 0 { // the limit may be lifted before the lease ends
+		wait = min(wait, max(left/renewLeaseDivisor, clearingPollInterval))
+	}
 	return wait
 }
 
--- a/internal/process/fleet/resumption.go
+++ b/internal/process/fleet/resumption.go
@@ -71,6 +71,7 @@
 		}
 	}
 	p.withdrawLostSenders(now)
+	p.callersSeenAt = now.Add(-resumeReadTime)
 	p.resumption.startsHeld = false
 	p.core.HoldStarts(false)
 	p.resumption.handOvers = nil
@@ -84,9 +85,10 @@
 
 // expireLeases informs the scheduler that the leases of a target have expired of which the last
 // was sent at a time. The loss of the runs shows nothing of the target if this host did not run
-// meanwhile, and so did not renew the lease.
+// meanwhile, and so did not renew the lease, or let it end.
 func (p *pool) expireLeases(id string, sentAt, now time.Time) {
-	if p.node.pauses.lastGap(now).to.After(sentAt) {
+	s, ok := p.sessions[id]
+	if p.node.pauses.lastGap(now).to.After(sentAt) || ok && s.limitedBy.ended {
 		p.core.ExcuseTarget(id, sentAt)
 	}
 	p.applyEffects(p.core.ExpireLeasesSentBy(id, sentAt, now), now)
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -29,6 +29,7 @@
 	incarnation uint64
 	token       uint64
 	clearing    atomic.Bool  // runs of a former holder may be on the target
+	limitedBy   leaseLimiter // belongs to the pool's goroutine
 	movingAway  bool         // the target moves to another shard; belongs to the pool's goroutine
 	fencedAt    time.Time    // when a target that moves away obeyed its new holder; belongs to the pool's goroutine
 	activeRuns  atomic.Int32 // on the target, as far as the scheduler knows
@@ -39,7 +40,9 @@
 	mu           sync.Mutex
 	clock        targetClock
 	clockSeen    int64     // latest time on the target's clock that it has sent, milliseconds
-	leaseSentAt  time.Time // when the last request with a lease was sent
+	leaseSentAt  time.Time // when the last request with a lease was sent that extended it
+	leaseEnd     time.Time // when the longest lease that was sent ends
+	leaseLimit   time.Time // no lease may end later; zero if none may be given
 	expiredLease time.Time // leaseSentAt when the scheduler was last told that the leases have expired
 	identifiedAt time.Time // when the last request was sent whose answer named this incarnation
 
@@ -107,21 +110,75 @@
 // lease is a lease that a request carries.
 type lease struct {
 	untilMS          int64     // end on the target's clock
-	sentAt, previous time.Time // of the request, and of the one with a lease before it
+	sentAt, previous time.Time // of the request, and of the one with a lease before it; zero if it does not extend that
+	previousEnd      time.Time // of the lease before it
 }
 
-// extendLease returns a full lease from the time of the decision to send a request with it, and
-// records that the request is being sent. An order that waits in this host between the two, as
-// the host pauses, is out of date as if it had waited on its way.
+// setLeaseLimit sets when leases may end at the latest.
+func (s *session) setLeaseLimit(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseLimit = until
+}
+
+// extendLease returns the longest lease that is allowed from the time of the decision to send a
+// request with it, and records that the request is being sent. An order that waits in this host
+// between the two, as the host pauses, is out of date as if it had waited on its way.
 func (s *session) extendLease(decidedAt time.Time) lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.extendLeaseLocked(decidedAt)
+}
+
+// extendLeaseLocked is extendLease for a caller that holds the lock.
+func (s *session) extendLeaseLocked(decidedAt time.Time) lease {
 	now := s.pool.node.now()
-	l := lease{untilMS: s.clock.at(decidedAt) + s.pool.node.config.MaxLease.Milliseconds(), sentAt: now, previous: s.leaseSentAt}
-	s.leaseSentAt = now
+	l := lease{sentAt: now, previous: s.leaseSentAt, previousEnd: s.leaseEnd}
+	l.untilMS = s.clock.at(decidedAt) + s.pool.node.config.MaxLease.Milliseconds()
+	end := decidedAt.Add(s.pool.node.config.MaxLease)
+	if s.leaseLimit.Before(end) {
+		end = s.leaseLimit
+		l.untilMS = min(l.untilMS, s.clock.at(laterOf(end, decidedAt)))
+	}
+	s.leaseSentAt, s.leaseEnd = now, laterOf(s.leaseEnd, end)
 	return l
 }
 
+// renewLease returns the lease of a renewal, like extendLease, or reports false if none may be
+// given. One that ends no later than a former lease is sent again, as the target may not have
+// received that.
+func (s *session) renewLease(decidedAt time.Time) (lease, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaseLimit.After(decidedAt) {
+		return lease{}, false
+	}
+	sentAt, end := s.leaseSentAt, s.leaseEnd
+	l := s.extendLeaseLocked(decidedAt)
+	if s.leaseEnd.Equal(end) {
+		s.leaseSentAt, l.sentAt = sentAt, time.Time{}
+	}
+	return l, true
+}
+
+// leaseLeft returns for how long the longest lease that was sent is in force, if it is limited;
+// zero otherwise or once it has ended.
+func (s *session) leaseLeft(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaseLimit.Before(now.Add(s.pool.node.config.MaxLease)) {
+		return 0
+	}
+	return max(0, s.leaseEnd.Sub(now))
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // syncClock records the time on the target's clock that the answer to a request carries; 0
 // if it carries none.
 func (s *session) syncClock(clock int64, sentAt time.Time) {
@@ -172,8 +229,8 @@
 func (s *session) retractLease(l lease) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaseSentAt.Equal(l.sentAt) {
-		s.leaseSentAt = l.previous
+	if !l.sentAt.IsZero() && s.leaseSentAt.Equal(l.sentAt) {
+		s.leaseSentAt, s.leaseEnd = l.previous, l.previousEnd
 	}
 }
 
--- a/internal/process/fleet/session_test.go
+++ b/internal/process/fleet/session_test.go
@@ -137,6 +137,7 @@
 		case e := <-p.events:
 			e.apply(p, time.Now())
 		case <-ticker.C:
+			p.recordAwaited(time.Now())
 			p.applyEffects(p.core.Tick(time.Now()), time.Now())
 		}
 	}
@@ -215,6 +216,9 @@
 	s.mu.Unlock()
 	s.reportLeaseExpiry()
 	s.extendLease(s.pool.node.now())
+	for range 2 {
+		p.tick(time.Now()) // the caller still waits
+	}
 	for len(p.events) > 0 {
 		(<-p.events).apply(p, time.Now())
 	}
--- a/internal/process/scheduler/again.go
+++ b/internal/process/scheduler/again.go
@@ -36,6 +36,7 @@
 			continue
 		}
 		delete(c.formerRuns, id)
+		r.job = s
 		t.run, t.lastRunNumber = r, max(t.lastRunNumber, r.id.Number)
 		s.pendingTasks--
 		c.emit(LogEntry{Message: "A task waits for its former run.", Job: s.ID, Target: r.targetID, Reason: "the job was sent again while the run is being stopped"})
--- a/internal/process/scheduler/core.go
+++ b/internal/process/scheduler/core.go
@@ -20,6 +20,8 @@
 	EvacuationGrace      time.Duration // for which tasks of started jobs may still start after the pool is evacuated
 	RemoteFactor         float64       // how many times as long a task takes outside its data rack; up to 1 if nothing is known of that
 	MaxLocalWait         time.Duration // longest wait for a target in a task's data rack; 0 for none
+	ResubmitDelay        time.Duration // after which a caller whose attempt has ended sends its job again; 0 for defaultResubmitDelay
+	LimitLeases          bool          // the caller of Core follows LeaseLimit and records which callers wait
 }
 
 // DefaultConfig returns the values for tasks whose estimates are off by up to
@@ -91,7 +93,7 @@
 // job that is unknown here has run or may run elsewhere, so its outcome is unknown.
 func (c *Core) Submit(j Job, waiter uint64, now time.Time) []Effect {
 	if s, ok := c.jobs[j.key()]; ok && s.TaskCount() == j.TaskCount() {
-		s.waiters = append(s.waiters, waiter)
+		s.waiters, s.awaitedAt = append(s.waiters, waiter), now
 		c.emit(LogEntry{Message: "A job in progress was submitted again.", Job: j.ID})
 		return c.drainEffects()
 	}
@@ -385,7 +387,7 @@
 		c.emit(Reply{Waiter: w, Job: s.ID, Answer: a})
 	}
 	if !s.resubmitBy.IsZero() && len(s.waiters) == 0 {
-		c.retainedAnswers[s.key()] = retainedAnswer{a, s.TaskCount(), s.resubmitBy.Add(answerRetention - handoverRetention)}
+		c.retainedAnswers[s.key()] = retainedAnswer{a, s.TaskCount(), s.resubmitBy.Add(answerRetention - c.config.KeptFor())}
 	}
 	s.waiters = nil
 	c.dropJob(s, "the job was answered")
@@ -394,11 +396,11 @@
 // dropJob removes a job and stops its runs.
 func (c *Core) dropJob(s *jobState, reason string) {
 	c.removeJob(s)
+	s.dropped = true
 	c.waitingJobs = slices.DeleteFunc(c.waitingJobs, func(q *jobState) bool { return q == s })
 	for _, t := range s.tasks {
 		if t.run != nil {
 			c.stopRun(t.run, reason)
-			t.run.awaitedAt = s.awaitedAt
 			c.formerRuns[t.run.id.ofTask()] = t.run
 		}
 	}
--- a/internal/process/scheduler/core_test.go
+++ b/internal/process/scheduler/core_test.go
@@ -425,7 +425,7 @@
 	successor := newCore(1)
 	successor.ImportJobs(former.ExportJobs(oneSecondLease, at(0)), at(10))
 	g.Expect(stops(successor.Tick(at(1000)))).To(BeEmpty())
-	g.Expect(stops(successor.Tick(at(10).Add(handoverRetention + time.Millisecond)))).To(HaveLen(1))
+	g.Expect(stops(successor.Tick(at(10).Add(DefaultConfig().KeptFor() + time.Millisecond)))).To(HaveLen(1))
 }
 
 // The former holder was lost with the answer to the handover. Its callers send their jobs again,
@@ -446,7 +446,7 @@
 	job := newDeskJob("j", 1)
 	g.Expect(starts(former.Submit(job, 1, at(0)))).To(HaveLen(1))
 	successor.ImportJobs(former.ExportJobs(oneSecondLease, at(0)), at(10))
-	dropped := at(10).Add(handoverRetention + time.Millisecond)
+	dropped := at(10).Add(DefaultConfig().KeptFor() + time.Millisecond)
 	successor.Tick(dropped)
 	job.Resubmitted = true
 	effects := successor.Submit(job, 2, dropped)
--- a/internal/process/scheduler/handover.go
+++ b/internal/process/scheduler/handover.go
@@ -30,15 +30,9 @@
 	Tasks      []HandoverTask
 }
 
-const (
-	// handoverRetention is how long after its caller was last known to wait the new holder keeps
-	// a handed-over job until the caller's host submits the job again here. A caller that has
-	// left since sends the job again 1.3 s later, perhaps to another pool, and its runs must have
-	// ended by then.
-	handoverRetention = 1150 * time.Millisecond
-	// answerRetention is how long it keeps the answer of a job that ended before that.
-	answerRetention = 2 * time.Second
-)
+// answerRetention is how long after its caller was last known to wait the new holder keeps the
+// answer of a handed-over job that ended before the caller's host submitted it again.
+const answerRetention = 2 * time.Second
 
 // ExportJobs returns the jobs in progress for a handover, ordered by key. It does not
 // change them; see CompleteHandover. leaseRemaining returns how long the leases that were
@@ -49,7 +43,7 @@
 		s := c.jobs[id]
 		h := HandoverJob{Job: s.Job, HasStarted: s.hasStarted, Waiters: slices.Clone(s.waiters), AwaitedAt: now}
 		if len(s.waiters) == 0 {
-			h.AwaitedAt = s.resubmitBy.Add(-handoverRetention)
+			h.AwaitedAt = s.resubmitBy.Add(-c.config.KeptFor())
 		}
 		for _, t := range s.tasks {
 			task := HandoverTask{Step: t.step, Index: t.index, LastRunNumber: t.lastRunNumber, Failures: t.failureCount, Done: t.done}
@@ -79,7 +73,7 @@
 		}
 		s := newJobState(h.Job)
 		s.hasStarted = h.HasStarted
-		s.awaitedAt, s.resubmitBy = h.AwaitedAt, h.AwaitedAt.Add(handoverRetention)
+		s.awaitedAt, s.resubmitBy = h.AwaitedAt, h.AwaitedAt.Add(c.config.KeptFor())
 		s.pendingTasks, s.unfinishedTasks = 0, 0
 		c.addJob(s)
 		for _, t := range h.Tasks {
@@ -115,7 +109,7 @@
 	}
 	step := s.Steps[t.step]
 	r := &run{
-		id:   Run{Job: s.ID, Step: t.step, Index: t.index, Number: t.lastRunNumber},
+		id: Run{Job: s.ID, Step: t.step, Index: t.index, Number: t.lastRunNumber}, job: s,
 		need: step.Need, targetID: h.Target, incarnation: h.Incarnation, requestedAt: now, state: running, confirmed: h.Confirmed, estimate: step.Estimate,
 	}
 	t.run = r
--- a/internal/process/scheduler/parts_test.go
+++ b/internal/process/scheduler/parts_test.go
@@ -323,7 +323,7 @@
 			m.apply(m.at[waiter], m.pools[m.at[waiter]].Withdraw("j", waiter, m.now))
 			delete(m.waiters, waiter)
 		}
-		m.now = m.now.Add(handoverRetention + time.Second)
+		m.now = m.now.Add(DefaultConfig().KeptFor() + time.Second)
 		for range 3 {
 			for i, c := range m.pools {
 				m.apply(i, c.Tick(m.now))
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -25,6 +25,9 @@
 		if tried++; tried > maxJobsPerRound {
 			break
 		}
+		if !c.isAwaited(s, now) {
+			continue
+		}
 		if c.placeJob(s, maxFree, now) {
 			maxFree = c.maxFreeCPUMilli(now)
 		}
@@ -128,6 +131,7 @@
 	t.lastRunNumber++
 	r := &run{
 		id:          Run{Job: s.ID, Step: t.step, Index: t.index, Number: t.lastRunNumber},
+		job:         s,
 		need:        step.Need,
 		targetID:    chosen.ID,
 		incarnation: chosen.Incarnation,
@@ -139,16 +143,18 @@
 	s.pendingTasks--
 	s.hasStarted = true
 	chosen.addRun(r)
+	c.limitLease(chosen, r)
 	c.emit(Start{Target: chosen.ID, Run: r.id, Spec: s.Spec, Label: step.Label, Incarnation: chosen.Incarnation, Former: t.released})
 }
 
-// Tick drops imported jobs that were not submitted again, gives up jobs with deadly
-// tasks, refuses or expires waiting jobs that can no longer end in time, stops stalled
+// Tick drops imported jobs that were not submitted again, limits the leases of targets, gives
+// up jobs with deadly tasks, refuses or expires waiting jobs that can no longer end in time, stops stalled
 // runs and places waiting tasks.
 func (c *Core) Tick(now time.Time) []Effect {
 	c.expireHandedOver(now)
 	c.expireDetachedRuns(now)
 	c.expireUnknownRuns(now)
+	c.limitLeases(now)
 	c.giveUpWithheld(now)
 	for _, s := range slices.Clone(c.waitingJobs) {
 		if !c.giveUpDeadly(s, now) && !c.answerHeld(s, now) {
--- a/internal/process/scheduler/release.go
+++ b/internal/process/scheduler/release.go
@@ -40,8 +40,8 @@
 	if c.formerRuns[r.id.ofTask()] == r {
 		delete(c.formerRuns, r.id.ofTask())
 	}
-	if !r.awaitedAt.IsZero() {
-		c.emit(DroppedRunEnded{Target: r.targetID, Run: r.id, Evidence: by, AwaitedAt: r.awaitedAt})
+	if r.job.dropped {
+		c.emit(DroppedRunEnded{Target: r.targetID, Run: r.id, Evidence: by, AwaitedAt: r.job.awaitedAt})
 	}
 	s := c.jobOf(r.id)
 	if s == nil {
--- a/internal/process/scheduler/target.go
+++ b/internal/process/scheduler/target.go
@@ -51,12 +51,14 @@
 	clearing             bool      // gets no work: runs of a former holder may still be there
 	aloneRuns            int       // runs beside which nothing is started
 	reservedFor          *task     // suspect that gets the target once it is idle; nil for none
+	leaseLimit           LeaseLimit
 }
 
 // run is one execution of a task, from the start request until it ended or was
 // stopped.
 type run struct {
 	id           Run
+	job          *jobState // in progress or dropped
 	need         Resources
 	targetID     string
 	incarnation  uint64    // of the target, for which the start was requested; 0 if unknown
@@ -69,7 +71,6 @@
 	percentDone  int       // as reported last
 	progressedAt time.Time // when percentDone was first reported
 	listedAt     time.Time // when the target reported the run last
-	awaitedAt    time.Time // when the caller of its dropped job was last known to wait; zero while the job is in progress
 }
 
 // on reports whether the run was started on this incarnation of its target, as far as that
@@ -114,9 +115,11 @@
 	return slices.SortedFunc(maps.Values(t.runs), compareRuns)
 }
 
-func compareRuns(a, b *run) int {
-	return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step),
-		cmp.Compare(a.id.Index, b.id.Index), cmp.Compare(a.id.Number, b.id.Number))
+func compareRuns(a, b *run) int { return a.id.compare(b.id) }
+
+// compare orders runs by job, task and number.
+func (r Run) compare(o Run) int {
+	return cmp.Or(cmp.Compare(r.Job, o.Job), cmp.Compare(r.Step, o.Step), cmp.Compare(r.Index, o.Index), cmp.Compare(r.Number, o.Number))
 }
 
 // free returns the capacity that runs don't use.
@@ -124,7 +127,7 @@
 
 // usable reports whether the target may get new work now.
 func (t *target) usable(now time.Time) bool {
-	return !t.Draining && !t.clearing && !now.Before(t.blockedUntil())
+	return !t.Draining && !t.clearing && !now.Before(t.blockedUntil()) && t.leaseLimit.allowsStart(now)
 }
 
 // blockedUntil returns the time before which the target gets no work; zero or past
