Give no lease to a target with runs that its holder does not know

The former holder was stopping a run of a dropped job, with every stop unanswered; its state names the jobs in progress, not that run.

Nobody at the new holder knows until when an unknown run may go on, so it may not go on for longer than its former holder has allowed.

The change: a session extends no lease before its target has listed its runs, and none while it lists a run that was not started here, for at most as long as that run's leases can be in force: an entry that another writer adds to the list for good withholds nothing after that.

Tests, failing before: TestARunThatIsBeingStoppedIsKeptAliveByTheNextHolder (with answers, fails without the second half; with all answers lost, without the first), TestTheLeaseOfAnUnknownRunIsExtended, TestARunThatIsListedBeyondAllLeasesWithholdsThemForEver.

--- a/internal/process/fleet/droppedruns_test.go
+++ b/internal/process/fleet/droppedruns_test.go
@@ -10,10 +10,12 @@
 
 	. "github.com/onsi/gomega"
 
+	"wasabifield.example/wasabifield/internal/connection/fleetpb"
 	"wasabifield.example/wasabifield/internal/process/discovery"
 	"wasabifield.example/wasabifield/internal/process/fleet"
 	"wasabifield.example/wasabifield/internal/process/metrics"
 	"wasabifield.example/wasabifield/internal/process/scheduler"
+	"wasabifield.example/wasabifield/internal/process/shards"
 )
 
 // isRunning reports whether a run of a job of one task is in progress on a target.
@@ -160,6 +162,42 @@
 	}
 }
 
+// The new holder knows nothing of a run that the former one was stopping, and renewed the lease
+// of the run beside it.
+func TestARunThatIsBeingStoppedIsKeptAliveByTheNextHolder(t *testing.T) {
+	m := metrics.NewMetrics(nil)
+	for _, answersLost := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx, end := context.WithCancel(t.Context())
+			targets := newLateOrders(8 * time.Second)
+			former, next := startPair(ctx, m, targets)
+			defer endPair(end, former, next)
+			go announceTo(ctx, "t", former, next)
+			time.Sleep(time.Second)
+			droppedCtx, leave := context.WithCancel(ctx)
+			go former.SubmitTo(droppedCtx, "north", patientJob("dropped"))
+			go func() {
+				other := patientJob("other")
+				a := former.SubmitTo(ctx, "north", other)
+				other.Resubmitted = a.HandedOver
+				next.SubmitTo(ctx, "north", other)
+			}()
+			time.Sleep(700 * time.Millisecond)
+			g.Expect(targets.runsOf("t")).To(Equal(2))
+			targets.set(targets.loseStops, "t", true)
+			targets.set(targets.loseAnswers, "t", answersLost)
+			leave()
+			leftAt := time.Now()
+			time.Sleep(400 * time.Millisecond)
+			former.HandOverTo(next, shards.Pool{Domain: "north"}, fleet.StateArrives, func(*fleetpb.PoolState) {}, nil)
+			time.Sleep(resendDelay - time.Since(leftAt))
+			g.Expect(next.Holds("north")).To(BeTrue())
+			g.Expect(targets.isRunning("t", "dropped")).To(BeFalse(), "its caller sends the job to another pool now")
+		})
+	}
+}
+
 // The holder woke, and renewed the lease before it had heard of the host that had sent the job.
 func TestARunIsKeptAliveWhoseSenderWasLostWhileTheHolderWasSuspended(t *testing.T) {
 	m := metrics.NewMetrics(nil)
--- a/internal/process/fleet/events.go
+++ b/internal/process/fleet/events.go
@@ -134,6 +134,7 @@
 			s.stopUnknown(run)
 		}
 	}
+	s.listed = true
 	p.applyEffects(p.core.StopUnlisted(id, listedRuns, now), now)
 	p.applyEffects(p.core.ReleaseUnlistedRuns(id, listedRuns, now), now)
 	unreadable := r.Unreadable > 0 && !s.leaseExpired(now) // a row may name a run of a former holder
@@ -141,6 +142,7 @@
 		s.clearing.Store(false)
 		p.applyEffects(p.core.SetClearing(id, false, now), now)
 	}
+	p.limitLeasesOf(s, now)
 }
 
 // handleFenced handles the refusal of a target that obeys a higher fencing token. A
--- a/internal/process/fleet/leaselimits.go
+++ b/internal/process/fleet/leaselimits.go
@@ -22,11 +22,15 @@
 	}
 }
 
-// limitLeasesOf tells a session until when leases may last.
+// limitLeasesOf tells a session until when leases may last. Until the target has listed its runs,
+// runs may be there that are not known here.
 func (p *pool) limitLeasesOf(s *session, now time.Time) {
 	limit := p.core.LeaseLimit(s.ref.ID)
 	until := limit.Until
-	if limit.Cause == scheduler.NotLimited {
+	switch {
+	case s.clearing.Load() && !s.listed:
+		until = time.Time{}
+	case limit.Cause == scheduler.NotLimited:
 		until = now.Add(p.core.KeptFor())
 	}
 	s.setLeaseLimit(until)
@@ -46,6 +50,9 @@
 	}
 	l.limit = limit
 	left := limit.Until.Sub(now)
+	if limit.Cause == scheduler.RunUnknown {
+		left = s.leaseRemaining(now)
+	}
 	if !l.reported && left < p.node.config.MaxLease/2 {
 		l.reported = true
 		p.metrics.recordLeaseLimit("limited", limit.Cause, 0)
@@ -53,14 +60,18 @@
 	}
 	if l.reported && !l.ended && left <= 0 {
 		l.ended = true
-		p.metrics.recordLeaseLimit("ended", limit.Cause, p.otherRuns(s))
+		p.metrics.recordLeaseLimit("ended", limit.Cause, p.otherRuns(s, limit))
 		p.logLeaseLimit("The lease of a target has ended for a run.", s, limit, now)
 	}
 }
 
 // otherRuns returns how many runs on a target end with the one that limits its lease.
-func (p *pool) otherRuns(s *session) int {
-	return max(0, p.core.RunCount(s.ref.ID)-1)
+func (p *pool) otherRuns(s *session, limit scheduler.LeaseLimit) int {
+	runs := p.core.RunCount(s.ref.ID)
+	if limit.Cause != scheduler.RunUnknown {
+		runs--
+	}
+	return max(0, runs)
 }
 
 func (p *pool) logLeaseLimit(message string, s *session, limit scheduler.LeaseLimit, now time.Time) {
@@ -69,5 +80,5 @@
 		age = now.Sub(limit.Since)
 	}
 	p.log.Info(message, "target", s.ref.ID, "job", limit.Run.Job, "task", limit.Run.TaskID(), "run", limit.Run.Number,
-		"cause", limit.Cause.String(), "age", age, "remaining", s.leaseRemaining(now), "other_runs", p.otherRuns(s))
+		"cause", limit.Cause.String(), "age", age, "remaining", s.leaseRemaining(now), "other_runs", p.otherRuns(s, limit))
 }
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -29,6 +29,7 @@
 	incarnation uint64
 	token       uint64
 	clearing    atomic.Bool  // runs of a former holder may be on the target
+	listed      bool         // a report of its runs was handled; belongs to the pool's goroutine
 	limitedBy   leaseLimiter // belongs to the pool's goroutine
 	movingAway  bool         // the target moves to another shard; belongs to the pool's goroutine
 	fencedAt    time.Time    // when a target that moves away obeyed its new holder; belongs to the pool's goroutine
--- a/internal/process/scheduler/leaselimit.go
+++ b/internal/process/scheduler/leaselimit.go
@@ -19,9 +19,10 @@
 	NotLimited    LimitCause = iota
 	CallerUnheard            // a run's job is in progress, and its caller is known to wait only until a time
 	StopAwaited              // a run's job was dropped, and the run is not known to be over
+	RunUnknown               // the target lists a run that was not started here
 )
 
-var limitCauseNames = [...]string{"none", "caller_unheard", "stop_awaited"}
+var limitCauseNames = [...]string{"none", "caller_unheard", "stop_awaited", "run_unknown"}
 
 // String returns the cause's name.
 func (c LimitCause) String() string { return limitCauseNames[c] }
@@ -29,7 +30,7 @@
 // LeaseLimit is the latest end of a lease on a target, and the run that sets it.
 type LeaseLimit struct {
 	Cause LimitCause
-	Until time.Time
+	Until time.Time // zero if no lease may be given
 	Run   Run
 	Since time.Time // when the caller of the run's job was last known to wait; zero if that is not known
 }
@@ -97,6 +98,21 @@
 			c.limitLease(t, r)
 		}
 	}
+	for _, runs := range c.unknownRuns {
+		for _, u := range runs {
+			if now.Before(u.endsBy) {
+				c.withholdLease(u)
+			}
+		}
+	}
+}
+
+// withholdLease gives no lease to the target of an unknown run. Nobody here knows until when that
+// run may go on.
+func (c *Core) withholdLease(u unknownRun) {
+	if t, ok := c.targets[u.target]; ok && c.config.LimitLeases {
+		t.leaseLimit = LeaseLimit{Cause: RunUnknown, Run: u.id}
+	}
 }
 
 // KeptFor returns how long after its caller was last known to wait a run may go on.
--- a/internal/process/scheduler/leaselimit_test.go
+++ b/internal/process/scheduler/leaselimit_test.go
@@ -88,6 +88,35 @@
 	g.Expect(starts(await(920))).To(HaveLen(1))
 }
 
+// No host here knows until when the run may go on.
+func TestTheLeaseOfAnUnknownRunIsExtended(t *testing.T) {
+	g := NewWithT(t)
+	c, await := newLimitingCore(1)
+	unknown := Run{Job: "k", Number: 2}
+	starts(c.Submit(longJob("j", 1), 1, at(0)))
+	c.RecordUnknownRun("t0", unknown, at(1900))
+	g.Expect(c.LeaseLimit("t0")).To(Equal(LeaseLimit{Cause: RunUnknown, Run: unknown}))
+	await(20)
+	g.Expect(c.LeaseLimit("t0").Cause).To(Equal(RunUnknown))
+	c.ReleaseUnlistedRuns("t0", nil, at(40))
+	await(40)
+	g.Expect(c.LeaseLimit("t0").Until).To(Equal(keptUntil(40)))
+}
+
+// An entry that another writer adds to a target's list is never over.
+func TestARunThatIsListedBeyondAllLeasesWithholdsThemForEver(t *testing.T) {
+	g := NewWithT(t)
+	c, await := newLimitingCore(1)
+	for ms := 0; ms < 1900; ms += 100 {
+		c.RecordUnknownRun("t0", Run{Job: "k", Number: 2}, at(ms+1900))
+		await(ms)
+		g.Expect(c.LeaseLimit("t0").Cause).To(Equal(RunUnknown))
+	}
+	c.RecordUnknownRun("t0", Run{Job: "k", Number: 2}, at(3800))
+	await(1900)
+	g.Expect(c.LeaseLimit("t0").Cause).To(Equal(NotLimited))
+}
+
 func TestRunsAreKeptForAShareOfAShortDelay(t *testing.T) {
 	g := NewWithT(t)
 	for delay, want := range map[time.Duration]time.Duration{
--- a/internal/process/scheduler/unknown.go
+++ b/internal/process/scheduler/unknown.go
@@ -13,18 +13,21 @@
 	id     Run
 	target string
 	until  time.Time // when it has ended at the latest, unless it is listed again
+	endsBy time.Time // when its lease has expired if no request extends it
 }
 
 // RecordUnknownRun records that a target lists a run that was not started here. It has ended by
 // the given time unless the target lists it again.
 func (c *Core) RecordUnknownRun(id string, r Run, until time.Time) {
 	task := r.ofTask()
-	listed := unknownRun{r, id, until}
+	listed := unknownRun{id: r, target: id, until: until, endsBy: until}
 	if i := slices.IndexFunc(c.unknownRuns[task], func(u unknownRun) bool { return u.id == r && u.target == id }); i >= 0 {
+		listed.endsBy = c.unknownRuns[task][i].endsBy
 		c.unknownRuns[task][i] = listed
 		return
 	}
 	c.unknownRuns[task] = append(c.unknownRuns[task], listed)
+	c.withholdLease(listed)
 	if s := c.jobOf(r); s != nil {
 		c.awaitUnknownRuns(s, s.taskOf(r))
 	}
