Repeat an unanswered stop within a tenth of a second

What callers would see: tasks that run beside one whose job was dropped lapse and start again, as the stop of that one is not confirmed before the target's lease has to end.

Cause: copies of stops came from the budget of spurious time-outs, which starts and renewals share. While many starts stay unanswered it is used up, and a stop was sent once in 0.31 s: four times until the lease ends.

The change: a stop is sent again within 0.1 s, whatever the budget says, until it is confirmed or the lease has ended. A needless copy costs one small request; stops are answered in a few milliseconds where a link is free, and come one for each run of a dropped job.

--- a/internal/process/fleet/exchange.go
+++ b/internal/process/fleet/exchange.go
@@ -35,11 +35,14 @@
 	// the result decides the request: then no further copy is sent.
 	handle func(result R, copies *repeat.Copies) bool
 	giveUp func() // called at most once, before a result has decided the request
+	// copyInterval is the longest time between two copies, also if the budget allows none; 0 if
+	// only the budget decides.
+	copyInterval time.Duration
 
 	copies          *repeat.Copies
 	call            *liveconn.Call
 	results         chan copyResult[R]
-	begunAt         time.Time
+	begunAt, sentAt time.Time // of the first copy and of the newest one
 	decided, gaveUp bool
 }
 
@@ -60,7 +63,7 @@
 	x.results = make(chan copyResult[R], 1)
 	x.begunAt = x.session.pool.node.now()
 	x.sendCopy()
-	timeout, paused := x.copies.Timeout(), false
+	timeout, paused := x.timeout(), false
 	due := x.session.pool.node.now().Add(timeout)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -88,7 +91,8 @@
 func (x *exchange[R]) isOpen() bool { return !x.decided && !x.gaveUp && x.session.ctx.Err() == nil }
 
 func (x *exchange[R]) sendCopy() {
-	number := x.copies.Sent(x.session.pool.node.now())
+	x.sentAt = x.session.pool.node.now()
+	number := x.copies.Sent(x.sentAt)
 	patience := time.Duration(0)
 	if number > 0 {
 		patience = x.session.pool.answerTimer.Timeout() / connectionPatience
@@ -130,17 +134,26 @@
 		x.session.runSuspicion.RecordUnanswered()
 		return x.abandon()
 	}
-	if !x.copies.Overdue() {
+	if x.copies.Overdue() {
+		x.session.runSuspicion.RecordUnanswered()
+		if x.copies.Count() > 1 && x.session.runSuspicion.Suspected() {
+			return x.abandon()
+		}
+	} else if x.copyInterval == 0 || x.session.pool.node.since(x.sentAt) < x.copyInterval {
 		x.session.pool.metrics.recordWithheldCopy(x.name)
-		return min(x.copies.Timeout(), rest) // the budget may allow it then
-	}
-	x.session.runSuspicion.RecordUnanswered()
-	if x.copies.Count() > 1 && x.session.runSuspicion.Suspected() {
-		return x.abandon()
+		return min(x.timeout(), rest) // the budget may allow it then
 	}
 	x.session.pool.metrics.recordCopy(x.name)
 	x.sendCopy()
-	return min(x.copies.Timeout(), rest)
+	return min(x.timeout(), rest)
+}
+
+// timeout returns how long to wait until another copy is due.
+func (x *exchange[R]) timeout() time.Duration {
+	if x.copyInterval == 0 {
+		return x.copies.Timeout()
+	}
+	return min(x.copies.Timeout(), x.copyInterval)
 }
 
 // abandon gives the request up: no further copy is sent, and no time is waited for one.
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -15,7 +15,9 @@
 	clearingPollInterval = 30 * time.Millisecond // between renewals at a target where the runs of a former holder are being stopped
 	defaultRunStopTime   = 50 * time.Millisecond // that a target takes to end a run whose stop it has confirmed
 	stopMargin           = 30 * time.Millisecond // beyond that time, until the target is asked whether the run has ended
+	stopCopyInterval     = 80 * time.Millisecond // between copies of a stop request, whatever the budget of copies says: a target loses its lease for a run that is not known to be over
 	stopRetryDelay       = 60 * time.Millisecond // after a stop request that failed with all its copies
+	stopAgainDelay       = 20 * time.Millisecond // after one to which no copy was answered in time
 	maxAckDelay          = time.Second           // ended runs are acknowledged at the latest after this
 	leaseMargin          = 80 * time.Millisecond // beyond the lease, until the runs have surely ended
 )
--- a/internal/process/fleet/stop.go
+++ b/internal/process/fleet/stop.go
@@ -65,7 +65,11 @@
 			s.post(func(p *pool, now time.Time) { p.removeTarget(s.ref.ID, scheduler.TargetReplaced, now) })
 			return false
 		}
-		time.Sleep(stopRetryDelay)
+		if errors.Is(err, context.DeadlineExceeded) {
+			time.Sleep(stopAgainDelay)
+		} else {
+			time.Sleep(stopRetryDelay)
+		}
 		if s.leaseExpired(s.pool.node.now()) {
 			return false // renewLoop reports the expiry
 		}
@@ -103,7 +107,7 @@
 func (s *session) stop(r scheduler.Run) error {
 	decided := make(chan error, 2) // an answer may come after the request was given up
 	x := &exchange[stopResult]{
-		session: s, name: "stop",
+		session: s, name: "stop", copyInterval: stopCopyInterval,
 		send: func(ctx context.Context) (stopResult, copyFate) {
 			err := s.pool.node.config.Targets.Stop(ctx, s.ref, r, s.token)
 			return stopResult{err}, stopFate(err)
