Limit the lease of a run that is taken over at once

Cause: the limit of a target was determined at each tick of the pool and with each start, not when a run was added otherwise. The first report of the target came before the next tick, and took the target for one without runs.

The change: whatever adds a run to a target lowers the limit of its leases: a start, an import, a target that becomes known or has restarted.

Tests: TestARunThatWasHandedOverIsKeptAliveUntilTheNextTick fails before. TestNoTaskRunsTwiceAtOnceWhen- StopsStayUnanswered draws stops that stay unanswered for 0.3 to 4 s, hand-overs, cuts and lost hosts, and callers who come back to another pool. The drawn test of suspended machines shares its callers.

--- a/internal/process/fleet/lossytargets_test.go
+++ b/internal/process/fleet/lossytargets_test.go
@@ -19,7 +19,7 @@
 	host    int
 	pending *sync.Map     // runs whose start is under way
 	late    *atomic.Int64 // copies that reached an incarnation which was not there when they were sent
-	cut     *sync.Map     // ids and hostTargets that exchange no messages, except late ones
+	cut     *sync.Map     // ids and hostTargets that exchange no messages, except late ones; and unanswered requests
 	machine *fleet.Machine
 	ctx     context.Context // of the test
 }
@@ -30,6 +30,9 @@
 	target string
 }
 
+// unanswered is a kind of request to a target of which none arrives.
+type unanswered struct{ request, target string }
+
 // awaitLink waits until ctx ends if the target is cut off, and reports whether it is not.
 func (l lossyTargets) awaitLink(ctx context.Context, target string) bool {
 	_, cutFromAll := l.cut.Load(target)
@@ -125,6 +128,10 @@
 }
 
 func (l lossyTargets) Stop(ctx context.Context, t fleet.TargetRef, r scheduler.Run, token uint64) error {
+	if _, lost := l.cut.Load(unanswered{"stop", t.ID}); lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if !l.sends(ctx) || !l.awaitLink(ctx, t.ID) {
 		return ctx.Err()
 	}
--- a/internal/process/fleet/suspension_property_test.go
+++ b/internal/process/fleet/suspension_property_test.go
@@ -70,16 +70,23 @@
 		w.cut.Store(pair, true)
 		time.AfterFunc(m.pause.Length, func() { w.cut.Delete(pair) })
 	case "call":
-		go w.call(fmt.Sprint("call", w.stepAt), step.host, pool.String(), m.tasks)
+		go w.call(fmt.Sprint("call", w.stepAt), step.host, m.tasks, pool.String())
+	case "call pools":
+		other := shards.Pool{Domain: "north", Shard: (pool.Shard + 1) % 3}
+		go w.call(fmt.Sprint("call", w.stepAt), step.host, m.tasks, pool.String(), other.String())
+	case "lose stops":
+		id := unanswered{"stop", lifeOf(step.target, 1).ID}
+		w.cut.Store(id, true)
+		time.AfterFunc(m.pause.Length, func() { w.cut.Delete(id) })
 	}
 }
 
-// call sends a job as its caller does: again, under its id and to the next host, resendDelay
+// call sends a job as its caller does: again, under its id, to the next host and pool, resendDelay
 // after it got no answer.
-func (w *takeover) call(id string, home int, pool string, tasks int) {
+func (w *takeover) call(id string, home, tasks int, pools ...string) {
 	for try := 0; try < callerTries && w.ctx.Err() == nil; try++ {
 		h := w.allHosts()[(home+try)%takeoverHosts]
-		if a := w.callHost(h, job(id, tasks), pool); a.Outcome != scheduler.Broken {
+		if a := w.callHost(h, job(id, tasks), pools[try%len(pools)]); a.Outcome != scheduler.Broken {
 			return
 		}
 		time.Sleep(resendDelay)
@@ -185,3 +192,31 @@
 	NewWithT(t).Expect(tasksStarted).To(BeNumerically(">", 0))
 	t.Log(tasksStarted, late.Load())
 }
+
+// checkCallersComeBack plays drawn steps in a domain of several pools, in which runs outlast the
+// patience of their callers, and fails if a task runs twice at once.
+func checkCallersComeBack(t *testing.T, kinds []string) {
+	m, late, tasksStarted := metrics.NewMetrics(nil), new(atomic.Int64), 0
+	rapid.Check(t, func(rt *rapid.T) {
+		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawMachineSteps(rt, kinds)
+		steps = append([]takeoverStep{{kind: "split", pauseMS: 2000}}, steps...)
+		var overlapping []string
+		synctest.Test(t, func(t *testing.T) {
+			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(4 * time.Second), states: map[string]int{}, late: late}
+			overlapping = w.play(t, steps)
+			tasksStarted += len(w.targets.starts)
+		})
+		if len(overlapping) > 0 {
+			rt.Fatalf("tasks ran twice at once: %v", overlapping)
+		}
+	})
+	NewWithT(t).Expect(tasksStarted).To(BeNumerically(">", 0))
+	t.Log(tasksStarted, late.Load())
+}
+
+// Stops stay unanswered for seconds, while callers send their jobs again to another pool.
+func TestNoTaskRunsTwiceAtOnceWhenStopsStayUnanswered(t *testing.T) {
+	checkCallersComeBack(t, []string{
+		"call pools", "call pools", "call pools", "call pools", "lose stops", "lose stops", "lose stops", "lose stops", "hand over", "cut pair", "lose host",
+	})
+}
--- a/internal/process/scheduler/detached.go
+++ b/internal/process/scheduler/detached.go
@@ -30,7 +30,7 @@
 // have reached the new incarnation.
 func (c *Core) adopt(t *target, r *run, now time.Time) {
 	if r.incarnation == 0 || r.incarnation >= t.Incarnation {
-		t.addRun(r)
+		c.addRun(t, r)
 		r.lost = false
 		c.resume(r)
 		return
--- a/internal/process/scheduler/leaselimit.go
+++ b/internal/process/scheduler/leaselimit.go
@@ -72,6 +72,12 @@
 	return LeaseLimit{}
 }
 
+// addRun adds a run to a target, whose leases must not outlast it.
+func (c *Core) addRun(t *target, r *run) {
+	t.addRun(r)
+	c.limitLease(t, r)
+}
+
 // limitLease lowers the limit of a target to that of a run there.
 func (c *Core) limitLease(t *target, r *run) {
 	if !c.config.LimitLeases {
--- a/internal/process/scheduler/leaselimit_test.go
+++ b/internal/process/scheduler/leaselimit_test.go
@@ -88,6 +88,20 @@
 	g.Expect(starts(await(920))).To(HaveLen(1))
 }
 
+// The first report of its target came before the next tick, and its lease was extended in full.
+func TestARunThatWasHandedOverIsKeptAliveUntilTheNextTick(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newLimitingCore(1)
+	running := HandoverTask{LastRunNumber: 1, Target: "t0", Incarnation: 1, Confirmed: true}
+	c.ImportJobs([]HandoverJob{{Job: longJob("j", 1), HasStarted: true, AwaitedAt: at(0), Tasks: []HandoverTask{running}}}, at(700))
+	g.Expect(c.LeaseLimit("t0").Until).To(Equal(keptUntil(0)))
+	detached := running
+	detached.Target = "t1"
+	c.ImportJobs([]HandoverJob{{Job: longJob("k", 1), HasStarted: true, AwaitedAt: at(100), Tasks: []HandoverTask{detached}}}, at(700))
+	c.UpdateTarget(newDeskTarget(1), true, at(720))
+	g.Expect(c.LeaseLimit("t1").Until).To(Equal(keptUntil(100)), "its target became known later")
+}
+
 // No host here knows until when the run may go on.
 func TestTheLeaseOfAnUnknownRunIsExtended(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/process/scheduler/lifecycle.go
+++ b/internal/process/scheduler/lifecycle.go
@@ -52,7 +52,7 @@
 	for _, r := range known.sortedRuns() {
 		if r.incarnation == t.Incarnation { // at a new address, or imported from a host that knew of the restart
 			known.removeRun(r)
-			restarted.addRun(r)
+			c.addRun(restarted, r)
 			c.resume(r)
 		}
 	}
@@ -63,7 +63,7 @@
 
 // stopRestarted stops a run of a former incarnation of a target that has restarted.
 func (c *Core) stopRestarted(t *target, r *run) {
-	t.addRun(r)
+	c.addRun(t, r)
 	r.state = starting // an earlier stop request went to the former incarnation
 	c.stopRun(r, "the target restarted")
 }
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -142,8 +142,7 @@
 	t.run = r
 	s.pendingTasks--
 	s.hasStarted = true
-	chosen.addRun(r)
-	c.limitLease(chosen, r)
+	c.addRun(chosen, r)
 	c.emit(Start{Target: chosen.ID, Run: r.id, Spec: s.Spec, Label: step.Label, Incarnation: chosen.Incarnation, Former: t.released})
 }
 
