Take no caller to wait whose departure waits in the ring

Cause, as of on a related path: on a pool whose goroutine is busy, the event of a withdrawal waits in its ring behind others, while the tick finds the caller among those that wait and moves the limit of the lease on.

The change: the look that moves the limit asks whether the context of the call has ended.

Test: TestACallerIsTakenToWaitLongerThanIsKnown, for a caller of this host and one of another. Before, both counted as waiting.

--- a/internal/process/fleet/awaited.go
+++ b/internal/process/fleet/awaited.go
@@ -20,7 +20,14 @@
 // waits unless its connection is closed, which has been read if it was so before the former look.
 // Another host waits for its caller if it was heard from; what is read right after a pause may
 // have been sent before it.
+//
+// One that has left meanwhile is known to wait no longer, although that event waits in the ring.
 func (p *pool) lastAwaited(w waiter, now time.Time) time.Time {
+	select {
+	case <-w.gone:
+		return time.Time{}
+	default:
+	}
 	at := p.callersSeenAt
 	if w.heard != nil {
 		at = now.Add(-w.heard.silence(now))
--- a/internal/process/fleet/leaselimits_test.go
+++ b/internal/process/fleet/leaselimits_test.go
@@ -18,6 +18,10 @@
 		return h
 	}
 	p.callersSeenAt = now.Add(-20 * time.Millisecond)
+	gone := make(chan struct{})
+	close(gone)
+	g.Expect(p.lastAwaited(waiter{gone: gone}, now)).To(BeZero(), "its departure waits in the ring")
+	g.Expect(p.lastAwaited(waiter{gone: gone, heard: heardAgo(0)}, now)).To(BeZero())
 	pause := gap{now.Add(-700 * time.Millisecond), now.Add(-50 * time.Millisecond)}
 	for name, c := range map[string]struct {
 		w     waiter
--- a/internal/process/fleet/pool.go
+++ b/internal/process/fleet/pool.go
@@ -68,10 +68,11 @@
 // waiter waits for the answer to a job: a caller, or a host that forwarded the job.
 type waiter struct {
 	jobID        string
-	sender       string     // the host that forwarded the job; empty for a caller of this host
-	heard        *connHeard // of the connection that it came over; nil for a caller of this host
-	startUntil   uint64     // by ownClock, until which it may begin here; 0 for no limit
-	deadline     time.Time  // until which the caller waits; zero if that is not known
+	sender       string          // the host that forwarded the job; empty for a caller of this host
+	heard        *connHeard      // of the connection that it came over; nil for a caller of this host
+	startUntil   uint64          // by ownClock, until which it may begin here; 0 for no limit
+	gone         <-chan struct{} // closed once the caller has left, or the host has given the job up
+	deadline     time.Time       // until which the caller waits; zero if that is not known
 	waitingSince time.Time
 	answer       chan<- scheduler.Answer // buffered for one answer
 }
@@ -173,7 +174,7 @@
 func (p *pool) submit(ctx context.Context, j scheduler.Job, sender string) scheduler.Answer {
 	answer := make(chan scheduler.Answer, 1)
 	id := p.lastWaiterID.Add(1)
-	e := submitEvent{id: id, job: j, waiter: waiter{jobID: j.ID, sender: sender, heard: connHeardFrom(ctx), startUntil: startUntilFrom(ctx), deadline: j.Deadline, waitingSince: p.node.now(), answer: answer}}
+	e := submitEvent{id: id, job: j, waiter: waiter{jobID: j.ID, sender: sender, heard: connHeardFrom(ctx), gone: ctx.Done(), startUntil: startUntilFrom(ctx), deadline: j.Deadline, waitingSince: p.node.now(), answer: answer}}
 	if err := p.tryPost(e); err != nil {
 		return refusalAnswer(err)
 	}
