--- a/internal/process/fleet/suspension_property_test.go
+++ b/internal/process/fleet/suspension_property_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -176,33 +177,19 @@
 		"pause", "pause holder", "pause holder", "pause holder", "quota", "cut pair", "cut pair", "call", "call", "call", "call", "call", "call",
 		"hand over", "split", "lose target", "lose host", "claim",
 	}
-	m, late, tasksStarted := metrics.NewMetrics(nil), new(atomic.Int64), 0
-	rapid.Check(t, func(rt *rapid.T) {
-		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawMachineSteps(rt, kinds)
-		var overlapping []string
-		synctest.Test(t, func(t *testing.T) {
-			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(2 * time.Second), states: map[string]int{}, late: late}
-			overlapping = w.play(t, steps)
-			tasksStarted += len(w.targets.starts)
-		})
-		if len(overlapping) > 0 {
-			rt.Fatalf("tasks ran twice at once: %v", overlapping)
-		}
-	})
-	NewWithT(t).Expect(tasksStarted).To(BeNumerically(">", 0))
-	t.Log(tasksStarted, late.Load())
+	checkCallersComeBack(t, 2*time.Second, nil, kinds)
 }
 
-// checkCallersComeBack plays drawn steps in a domain of several pools, in which runs outlast the
-// patience of their callers, and fails if a task runs twice at once.
-func checkCallersComeBack(t *testing.T, kinds []string) {
+// checkCallersComeBack plays the first steps and drawn ones, among them calls whose callers send
+// their jobs again, and fails if a task runs twice at once.
+func checkCallersComeBack(t *testing.T, runDuration time.Duration, first []takeoverStep, kinds []string) {
 	m, late, tasksStarted := metrics.NewMetrics(nil), new(atomic.Int64), 0
 	rapid.Check(t, func(rt *rapid.T) {
 		seed, steps := rapid.Uint64().Draw(rt, "seed"), drawMachineSteps(rt, kinds)
-		steps = append([]takeoverStep{{kind: "split", pauseMS: 2000}}, steps...)
+		steps = append(slices.Clone(first), steps...)
 		var overlapping []string
 		synctest.Test(t, func(t *testing.T) {
-			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(4 * time.Second), states: map[string]int{}, late: late}
+			w := &takeover{seed: seed, metrics: m, targets: newFakeTargets(runDuration), states: map[string]int{}, late: late}
 			overlapping = w.play(t, steps)
 			tasksStarted += len(w.targets.starts)
 		})
@@ -214,9 +201,11 @@
 	t.Log(tasksStarted, late.Load())
 }
 
-// Stops stay unanswered for seconds, while callers send their jobs again to another pool.
+// Stops stay unanswered for seconds, while callers whose patience their runs outlast send their
+// jobs again to another pool.
 func TestNoTaskRunsTwiceAtOnceWhenStopsStayUnanswered(t *testing.T) {
-	checkCallersComeBack(t, []string{
+	split := takeoverStep{kind: "split", pauseMS: 2000}
+	checkCallersComeBack(t, 4*time.Second, []takeoverStep{split}, []string{
 		"call pools", "call pools", "call pools", "call pools", "lose stops", "lose stops", "lose stops", "lose stops", "hand over", "cut pair", "lose host",
 	})
 }
