Compute a lease before recording it

renewLease recorded each lease as sent and took that back if it ended no later than a former one. What is allowed is computed apart now, and recorded by one function only where it extends the lease. leaseLimiter holds what was reported of a limit, and is called limitReport; two comments are wrapped and one field is described.

--- a/internal/process/fleet/leaselimits.go
+++ b/internal/process/fleet/leaselimits.go
@@ -6,8 +6,8 @@
 	"wasabifield.example/wasabifield/internal/process/scheduler"
 )
 
-// leaseLimiter is what was reported of the limit of a target's leases.
-type leaseLimiter struct {
+// limitReport is what was reported of the limit of a target's leases.
+type limitReport struct {
 	limit    scheduler.LeaseLimit
 	reported bool // that the lease is short
 	ended    bool // the lease has ended at its limit
@@ -43,7 +43,7 @@
 	l := &s.limitedBy
 	if l.reported && (limit.Cause != l.limit.Cause || limit.Run != l.limit.Run) {
 		p.logLeaseLimit("The lease of a target is not limited by a run any more.", s, l.limit, now)
-		*l = leaseLimiter{}
+		*l = limitReport{}
 	}
 	if limit.Cause == scheduler.NotLimited {
 		return
--- a/internal/process/fleet/renewals.go
+++ b/internal/process/fleet/renewals.go
@@ -157,9 +157,8 @@
 
 // sendRenewal sends one renewal request, which acknowledges the recorded ends. It extends
 // the lease as far as that is allowed if runs are active and the target has not been silent for
-// maxSilence. The
-// target may delay its answer if runs are active, it answered the last renewal and no runs
-// of a former holder may be there.
+// maxSilence. The target may delay its answer if runs are active, it answered the last renewal
+// and no runs of a former holder may be there.
 func (s *session) sendRenewal() *renewal {
 	n := &s.renewals
 	n.sent++
--- a/internal/process/fleet/session.go
+++ b/internal/process/fleet/session.go
@@ -32,7 +32,7 @@
 	token       uint64
 	clearing    atomic.Bool  // runs of a former holder may be on the target
 	listed      bool         // a report of its runs was handled; belongs to the pool's goroutine
-	limitedBy   leaseLimiter // belongs to the pool's goroutine
+	limitedBy   limitReport  // belongs to the pool's goroutine
 	movingAway  bool         // the target moves to another shard; belongs to the pool's goroutine
 	fencedAt    time.Time    // when a target that moves away obeyed its new holder; belongs to the pool's goroutine
 	activeRuns  atomic.Int32 // on the target, as far as the scheduler knows
@@ -130,21 +130,7 @@
 func (s *session) extendLease(decidedAt time.Time) lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.extendLeaseLocked(decidedAt)
-}
-
-// extendLeaseLocked is extendLease for a caller that holds the lock.
-func (s *session) extendLeaseLocked(decidedAt time.Time) lease {
-	now := s.pool.node.now()
-	l := lease{sentAt: now, previous: s.leaseSentAt, previousEnd: s.leaseEnd}
-	l.untilMS = s.clock.at(decidedAt) + s.pool.node.config.MaxLease.Milliseconds()
-	end := decidedAt.Add(s.pool.node.config.MaxLease)
-	if s.leaseLimit.Before(end) {
-		end = s.leaseLimit
-		l.untilMS = min(l.untilMS, s.clock.at(laterOf(end, decidedAt)))
-	}
-	s.leaseSentAt, s.leaseEnd = now, laterOf(s.leaseEnd, end)
-	return l
+	return s.recordLease(s.allowedLease(decidedAt))
 }
 
 // renewLease returns the lease of a renewal, like extendLease, or reports false if none may be
@@ -156,12 +142,29 @@
 	if !s.leaseLimit.After(decidedAt) {
 		return lease{}, false
 	}
-	sentAt, end := s.leaseSentAt, s.leaseEnd
-	l := s.extendLeaseLocked(decidedAt)
-	if s.leaseEnd.Equal(end) {
-		s.leaseSentAt, l.sentAt = sentAt, time.Time{}
+	untilMS, end := s.allowedLease(decidedAt)
+	if !end.After(s.leaseEnd) {
+		return lease{untilMS: untilMS}, true
+	}
+	return s.recordLease(untilMS, end), true
+}
+
+// allowedLease returns the end of the longest lease that is allowed from a time, on the target's
+// clock and on this host's. The caller holds the lock.
+func (s *session) allowedLease(from time.Time) (untilMS int64, end time.Time) {
+	untilMS, end = s.clock.at(from)+s.pool.node.config.MaxLease.Milliseconds(), from.Add(s.pool.node.config.MaxLease)
+	if s.leaseLimit.Before(end) {
+		end = s.leaseLimit
+		untilMS = min(untilMS, s.clock.at(laterOf(end, from)))
 	}
-	return l, true
+	return untilMS, end
+}
+
+// recordLease records that a request with a lease is being sent. The caller holds the lock.
+func (s *session) recordLease(untilMS int64, end time.Time) lease {
+	l := lease{untilMS: untilMS, sentAt: s.pool.node.now(), previous: s.leaseSentAt, previousEnd: s.leaseEnd}
+	s.leaseSentAt, s.leaseEnd = l.sentAt, laterOf(s.leaseEnd, end)
+	return l
 }
 
 // leaseLeft returns for how long the longest lease that was sent is in force, if it is limited;
--- a/internal/process/scheduler/job.go
+++ b/internal/process/scheduler/job.go
@@ -32,7 +32,7 @@
 	latestStart     time.Time // latest start that is expected to meet dueAt
 	waiters         []uint64  // callers to reply to
 	awaitedAt       time.Time // when its caller was last known to wait for the answer
-	dropped         bool
+	dropped         bool      // answered or withdrawn; its runs are being stopped
 	expiresAt       time.Time // an answer after this time has no value to the caller
 	resubmitBy      time.Time // when an imported job is dropped unless submitted again; zero for others
 	late            bool      // started, but past its latest start; queued behind all others
--- a/internal/process/scheduler/place.go
+++ b/internal/process/scheduler/place.go
@@ -147,8 +147,8 @@
 }
 
 // Tick drops imported jobs that were not submitted again, limits the leases of targets, gives
-// up jobs with deadly tasks, refuses or expires waiting jobs that can no longer end in time, stops stalled
-// runs and places waiting tasks.
+// up jobs with deadly tasks, refuses or expires waiting jobs that can no longer end in time,
+// stops stalled runs and places waiting tasks.
 func (c *Core) Tick(now time.Time) []Effect {
 	c.expireHandedOver(now)
 	c.expireDetachedRuns(now)
